--- a/wagtailfront/authority/claim_rows.py
+++ b/wagtailfront/authority/claim_rows.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from wagtailfront.outcome import Verdict
-from wagtailfront.platform.interfaces import Key
+from wagtailfront.stores.interfaces import Key
 
 __all__ = [
     "CLAIMED",
--- a/wagtailfront/authority/claims.py
+++ b/wagtailfront/authority/claims.py
@@ -23,7 +23,7 @@
     WriteRows,
 )
 from wagtailfront.outcome import Answered, Failed, Refused, Verdict
-from wagtailfront.platform.interfaces import (
+from wagtailfront.stores.interfaces import (
     Committed,
     ConditionFailed,
     Found,
--- a/wagtailfront/authority/config_effects.py
+++ b/wagtailfront/authority/config_effects.py
@@ -4,7 +4,7 @@
 from typing import Any, NamedTuple
 
 from wagtailfront.outcome import Verdict
-from wagtailfront.platform.interfaces import Key, Put
+from wagtailfront.stores.interfaces import Key, Put
 
 __all__ = [
     "TableGet",
--- a/wagtailfront/authority/config_log.py
+++ b/wagtailfront/authority/config_log.py
@@ -13,7 +13,7 @@
     resources_touched,
 )
 from wagtailfront.exception import ConfigurationError
-from wagtailfront.platform.interfaces import Key, Put
+from wagtailfront.stores.interfaces import Key, Put
 
 __all__ = [
     "PARTITION",
--- a/wagtailfront/authority/config_spread.py
+++ b/wagtailfront/authority/config_spread.py
@@ -15,7 +15,7 @@
 from wagtailfront.authority.store_requests import StoreRequests
 from wagtailfront.exception import ProtocolError
 from wagtailfront.membership.messages import ConfigChange, ConfigCopy, ConfigFetch
-from wagtailfront.platform import interfaces as store
+from wagtailfront.stores import interfaces as store
 
 __all__ = ["POLL_INTERVAL", "ConfigSpread"]
 
--- a/wagtailfront/authority/config_upkeep.py
+++ b/wagtailfront/authority/config_upkeep.py
@@ -4,7 +4,7 @@
 
 from wagtailfront.authority.config_state import JoinRoster, LeaveRoster
 from wagtailfront.authority.snapshot import encode_snapshot, slot_name
-from wagtailfront.platform import interfaces as store
+from wagtailfront.stores import interfaces as store
 
 __all__ = ["SNAPSHOT_INTERVAL", "ROSTER_INTERVAL", "RosterUpkeep", "SnapshotWriter"]
 
--- a/wagtailfront/authority/effects.py
+++ b/wagtailfront/authority/effects.py
@@ -3,7 +3,7 @@
 import itertools
 from typing import Any, NamedTuple
 
-from wagtailfront.platform.interfaces import Check, Key, Put
+from wagtailfront.stores.interfaces import Check, Key, Put
 
 __all__ = [
     "Tag",
--- a/wagtailfront/authority/engine_change.py
+++ b/wagtailfront/authority/engine_change.py
@@ -19,7 +19,7 @@
     WriteRows,
     merge_timers,
 )
-from wagtailfront.platform.interfaces import Check, Committed, Found, Missing, Put
+from wagtailfront.stores.interfaces import Check, Committed, Found, Missing, Put
 
 __all__ = ["ChangeMachine"]
 
--- a/wagtailfront/authority/lease.py
+++ b/wagtailfront/authority/lease.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from wagtailfront.authority.effects import Calls, ReadRow, StartTimer, WriteRows
-from wagtailfront.platform.interfaces import (
+from wagtailfront.stores.interfaces import (
     Committed,
     Found,
     Key,
@@ -125,7 +125,7 @@
 
     Examples
     --------
-    >>> from wagtailfront.platform.interfaces import Missing
+    >>> from wagtailfront.stores.interfaces import Missing
     >>> machine = LeaseMachine(group="g", instance="i", new_token=lambda: "t1")
     >>> read, timer = machine.want(0.0, True)
     >>> write, timer = machine.on_reply(0.1, read.tag, Missing())
--- a/wagtailfront/authority/order_rows.py
+++ b/wagtailfront/authority/order_rows.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from wagtailfront.platform.interfaces import Key
+from wagtailfront.stores.interfaces import Key
 
 __all__ = [
     "OPEN",
--- a/wagtailfront/authority/orders.py
+++ b/wagtailfront/authority/orders.py
@@ -13,7 +13,7 @@
     WriteRows,
 )
 from wagtailfront.authority.order_rows import DONE, OPEN, Order, order_key
-from wagtailfront.platform.interfaces import Check, Committed, Found, Missing, Put
+from wagtailfront.stores.interfaces import Check, Committed, Found, Missing, Put
 
 __all__ = ["OrderTimes", "OrderMachine"]
 
--- a/wagtailfront/authority/proposal.py
+++ b/wagtailfront/authority/proposal.py
@@ -17,7 +17,7 @@
 from wagtailfront.authority.config_state import apply_change, is_roster_change
 from wagtailfront.exception import ConfigurationError, ProtocolError
 from wagtailfront.outcome import Verdict
-from wagtailfront.platform import interfaces as store
+from wagtailfront.stores import interfaces as store
 
 __all__ = ["PROPOSAL_TIMEOUT", "Proposal"]
 
--- a/wagtailfront/authority/store_requests.py
+++ b/wagtailfront/authority/store_requests.py
@@ -1,7 +1,7 @@
 """Requests to the stores that wait for their replies."""
 
 from wagtailfront.authority import config_effects as effects
-from wagtailfront.platform import interfaces as store
+from wagtailfront.stores import interfaces as store
 
 __all__ = ["REQUEST_TIMEOUT", "StoreRequests"]
 
--- a/wagtailfront/authority/tests/builders.py
+++ b/wagtailfront/authority/tests/builders.py
@@ -5,7 +5,7 @@
 from hypothesis import settings, strategies as st
 
 from wagtailfront.authority.order_rows import EngineState, Target
-from wagtailfront.platform.memory import (
+from wagtailfront.stores.memory import (
     OUTAGE,
     duplicated,
     late_write,
--- a/wagtailfront/authority/tests/config_fleet.py
+++ b/wagtailfront/authority/tests/config_fleet.py
@@ -27,7 +27,7 @@
     encode_message,
 )
 from wagtailfront.outcome import Verdict
-from wagtailfront.platform.memory import MemoryObjects, MemoryTable
+from wagtailfront.stores.memory import MemoryObjects, MemoryTable
 
 __all__ = ["StaleDispatch", "VersionReverted", "LateWork", "Parts", "Fleet"]
 
--- a/wagtailfront/authority/tests/test_config_keeper.py
+++ b/wagtailfront/authority/tests/test_config_keeper.py
@@ -15,7 +15,7 @@
 from wagtailfront.membership.member_list import ListedInstance
 from wagtailfront.membership.member_list_poller import MemberListPoller
 from wagtailfront.membership.peer_bus import PeerBus
-from wagtailfront.platform.memory import OUTAGE, MemoryObjects, MemoryTable
+from wagtailfront.stores.memory import OUTAGE, MemoryObjects, MemoryTable
 from wagtailfront.transport.tests.event_loop import EventLoop
 
 
--- a/wagtailfront/authority/tests/test_config_spread.py
+++ b/wagtailfront/authority/tests/test_config_spread.py
@@ -30,7 +30,7 @@
 )
 from wagtailfront.membership.heartbeat import Heartbeat
 from wagtailfront.membership.member_list import MemberList
-from wagtailfront.platform.memory import (
+from wagtailfront.stores.memory import (
     NO_FAULT,
     OUTAGE,
     late_write,
--- a/wagtailfront/authority/tests/test_config_start.py
+++ b/wagtailfront/authority/tests/test_config_start.py
@@ -8,7 +8,7 @@
 from wagtailfront.authority.tests.config_builders import ENGINES, drain, limit_change
 from wagtailfront.authority.tests.config_fleet import Fleet, Parts, StaleDispatch
 from wagtailfront.membership.messages import ConfigChange, ConfigCopy
-from wagtailfront.platform.memory import NO_FAULT, OUTAGE, lost_request
+from wagtailfront.stores.memory import NO_FAULT, OUTAGE, lost_request
 
 SIZE = 5
 SEEDS = st.integers(0, 2**16)
--- a/wagtailfront/authority/tests/test_engine_change.py
+++ b/wagtailfront/authority/tests/test_engine_change.py
@@ -21,7 +21,7 @@
 from wagtailfront.authority.engine_group import GroupMachine
 from wagtailfront.authority.tests.builders import FAULT_SETTINGS, WAIT, Passage
 from wagtailfront.authority.tests.holders import INSTANCES, HolderFaults
-from wagtailfront.platform.interfaces import Row
+from wagtailfront.stores.interfaces import Row
 
 ENGINES = {"e1": True, "e2": False, "e3": True, "e4": False}
 SETTINGS = settings(max_examples=120, stateful_step_count=30)
--- a/wagtailfront/authority/tests/test_group_manager.py
+++ b/wagtailfront/authority/tests/test_group_manager.py
@@ -10,7 +10,7 @@
 from wagtailfront.bench.slope_authority import settle
 from wagtailfront.bench.slope_fleet import make_fleet
 from wagtailfront.membership.heartbeats import config_applied
-from wagtailfront.platform.interfaces import Committed, Missing
+from wagtailfront.stores.interfaces import Committed, Missing
 
 
 class CountingTable:
--- a/wagtailfront/authority/tests/test_orders.py
+++ b/wagtailfront/authority/tests/test_orders.py
@@ -10,7 +10,7 @@
 from wagtailfront.authority.orders import OrderMachine
 from wagtailfront.authority.tests.builders import FAULT_SETTINGS, WAIT, Passage
 from wagtailfront.authority.tests.holders import HolderFaults, OrdersOnlyGroup
-from wagtailfront.platform.memory import late_write
+from wagtailfront.stores.memory import late_write
 
 SETTINGS = settings(max_examples=200, stateful_step_count=40)
 
--- a/wagtailfront/authority/tests/world.py
+++ b/wagtailfront/authority/tests/world.py
@@ -5,7 +5,7 @@
 
 from wagtailfront.authority.lease import LeaseMachine
 from wagtailfront.authority.tests.builders import Passage
-from wagtailfront.platform.memory import (
+from wagtailfront.stores.memory import (
     OUTAGE,
     MemoryTable,
     Schedule,
--- a/wagtailfront/bench/slope_store.py
+++ b/wagtailfront/bench/slope_store.py
@@ -8,8 +8,8 @@
 from wagtailfront.authority.lease import LeaseMachine
 from wagtailfront.bench.slopes import measure
 from wagtailfront.outcome import Answered
-from wagtailfront.platform.interfaces import Committed, Missing
-from wagtailfront.platform.table_codec import encode_transact
+from wagtailfront.stores.interfaces import Committed, Missing
+from wagtailfront.stores.table_codec import encode_transact
 
 __all__ = ["store_costs"]
 
--- a/wagtailfront/callers/claim_keeper.py
+++ b/wagtailfront/callers/claim_keeper.py
@@ -17,7 +17,7 @@
 from wagtailfront.callers.claim_gate import CallAnswer, Proceed, Recorded
 from wagtailfront.identifiers import new_id
 from wagtailfront.outcome import Answered, Failed, Verdict
-from wagtailfront.platform.interfaces import Committed, Found
+from wagtailfront.stores.interfaces import Committed, Found
 from wagtailfront.transport.ticker import Ticker
 
 __all__ = ["ClaimKeeper"]
--- /dev/null
+++ b/wagtailfront/forwarding/attempt.py
@@ -0,0 +1,201 @@
+"""One request at one endpoint, and what its response means."""
+
+from wagtailfront.forwarding.event_splitter import EventSplitter
+from wagtailfront.forwarding.framing import HOP_BY_HOP, encode_head, find_header
+
+__all__ = ["PrefillAttempt", "RunAttempt", "end_to_end"]
+
+MAX_BODY = 16 * 1024 * 1024  # bytes of an answer that is kept whole
+MISDIRECTED = 421
+EVENT_STREAM = b"text/event-stream"
+BODILESS_METHODS = (b"GET", b"HEAD")
+
+
+def end_to_end(headers):
+    """Return the headers that concern more than one connection."""
+    return [header for header in headers if header[0].lower() not in HOP_BY_HOP]
+
+
+class _Attempt:
+    """Common part of the attempts; receives the endpoint's response.
+
+    Parameters
+    ----------
+    task : ForwardTask
+    record : EndpointRecord
+    number : int
+        Number of the attempt within its request, from 1.
+    """
+
+    is_prefill = False
+
+    def __init__(self, *, task, record, number):
+        self.task = task
+        self.tools = task.tools
+        self.record = record
+        self.label = f"{record.endpoint_id}#{number}"
+        self.started = self.tools.clock()
+        self.exchange = None
+        self.is_dropped = False
+        self.status = 0
+        self.headers = []
+        self.fields = None
+        self.chunks = []
+        self.size = 0
+
+    @property
+    def health(self):
+        """Return the observations of the attempt's endpoint."""
+        return self.tools.health.state(self.record)
+
+    @property
+    def body(self):
+        """Return what came of the body so far."""
+        return b"".join(self.chunks)
+
+    @property
+    def is_not_run(self):
+        """Return whether the endpoint said that it did not run the request."""
+        return self.fields.is_not_run or self.status == MISDIRECTED
+
+    def launch(self, options):
+        """Send the request with `options`, a SendOptions."""
+        self.health.outstanding += 1
+        payload = self._encode(options)
+        self.exchange = self.tools.pool.send(self.record, payload, sink=self)
+
+    def drop(self):
+        """Give the attempt up; closes its connection if in use."""
+        if not self.is_dropped:
+            self.is_dropped = True
+            self.exchange.cancel()
+            self.health.outstanding -= 1
+
+    def _encode(self, options):
+        request = self.task.request
+        headers = self.tools.dialect.endpoint_headers(
+            end_to_end(request.headers), options
+        )
+        if request.body or request.method not in BODILESS_METHODS:
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
+        return encode_head(first_line, headers) + request.body
+
+    # ExchangeSink
+
+    def on_head(self, status, headers):
+        fields = self.tools.dialect.read_response(status, headers)
+        own_id = self.task.fields.request_id
+        if fields.request_id is not None and fields.request_id != own_id:
+            self.task.note_foreign_response(self, fields.request_id)
+            return False
+        self.status, self.headers, self.fields = status, headers, fields
+        self._note_progress()
+        return True
+
+    def on_data(self, data):
+        self.size += len(data)
+        self.chunks.append(data)
+        if self.size > MAX_BODY:
+            self.fail("answer too large")
+
+    def on_failure(self, reason, sent):
+        self.task.take_failure(self, reason, sent)
+
+    def fail(self, reason):
+        """Report a fault of the response that the connection does not show."""
+        self.exchange.cancel()
+        self.task.take_failure(self, reason, True)
+
+    def _note_progress(self):
+        self.health.last_heard = self.tools.clock()
+
+
+class PrefillAttempt(_Attempt):
+    """Reading of a prompt without running the request."""
+
+    is_prefill = True
+
+    def launch(self, options):
+        self.health.pending_tokens += self.task.fields.prompt_tokens
+        super().launch(options)
+
+    def drop(self):
+        if not self.is_dropped:
+            self.health.pending_tokens -= self.task.fields.prompt_tokens
+        super().drop()
+
+    def on_end(self):
+        self.task.take_prefill(self)
+
+
+class RunAttempt(_Attempt):
+    """Run of a request; passes events on as they arrive."""
+
+    def __init__(self, *, task, record, number):
+        super().__init__(task=task, record=record, number=number)
+        self.splitter = None
+        self.is_tracked = False
+
+    @property
+    def is_trusted(self):
+        """Return whether a success is this request's own, unaltered answer."""
+        return (
+            self.fields.is_signed
+            and not self.fields.is_encoded
+            and self.fields.request_id is not None
+        )
+
+    def launch(self, options):
+        self.is_tracked = True
+        self.tools.evidence.start(self.task.fingerprint, self.label)
+        super().launch(options)
+
+    def drop(self):
+        self._untrack(self.tools.evidence.cancel)
+        super().drop()
+
+    def note_success(self):
+        """Clear what is known against the request."""
+        self._untrack(self.tools.evidence.complete)
+
+    def note_crash(self):
+        """Note that the endpoint fell silent or broke off without a head."""
+        self.is_tracked = False
+        incarnation = f"{self.record.endpoint_id}/{self.record.started_ms}"
+        self.tools.evidence.crash(self.label, incarnation, now=self.tools.clock())
+
+    def _untrack(self, end):
+        if self.is_tracked:
+            self.is_tracked = False
+            end(self.task.fingerprint, self.label)
+
+    def on_head(self, status, headers):
+        if not super().on_head(status, headers):
+            return False
+        content_type = find_header(headers, b"content-type") or b""
+        is_stream = content_type.lower().startswith(EVENT_STREAM)
+        if status == 200 and is_stream and self.is_trusted:
+            self.splitter = EventSplitter()
+        return True
+
+    def on_data(self, data):
+        if self.splitter is None:
+            super().on_data(data)
+            return
+        try:
+            events = self.splitter.feed(data)
+        except ValueError as error:
+            self.fail(str(error))
+            return
+        self._note_progress()
+        if events:
+            self.task.pass_events(self, events)
+
+    def on_end(self):
+        if self.splitter is None:
+            self.task.take_answer(self)
+        elif self.splitter.has_rest:
+            self.fail("stream ended within an event")
+        else:
+            self.task.end_stream(self)
--- /dev/null
+++ b/wagtailfront/forwarding/attempt_budget.py
@@ -0,0 +1,56 @@
+"""Budget of repeated attempts that all instances share."""
+
+from collections import deque
+
+__all__ = ["AttemptBudget"]
+
+
+class AttemptBudget:
+    """Allows repeats for a share of this instance's own requests.
+
+    Parameters
+    ----------
+    share : float
+        Repeats per request that the service tolerates.
+    slack : float
+        Repeats beyond `share` that this instance may make in a window.
+    window : float
+        Seconds.
+
+    Notes
+    -----
+    The limit holds for all instances together. Each one spends only what its
+    own requests of the window earn, so the sum stays below the limit without
+    any exchange between them.
+
+    Examples
+    --------
+    >>> budget = AttemptBudget(share=0.5, slack=1, window=10.0)
+    >>> for _ in range(2):
+    ...     budget.note_request(now=0.0)
+    >>> [budget.spend(now=1.0) for _ in range(3)]
+    [True, True, False]
+    >>> budget.spend(now=11.5)
+    True
+    """
+
+    def __init__(self, *, share, slack, window):
+        self.share = share
+        self.slack = slack
+        self.window = window
+        self.requests = deque()
+        self.repeats = deque()
+
+    def note_request(self, *, now):
+        """Count a caller's request."""
+        self.requests.append(now)
+
+    def spend(self, *, now):
+        """Take one repeat; return whether it may be made."""
+        for times in (self.requests, self.repeats):
+            while times and times[0] <= now - self.window:
+                times.popleft()
+        if len(self.repeats) + 1 > self.share * len(self.requests) + self.slack:
+            return False
+        self.repeats.append(now)
+        return True
--- /dev/null
+++ b/wagtailfront/forwarding/caller_server.py
@@ -0,0 +1,241 @@
+"""Callers' connections: requests in, answers out."""
+
+import logging
+import socket
+import struct
+import time
+from collections import deque
+
+from circuits import BaseComponent, Event, handler
+
+from wagtailfront.forwarding.framing import (
+    CONTINUE,
+    LAST_CHUNK,
+    RequestReader,
+    encode_chunk,
+    encode_head,
+    status_line,
+)
+from wagtailfront.transport.http_listener import HttpListener
+from wagtailfront.transport.http_protocol import ServerLimits
+from wagtailfront.transport.ticker import Ticker
+
+__all__ = ["ForwardServer", "Reply"]
+
+logger = logging.getLogger(__name__)
+
+SWEEP_INTERVAL = 0.5  # seconds between looks at slow and idle callers
+MAX_PIPELINED = 8  # requests that wait on one connection
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class sweep(Event):
+    """Close connections that are idle or send too slowly."""
+
+
+class Reply:
+    """Answer to one request on a caller's connection."""
+
+    def __init__(self, *, server, connection, request):
+        self.server = server
+        self.connection = connection
+        self.keep_alive = request.keep_alive
+        self.is_chunked = request.http_version != "1.0"
+        self.is_ended = False
+
+    def answer(self, status, headers, body):
+        """Send a whole answer."""
+        length = (b"Content-Length", b"%d" % len(body))
+        self._write(self._head(status, [*headers, length]) + body)
+        self._end()
+
+    def start(self, status, headers):
+        """Send the head of a streamed answer."""
+        if self.is_chunked:
+            headers = [*headers, (b"Transfer-Encoding", b"chunked")]
+        else:
+            self.keep_alive = False
+        self._write(self._head(status, headers))
+
+    def send(self, data):
+        """Send a part of a streamed answer."""
+        self._write(encode_chunk(data) if self.is_chunked else data)
+
+    def finish(self):
+        """End a streamed answer as complete."""
+        if self.is_chunked:
+            self._write(LAST_CHUNK)
+        self._end()
+
+    def abort(self):
+        """Reset the connection so that the answer looks incomplete."""
+        self.is_ended = True
+        self.server.reset(self.connection)
+
+    def _head(self, status, headers):
+        if self.server.is_leaving or not self.keep_alive:
+            self.keep_alive = False
+            headers = [*headers, (b"Connection", b"close")]
+        return encode_head(status_line(status), headers)
+
+    def _write(self, data):
+        self.server.listener.write(self.connection.sock, data)
+
+    def _end(self):
+        self.is_ended = True
+        self.server.end_reply(self.connection, self.keep_alive)
+
+
+class _CallerConnection:
+    """State of one caller's socket; times in seconds."""
+
+    def __init__(self, *, sock, reader, now):
+        self.sock = sock
+        self.reader = reader
+        self.waiting = deque()
+        self.task = None
+        self.is_busy = False
+        self.is_closing = False
+        self.last_activity = now
+
+
+class ForwardServer(BaseComponent):
+    """Accepts callers and hands their requests to the forwarder.
+
+    Parameters
+    ----------
+    bind : (str, int)
+        Address and port.
+    forwarder : Forwarder
+    max_connections : int
+    clock : callable, optional
+    """
+
+    def __init__(
+        self,
+        *,
+        bind,
+        forwarder,
+        max_connections,
+        channel="forward_server",
+        clock=time.monotonic,
+    ):
+        super().__init__(channel=channel)
+        self.forwarder = forwarder
+        self.clock = clock
+        self.connections = {}
+        self.is_leaving = False
+        self.http = self  # the listener hands received bytes to `http`
+        limits = ServerLimits(max_connections=max_connections)
+        self.listener = HttpListener(
+            bind, channel=channel, context=None, limits=limits
+        ).register(self)
+        Ticker(interval=SWEEP_INTERVAL, make_event=sweep, target=channel).register(self)
+
+    def receive(self, sock, data):
+        """Take bytes from a caller."""
+        connection = self.connections.get(sock)
+        if connection is None:
+            limits = self.forwarder.limits
+            reader = RequestReader(max_head=limits.max_head, max_body=limits.max_body)
+            connection = _CallerConnection(sock=sock, reader=reader, now=self.clock())
+            self.connections[sock] = connection
+        connection.last_activity = self.clock()
+        connection.waiting.extend(connection.reader.feed(data))
+        if connection.reader.wants_continue:
+            connection.reader.wants_continue = False
+            self.listener.write(sock, CONTINUE)
+        if len(connection.waiting) > MAX_PIPELINED:
+            logger.warning("[callers] Closed a connection with too many requests.")
+            self.reset(connection)
+            return
+        self._serve_next(connection)
+
+    def _serve_next(self, connection):
+        while not connection.is_busy and not connection.is_closing:
+            if connection.waiting:
+                self._serve(connection, connection.waiting.popleft())
+            elif connection.reader.failure is not None:
+                self._answer_failure(connection, connection.reader.failure.status)
+            else:
+                return
+
+    def _serve(self, connection, request):
+        connection.is_busy = True
+        reply = Reply(server=self, connection=connection, request=request)
+        try:
+            task = self.forwarder.accept(request, reply)
+        except Exception:
+            # One request must not stop the service of all others.
+            logger.exception("[callers] A request could not be started.")
+            self.reset(connection)
+            return
+        # The task may have ended and the next request may have begun already.
+        if task is not None and not reply.is_ended:
+            connection.task = task
+
+    def _answer_failure(self, connection, status):
+        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        self.listener.write(connection.sock, encode_head(status_line(status), headers))
+        self._close(connection)
+
+    def end_reply(self, connection, keep_alive):
+        """Go on with the connection after an answer has been sent."""
+        connection.task = None
+        connection.is_busy = False
+        connection.last_activity = self.clock()
+        if keep_alive:
+            # Not from within the end of the task that has just answered.
+            self.forwarder.tools.timers.after(0.0, lambda: self._serve_next(connection))
+        else:
+            self._close(connection)
+
+    def _close(self, connection):
+        connection.is_closing = True
+        self.listener.close(connection.sock)
+
+    def reset(self, connection):
+        """Close a connection with a reset and end its task."""
+        connection.is_closing = True
+        try:
+            connection.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        except OSError as error:
+            logger.info("[callers] A connection was closed already: %s", error)
+        self.listener._close(connection.sock)
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock):
+        connection = self.connections.pop(sock, None)
+        if connection is None:
+            return
+        connection.is_closing = True
+        connection.waiting.clear()
+        task, connection.task = connection.task, None
+        if task is not None:
+            task.cancel()
+
+    @handler("sweep")
+    def _on_sweep(self):
+        now = self.clock()
+        limits = self.forwarder.limits
+        for connection in list(self.connections.values()):
+            if connection.is_busy or connection.waiting or connection.is_closing:
+                continue
+            quiet = now - connection.last_activity
+            if not connection.reader.is_between:
+                if quiet > limits.head_timeout:
+                    self._answer_failure(connection, 408)
+            elif quiet > limits.idle_timeout:
+                self._close(connection)
+
+    def leave(self):
+        """Let the open connections end with their present requests."""
+        self.is_leaving = True
+
+    def close_idle(self):
+        """Close the connections that carry no request."""
+        for connection in list(self.connections.values()):
+            if not connection.is_busy and connection.reader.is_between:
+                self._close(connection)
--- /dev/null
+++ b/wagtailfront/forwarding/departure.py
@@ -0,0 +1,64 @@
+"""Graceful end of a forwarding instance."""
+
+import signal
+
+from circuits import BaseComponent, handler
+
+__all__ = ["Departure"]
+
+# Seconds in which the balancer notices that the instance is not ready.
+NOTICE_SECONDS = 3.0
+CHECK_SECONDS = 0.25  # between looks at what is still open
+STOP_MARGIN = 0.5  # seconds before the platform kills the process
+
+
+class Departure(BaseComponent):
+    """Takes the instance out of service on SIGTERM; logs SIGHUP.
+
+    Parameters
+    ----------
+    server : ForwardServer
+    forwarder : Forwarder
+    timers : Timers
+    grace : float
+        Seconds from SIGTERM until the process is killed.
+    log : DecisionLog
+    """
+
+    channel = "departure"
+
+    def __init__(self, *, server, forwarder, timers, grace, log):
+        super().__init__()
+        self.server = server
+        self.forwarder = forwarder
+        self.timers = timers
+        self.grace = grace
+        self.log = log
+        self.is_leaving = False
+        signal.signal(signal.SIGHUP, self._on_hangup)
+
+    def _on_hangup(self, number, frame):
+        # All settings are flags and variables, which a process cannot reread.
+        self.log.decision("reload", outcome="settings unchanged until a restart")
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event, number, stack):
+        event.stop()
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        self.server.leave()
+        self.log.decision("stop", outcome="leaving", requests=len(self.forwarder.tasks))
+        self.timers.after(NOTICE_SECONDS, self._check)
+        self.timers.after(max(0.0, self.grace - STOP_MARGIN), self._stop)
+
+    def _check(self):
+        self.server.close_idle()
+        if self.forwarder.tasks or self.server.connections:
+            self.timers.after(CHECK_SECONDS, self._check)
+        else:
+            self._stop()
+
+    def _stop(self):
+        self.log.decision("stop", outcome="stopped", requests=len(self.forwarder.tasks))
+        self.root.stop(0)
--- /dev/null
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -0,0 +1,151 @@
+"""Endpoints known from the platform's registry."""
+
+from typing import NamedTuple
+
+__all__ = ["EndpointRecord", "DirectoryChange", "EndpointDirectory"]
+
+# Reads that fail for this long, in s, may hide that endpoints' entries lapsed.
+OUTAGE_SECONDS = 2.5
+# Endpoints that live have registered again this long, in s, after an outage;
+# stated by the platform's page on service discovery.
+RETURN_SECONDS = 2.0
+
+
+class EndpointRecord(NamedTuple):
+    """One incarnation of an endpoint as the registry has it.
+
+    Attributes
+    ----------
+    endpoint_id : str
+    service : str
+    host : str
+    port : int
+    data_centre : str
+    slots : int
+        Requests that it works on at once.
+    is_leaving : bool
+    stage : str
+        "prefill", "decode", or empty for a plain service.
+    started_ms : int
+        Unix milliseconds of its start; tells incarnations of one id apart.
+    """
+
+    endpoint_id: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    is_leaving: bool
+    stage: str
+    started_ms: int
+
+    @property
+    def address(self):
+        """Return the address as text."""
+        return f"{self.host}:{self.port}"
+
+    @property
+    def incarnation(self):
+        """Return what differs between two starts of an endpoint."""
+        return (self.endpoint_id, self.started_ms)
+
+
+class DirectoryChange(NamedTuple):
+    """What a read of the registry changed; tuples of EndpointRecord."""
+
+    added: tuple
+    leaving: tuple
+    gone: tuple
+
+
+class EndpointDirectory:
+    """Endpoints that may get work, from whole reads of the registry.
+
+    Notes
+    -----
+    The registry drops an entry that its endpoint does not renew, also while
+    the store is away. So after an outage the endpoints that are missing from
+    the first reads stay until they had the time to register again.
+
+    Examples
+    --------
+    >>> record = EndpointRecord("e1", "s", "10.0.0.1", 80, "a", 4, False, "", 1)
+    >>> directory = EndpointDirectory()
+    >>> _ = directory.replace([record], now=0.0)
+    >>> [len(directory.replace([], now=now).gone) for now in (9.0, 10.0, 11.1)]
+    [0, 0, 1]
+    """
+
+    def __init__(self):
+        self.records = {}
+        self.by_service = {}
+        self.read_at = None
+        self.hold_until = 0.0
+
+    def replace(self, records, *, now):
+        """Take a whole read of the registry.
+
+        Parameters
+        ----------
+        records : iterable of EndpointRecord
+        now : float
+            Seconds; when the read was answered.
+
+        Returns
+        -------
+        DirectoryChange
+        """
+        if self.read_at is not None and now - self.read_at > OUTAGE_SECONDS:
+            self.hold_until = now + RETURN_SECONDS
+        self.read_at = now
+        present = {record.endpoint_id: record for record in records}
+        missing = {
+            endpoint_id: record
+            for endpoint_id, record in self.records.items()
+            if endpoint_id not in present
+        }
+        held = missing if now < self.hold_until else {}
+        before = self.records
+        self.records = {**held, **present}
+        self._index()
+        return DirectoryChange(
+            added=tuple(
+                record
+                for record in present.values()
+                if record.endpoint_id not in before
+                or before[record.endpoint_id].incarnation != record.incarnation
+            ),
+            leaving=tuple(
+                record
+                for record in present.values()
+                if record.is_leaving
+                and record.endpoint_id in before
+                and not before[record.endpoint_id].is_leaving
+            ),
+            gone=tuple(missing.values()) if not held else (),
+        )
+
+    def find(self, service):
+        """Return the endpoints of a service that may get new work."""
+        return self.by_service.get(service, ())
+
+    def is_current(self, record):
+        """Return whether an incarnation may still get new work."""
+        known = self.records.get(record.endpoint_id)
+        return (
+            known is not None
+            and not known.is_leaving
+            and known.incarnation == record.incarnation
+        )
+
+    def _index(self):
+        services = {record.service for record in self.records.values()}
+        self.by_service = {
+            service: tuple(
+                record
+                for record in self.records.values()
+                if record.service == service and not record.is_leaving
+            )
+            for service in services
+        }
--- /dev/null
+++ b/wagtailfront/forwarding/endpoint_health.py
@@ -0,0 +1,78 @@
+"""What an instance's own requests tell about endpoints."""
+
+from dataclasses import dataclass
+
+__all__ = ["EndpointState", "EndpointHealth"]
+
+FIRST_PAUSE = 0.5  # seconds without new work after a failure
+MAX_PAUSE = 4.0  # seconds; an engine that crashed is back after some seconds
+BUSY_PAUSE = 0.15  # seconds; a full engine frees a place within a few steps
+FAILURE_WEIGHT = 0.2  # of the latest request in the share of failures
+GREY_SHARE = 0.25  # of failures above which others are preferred
+LATENCY_WEIGHT = 0.2  # of the latest request in the usual latency
+
+
+@dataclass(kw_only=True, slots=True)
+class EndpointState:
+    """Observations of one incarnation; times in seconds."""
+
+    outstanding: int = 0
+    pending_tokens: int = 0
+    failures_in_row: int = 0
+    failure_share: float = 0.0
+    latency: float = 0.0
+    avoid_until: float = 0.0
+    last_heard: float = 0.0
+
+
+class EndpointHealth:
+    """Keeps the observations and ranks endpoints by them."""
+
+    def __init__(self):
+        self.states = {}
+
+    def state(self, record):
+        """Return the observations of an incarnation."""
+        return self.states.setdefault(record.incarnation, EndpointState())
+
+    def forget(self, record):
+        """Drop the observations of an incarnation that is gone."""
+        self.states.pop(record.incarnation, None)
+
+    def succeed(self, record, *, latency, now):
+        """Note an answer after `latency` seconds."""
+        state = self.state(record)
+        state.failures_in_row = 0
+        state.failure_share *= 1 - FAILURE_WEIGHT
+        state.latency += LATENCY_WEIGHT * (latency - state.latency)
+        state.last_heard = now
+        state.avoid_until = min(state.avoid_until, now)
+
+    def fail(self, record, *, now):
+        """Note a failure; return the seconds for which it is avoided."""
+        state = self.state(record)
+        state.failures_in_row += 1
+        state.failure_share += FAILURE_WEIGHT * (1 - state.failure_share)
+        pause = min(MAX_PAUSE, FIRST_PAUSE * 2 ** min(state.failures_in_row - 1, 8))
+        state.avoid_until = now + pause
+        return pause
+
+    def note_error(self, record):
+        """Note an answer that says that the endpoint failed."""
+        state = self.state(record)
+        state.failure_share += FAILURE_WEIGHT * (1 - state.failure_share)
+
+    def shed(self, record, *, now):
+        """Note that the endpoint had no room."""
+        state = self.state(record)
+        state.avoid_until = max(state.avoid_until, now + BUSY_PAUSE)
+        state.last_heard = now
+
+    def usable(self, records, *, now):
+        """Return the endpoints to choose from, best group first.
+
+        Endpoints that failed lately are left out while there are others.
+        """
+        open_records = [r for r in records if self.state(r).avoid_until <= now]
+        sound = [r for r in open_records if self.state(r).failure_share < GREY_SHARE]
+        return sound or open_records or list(records)
--- /dev/null
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -0,0 +1,354 @@
+"""Connections to endpoints, one request at a time on each."""
+
+import errno
+import logging
+import re
+import socket
+import time
+from collections import defaultdict, deque
+from typing import Protocol
+
+from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+
+from wagtailfront.forwarding.framing import (
+    ResponseData,
+    ResponseHead,
+    ResponseReader,
+    find_header,
+)
+from wagtailfront.transport.ticker import Ticker
+
+__all__ = ["EndpointPool", "Exchange", "ExchangeSink"]
+
+logger = logging.getLogger(__name__)
+
+READ_BYTES = 65536
+CONNECT_TIMEOUT = 0.4  # seconds; a few round trips within a region
+USER_TIMEOUT_MS = 3000  # unacknowledged bytes; a path that is gone
+SWEEP_INTERVAL = 1.0  # seconds between looks at idle connections
+DEFAULT_IDLE = 4.0  # seconds of idle time where the endpoint states none
+IDLE_MARGIN = 0.8  # seconds before the endpoint's own limit
+MAX_IDLE = 16  # idle connections kept per endpoint
+IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+
+
+class ExchangeSink(Protocol):
+    """Receiver of what comes back for one request."""
+
+    def on_head(self, status: int, headers: list) -> bool:
+        """Take the head; False if it answers another request."""
+
+    def on_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    def on_end(self) -> None:
+        """The response ended as it was framed."""
+
+    def on_failure(self, reason: str, sent: bool) -> None:
+        """No whole response came; `sent` if a byte may have arrived."""
+
+
+class Exchange:
+    """One request on its way to an endpoint.
+
+    Attributes
+    ----------
+    record : EndpointRecord
+    is_sent : bool
+        Whether a byte of the request may have reached the endpoint.
+    is_reused : bool
+        Whether it went out on a connection that was open before.
+    """
+
+    def __init__(self, *, pool, record, payload, sink):
+        self.pool = pool
+        self.record = record
+        self.payload = payload
+        self.sink = sink
+        self.connection = None
+        self.is_sent = False
+        self.is_reused = False
+        self.is_done = False
+
+    def cancel(self):
+        """Give the request up and close its connection."""
+        if not self.is_done:
+            self.is_done = True
+            if self.connection is not None:
+                self.pool.close(self.connection)
+
+    def fail(self, reason):
+        """Report a failure once."""
+        if not self.is_done:
+            self.is_done = True
+            self.sink.on_failure(reason, self.is_sent)
+
+
+class _Connection:
+    """State of one socket to an endpoint."""
+
+    def __init__(self, *, sock, record):
+        self.sock = sock
+        self.record = record
+        self.is_open = False
+        self.reader = ResponseReader()
+        self.exchange = None
+        self.outgoing = b""
+        self.is_skipping = False
+        self.keep_alive = False
+        self.idle_limit = DEFAULT_IDLE
+        self.idle_since = 0.0
+
+
+class sweep(Event):
+    """Close connections that were idle for long."""
+
+
+class EndpointPool(BaseComponent):
+    """Owner of the sockets to endpoints.
+
+    Parameters
+    ----------
+    timers : Timers
+    clock : callable, optional
+    on_connect : callable, optional
+        Called for each new connection, for the metrics.
+
+    Notes
+    -----
+    A request is never repeated here: only the caller knows whether it may.
+    """
+
+    def __init__(
+        self,
+        *,
+        timers,
+        channel="endpoints",
+        clock=time.monotonic,
+        on_connect=None,
+    ):
+        super().__init__(channel=channel)
+        self.timers = timers
+        self.clock = clock
+        self.on_connect = on_connect or (lambda: None)
+        self.connections = {}
+        self.idle = defaultdict(deque)
+        self.poller = None
+
+    @handler("registered", "started", channel="*")
+    def _on_registered_or_started(self, component, manager=None):
+        if self.poller is not None:
+            return
+        self.poller = findcmp(self.root, BasePoller)
+        if self.poller is not None:
+            Ticker(
+                interval=SWEEP_INTERVAL,
+                make_event=sweep,
+                target=self.channel,
+                is_needed=lambda: self.connections,
+            ).register(self)
+
+    def send(self, record, payload, *, sink, fresh=False):
+        """Send a request to an endpoint and return its exchange.
+
+        Parameters
+        ----------
+        record : EndpointRecord
+        payload : bytes
+        sink : ExchangeSink
+        fresh : bool, optional
+            Open a new connection even if an idle one is at hand.
+        """
+        exchange = Exchange(pool=self, record=record, payload=payload, sink=sink)
+        connection = None if fresh else self._take_idle(record)
+        if connection is None:
+            connection = self._open(record)
+        else:
+            exchange.is_reused = True
+        exchange.connection = connection
+        connection.exchange = exchange
+        connection.outgoing = payload
+        if connection.is_open:
+            self._flush(connection)
+        return exchange
+
+    def _take_idle(self, record):
+        idle = self.idle[record.incarnation]
+        now = self.clock()
+        while idle:
+            connection = idle.pop()
+            if now - connection.idle_since < connection.idle_limit:
+                return connection
+            self.close(connection)
+        return None
+
+    def _open(self, record):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        connection = _Connection(sock=sock, record=record)
+        self.connections[sock] = connection
+        self.on_connect()
+        result = sock.connect_ex((record.host, record.port))
+        # The sink must not be called before send() has returned.
+        refused = result != 0 and result not in IN_PROGRESS
+        self.timers.after(
+            0.0 if refused else CONNECT_TIMEOUT,
+            lambda: self._check_connect(connection),
+        )
+        self.poller.addWriter(self, sock)
+        return connection
+
+    def _check_connect(self, connection):
+        if not connection.is_open and connection.sock in self.connections:
+            self._fail(connection, "connect timed out")
+
+    @handler("_write")
+    def _on_write(self, sock):
+        connection = self.connections.get(sock)
+        if connection is None:
+            return
+        if not connection.is_open and not self._finish_connect(connection):
+            return
+        self._flush(connection)
+
+    def _finish_connect(self, connection):
+        sock = connection.sock
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._fail(connection, f"connect: {errno.errorcode.get(code, code)}")
+            return False
+        connection.is_open = True
+        self.poller.addReader(self, sock)
+        return True
+
+    def _flush(self, connection):
+        sock = connection.sock
+        try:
+            while connection.outgoing:
+                # Set before the call: a failing send may have written bytes.
+                if connection.exchange is not None:
+                    connection.exchange.is_sent = True
+                count = sock.send(connection.outgoing)
+                connection.outgoing = connection.outgoing[count:]
+        except BlockingIOError:
+            if not self.poller.isWriting(sock):
+                self.poller.addWriter(self, sock)
+            return
+        except OSError as error:
+            self._fail(connection, f"write: {error}")
+            return
+        if self.poller.isWriting(sock):
+            self.poller.removeWriter(sock)
+
+    @handler("_read")
+    def _on_read(self, sock):
+        connection = self.connections.get(sock)
+        if connection is None:
+            return
+        try:
+            data = sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(connection, f"read: {error}")
+            return
+        if connection.exchange is None:
+            # An idle connection was closed, or got an answer to no request.
+            self.close(connection)
+            return
+        parts = connection.reader.feed(data) if data else connection.reader.feed_end()
+        for part in parts:
+            try:
+                self._deliver(connection, part)
+            except Exception:
+                # One request must not stop the service of all others.
+                logger.exception("[endpoints] A response could not be handled.")
+                self.close(connection)
+                return
+        failure = connection.reader.failure
+        if failure is not None:
+            self._fail(connection, str(failure))
+        elif not data:
+            self._fail(connection, "closed by the endpoint")
+        elif connection.exchange is None and connection.sock in self.connections:
+            self._release(connection)
+
+    def _deliver(self, connection, part):
+        exchange = connection.exchange
+        if exchange is None or exchange.is_done:
+            # Bytes after a whole response belong to no request.
+            connection.keep_alive = False
+        elif isinstance(part, ResponseHead):
+            self._note_keep_alive(connection, part.headers)
+            connection.is_skipping = not exchange.sink.on_head(
+                part.status, part.headers
+            )
+        elif isinstance(part, ResponseData):
+            if not connection.is_skipping:
+                exchange.sink.on_data(part.data)
+        elif connection.is_skipping:
+            connection.is_skipping = False
+        else:
+            connection.keep_alive = part.keep_alive and not connection.outgoing
+            connection.exchange = None
+            exchange.is_done = True
+            exchange.sink.on_end()
+
+    def _note_keep_alive(self, connection, headers):
+        found = KEEP_ALIVE_TIMEOUT.search(find_header(headers, b"keep-alive") or b"")
+        if found:
+            limit = int(found[1])
+            connection.idle_limit = max(limit - IDLE_MARGIN, limit / 4)
+
+    def _release(self, connection):
+        idle = self.idle[connection.record.incarnation]
+        if not connection.keep_alive or len(idle) >= MAX_IDLE:
+            self.close(connection)
+            return
+        connection.idle_since = self.clock()
+        idle.append(connection)
+
+    def _fail(self, connection, reason):
+        exchange, connection.exchange = connection.exchange, None
+        self.close(connection)
+        if exchange is not None:
+            exchange.fail(reason)
+
+    @handler("_disconnect", "_error")
+    def _on_disconnect(self, sock, error=None):
+        connection = self.connections.get(sock)
+        if connection is None:
+            return
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        phase = "reset" if connection.is_open else "connect"
+        self._fail(connection, f"{phase}: {errno.errorcode.get(code, code)}")
+
+    @handler("sweep")
+    def _on_sweep(self):
+        now = self.clock()
+        for idle in list(self.idle.values()):
+            while idle and now - idle[0].idle_since >= idle[0].idle_limit:
+                self.close(idle[0])
+        for incarnation in [key for key, idle in self.idle.items() if not idle]:
+            del self.idle[incarnation]
+
+    def drop_idle(self, record):
+        """Close the idle connections to an incarnation."""
+        for connection in list(self.idle.pop(record.incarnation, ())):
+            self.close(connection)
+
+    def close(self, connection):
+        """Close a connection, in use or idle."""
+        if self.connections.pop(connection.sock, None) is None:
+            return
+        connection.exchange = None
+        idle = self.idle.get(connection.record.incarnation)
+        if idle and connection in idle:
+            idle.remove(connection)
+        self.poller.discard(connection.sock)
+        connection.sock.close()
--- /dev/null
+++ b/wagtailfront/forwarding/forwarder.py
@@ -0,0 +1,105 @@
+"""Entry of requests into the forwarding path."""
+
+from collections import defaultdict
+
+from wagtailfront.forwarding.attempt_budget import AttemptBudget
+from wagtailfront.forwarding.forward_task import ForwardTask
+from wagtailfront.forwarding.routes import CallerLimits, RouteTable, choose_service
+
+__all__ = ["Forwarder", "Budgets"]
+
+UNCONFIGURED_RETRY_AFTER = 0.5  # seconds; one read of the configuration
+BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 400, 404, 503
+
+
+class Budgets(defaultdict):
+    """Budget of repeats for each service, made when first asked for."""
+
+    def __init__(self, *, share, slack, window):
+        super().__init__(lambda: AttemptBudget(share=share, slack=slack, window=window))
+
+
+class Forwarder:
+    """Finds the route of each request and starts its task.
+
+    Parameters
+    ----------
+    tools : ForwardTools
+    on_idle : callable, optional
+        Called when the last task has ended.
+    """
+
+    def __init__(self, *, tools, on_idle=None):
+        self.tools = tools
+        self.on_idle = on_idle or (lambda: None)
+        self.config = None
+        self.table = None
+        self.limits = CallerLimits()
+        self.tasks = set()
+
+    def use_config(self, config):
+        """Apply a configuration unless it is older than the present one.
+
+        Returns
+        -------
+        bool
+            Whether it was applied.
+        """
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.config = config
+        self.table = RouteTable(config.routes)
+        self.limits = config.limits
+        return True
+
+    def accept(self, request, reply):
+        """Start a request; return its task, or None if it was answered."""
+        try:
+            fields = self.tools.dialect.read_request(request.headers)
+            path = request.target.partition(b"?")[0].decode("ascii")
+        except ValueError as error:
+            self._answer(reply, "", BAD_REQUEST, str(error))
+            return None
+        if self.config is None:
+            self._answer(reply, fields.request_id, UNAVAILABLE, "no configuration yet")
+            return None
+        route = self.table.find(fields.host, path)
+        if route is None:
+            self._answer(reply, fields.request_id, NOT_FOUND, "no route")
+            return None
+        service = self.config.services.get(choose_service(route, rng=self.tools.rng))
+        if service is None:
+            self._answer(reply, fields.request_id, UNAVAILABLE, "no such service")
+            return None
+        task = ForwardTask(
+            request=request,
+            fields=fields,
+            route=route,
+            service=service,
+            reply=reply,
+            tools=self.tools,
+            on_done=self._on_done,
+        )
+        self.tasks.add(task)
+        task.begin()
+        return task
+
+    def _answer(self, reply, request_id, status, reason):
+        self.tools.log.decision(
+            "rejected",
+            request=request_id,
+            outcome=reason,
+            status=status,
+            config=self.config and self.config.version,
+        )
+        headers = (
+            self.tools.dialect.refusal_headers(UNCONFIGURED_RETRY_AFTER)
+            if status == UNAVAILABLE
+            else []
+        )
+        reply.answer(status, headers, b"")
+
+    def _on_done(self, task):
+        self.tasks.discard(task)
+        if not self.tasks:
+            self.on_idle()
--- /dev/null
+++ b/wagtailfront/forwarding/framing.py
@@ -0,0 +1,325 @@
+"""HTTP/1.1 framing of forwarded requests and responses."""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+import httptools
+
+__all__ = [
+    "Request",
+    "RequestReader",
+    "ResponseReader",
+    "ResponseHead",
+    "ResponseData",
+    "ResponseEnd",
+    "FramingError",
+    "HOP_BY_HOP",
+    "find_header",
+    "encode_head",
+    "status_line",
+    "encode_chunk",
+    "LAST_CHUNK",
+    "CONTINUE",
+]
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+HEAD_OVERHEAD = 4  # bytes of a header line beside its name and value
+BODILESS = (204, 304)
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class FramingError(Exception):
+    """A message cannot be read; `status` is the answer to its sender."""
+
+    def __init__(self, status, reason):
+        super().__init__(reason)
+        self.status = status
+
+
+class Request(NamedTuple):
+    """A whole request; header names keep the case that they came in."""
+
+    method: bytes
+    target: bytes
+    headers: list
+    body: bytes
+    keep_alive: bool
+    http_version: str
+
+
+class _Message:
+    """Parser callbacks that collect the head of a message."""
+
+    def __init__(self):
+        self.target = b""
+        self.headers = []
+        self.head_bytes = 0
+        self.in_body = False
+
+    def on_message_begin(self):
+        self.target = b""
+        self.headers = []
+        self.head_bytes = 0
+        self.in_body = False
+
+    def on_url(self, data):
+        self.target += data
+        self.head_bytes += len(data)
+
+    def on_header(self, name, value):
+        if self.in_body:  # a trailer, which is not forwarded
+            return
+        self.headers.append((name, value))
+        self.head_bytes += len(name) + len(value) + HEAD_OVERHEAD
+
+    def on_headers_complete(self):
+        self.in_body = True
+
+
+class RequestReader(_Message):
+    """Reads requests from a caller's bytes.
+
+    Parameters
+    ----------
+    max_head, max_body : int
+        Bytes.
+
+    Attributes
+    ----------
+    failure : FramingError or None
+        Why nothing more can be read; requests returned before it are whole.
+    is_between : bool
+        Whether no request has begun since the last whole one.
+
+    Examples
+    --------
+    >>> reader = RequestReader(max_head=1000, max_body=1000)
+    >>> lines = [b"POST /a HTTP/1.1", b"Host: h", b"Content-Length: 2", b"", b"hi"]
+    >>> [request.body for request in reader.feed(bytes([13, 10]).join(lines))]
+    [b'hi']
+    """
+
+    def __init__(self, *, max_head, max_body):
+        super().__init__()
+        self.max_head = max_head
+        self.max_body = max_body
+        self.parser = httptools.HttpRequestParser(self)
+        self.chunks = []
+        self.body_bytes = 0
+        self.requests = []
+        self.failure = None
+        self.wants_continue = False
+        self.is_between = True
+
+    def feed(self, data):
+        """Return the requests that `data` completes; sets `failure`."""
+        if self.failure is not None:
+            return []
+        try:
+            self.parser.feed_data(data)
+            self._check_head()
+        except FramingError as error:
+            self.failure = error
+        except httptools.HttpParserUpgrade:
+            self.failure = FramingError(400, "protocol upgrades are not served")
+        except httptools.HttpParserError as error:
+            self.failure = (
+                error.__context__
+                if isinstance(error.__context__, FramingError)
+                else FramingError(400, f"not an HTTP request: {error}")
+            )
+        done, self.requests = self.requests, []
+        return done
+
+    def on_message_begin(self):
+        super().on_message_begin()
+        self.chunks = []
+        self.body_bytes = 0
+        self.is_between = False
+
+    def on_headers_complete(self):
+        super().on_headers_complete()
+        self._check_head()
+        expected = find_header(self.headers, b"expect") or b""
+        self.wants_continue = expected.lower() == b"100-continue"
+
+    def on_body(self, data):
+        self.body_bytes += len(data)
+        if self.body_bytes > self.max_body:
+            raise FramingError(413, "request body too large")
+        self.chunks.append(data)
+
+    def on_message_complete(self):
+        self.is_between = True
+        self.wants_continue = False
+        self.requests.append(
+            Request(
+                method=self.parser.get_method(),
+                target=self.target,
+                headers=self.headers,
+                body=b"".join(self.chunks),
+                keep_alive=self.parser.should_keep_alive(),
+                http_version=self.parser.get_http_version(),
+            )
+        )
+
+    def _check_head(self):
+        if self.head_bytes > self.max_head:
+            raise FramingError(431, "request head too large")
+
+
+class ResponseHead(NamedTuple):
+    """Status and headers of a response."""
+
+    status: int
+    headers: list
+
+
+class ResponseData(NamedTuple):
+    """Part of a response's body, without its transfer coding."""
+
+    data: bytes
+
+
+class ResponseEnd(NamedTuple):
+    """The response ended as it was framed.
+
+    Attributes
+    ----------
+    keep_alive : bool
+        Whether the connection may carry another request.
+    """
+
+    keep_alive: bool
+
+
+class ResponseReader(_Message):
+    """Reads the responses on a connection to an endpoint.
+
+    Attributes
+    ----------
+    failure : FramingError or None
+        Why nothing more can be read.
+
+    Examples
+    --------
+    >>> reader = ResponseReader()
+    >>> lines = [b"HTTP/1.1 200 OK", b"Content-Length: 2", b"", b"hi"]
+    >>> [type(part).__name__ for part in reader.feed(bytes([13, 10]).join(lines))]
+    ['ResponseHead', 'ResponseData', 'ResponseEnd']
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
+        self.ends_with_connection = False
+        self.is_open = False
+        self.parts = []
+        self.failure = None
+
+    def feed(self, data):
+        """Return the parts of responses that `data` holds; sets `failure`."""
+        if self.failure is not None:
+            return []
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
+            self.failure = FramingError(502, f"not an HTTP response: {error}")
+        parts, self.parts = self.parts, []
+        return parts
+
+    def feed_end(self):
+        """Return the parts that the orderly end of the connection completes."""
+        if self.failure is not None or not self.is_open:
+            return []
+        if not self.ends_with_connection:
+            return []
+        self.is_open = False
+        return [ResponseEnd(keep_alive=False)]
+
+    def on_message_begin(self):
+        super().on_message_begin()
+        self.is_open = True
+
+    def on_headers_complete(self):
+        super().on_headers_complete()
+        self.status = self.parser.get_status_code()
+        if self.status < 200:
+            return
+        self.ends_with_connection = (
+            find_header(self.headers, b"content-length") is None
+            and not _is_chunked(self.headers)
+            and self.status not in BODILESS
+        )
+        self.parts.append(ResponseHead(self.status, self.headers))
+
+    def on_body(self, data):
+        self.parts.append(ResponseData(data))
+
+    def on_message_complete(self):
+        if self.status < 200:
+            return
+        self.is_open = False
+        keep_alive = self.parser.should_keep_alive() and not self.ends_with_connection
+        self.parts.append(ResponseEnd(keep_alive=keep_alive))
+
+
+def _is_chunked(headers):
+    value = find_header(headers, b"transfer-encoding")
+    return value is not None and value.lower().split(b",")[-1].strip() == b"chunked"
+
+
+def find_header(headers, name):
+    """Return the value of the first header with a lower-case name, or None.
+
+    Examples
+    --------
+    >>> find_header([(b"Host", b"h")], b"host")
+    b'h'
+    """
+    return next((value for key, value in headers if key.lower() == name), None)
+
+
+def encode_head(first_line, headers):
+    """Return the head of a message.
+
+    Parameters
+    ----------
+    first_line : bytes
+    headers : iterable of (bytes, bytes)
+    """
+    lines = [first_line, *(b"%b: %b" % header for header in headers)]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def status_line(status):
+    """Return the first line of a response."""
+    return b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status"))
+
+
+def encode_chunk(data):
+    """Return `data` as a chunk.
+
+    Examples
+    --------
+    >>> encode_chunk(b"abc").split()
+    [b'3', b'abc']
+    """
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- /dev/null
+++ b/wagtailfront/forwarding/interfaces.py
@@ -0,0 +1,173 @@
+"""Interfaces between the forwarder and the platform that it runs on."""
+
+from typing import Any, NamedTuple, Protocol
+
+__all__ = [
+    "PromptPart",
+    "RequestFields",
+    "SendOptions",
+    "ResponseFields",
+    "Dialect",
+    "ReplySink",
+    "RegistrySource",
+    "RoutingSource",
+    "RoutingRead",
+]
+
+
+class PromptPart(NamedTuple):
+    """A part of a prompt that other requests may share."""
+
+    part_id: str
+    tokens: int
+
+
+class RequestFields(NamedTuple):
+    """What a caller's headers say about a request.
+
+    Attributes
+    ----------
+    request_id : str
+    host : str
+    time_left : float or None
+        Seconds that the caller will wait.
+    model : str
+    prompt_tokens, max_output_tokens : int
+    parts : tuple of PromptPart
+        Parts of the prompt in order; the last one is the request's own.
+    last_event_id : int or None
+        Event after which the caller resumes a stream.
+    """
+
+    request_id: str
+    host: str
+    time_left: float | None = None
+    model: str = ""
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+    last_event_id: int | None = None
+
+
+class SendOptions(NamedTuple):
+    """What an instance adds to a request that it sends to an endpoint.
+
+    Attributes
+    ----------
+    endpoint_id : str
+        Incarnation that has to answer.
+    time_left : float
+        Seconds.
+    priority : int or None
+        0 is the most urgent.
+    prefill_only : bool
+        Read the prompt and keep its KV cache instead of running.
+    kv_source : str or None
+        Where the endpoint fetches the request's KV cache.
+    resume_after : int or None
+        Event after which a stream goes on.
+    """
+
+    endpoint_id: str
+    time_left: float
+    priority: int | None = None
+    prefill_only: bool = False
+    kv_source: str | None = None
+    resume_after: int | None = None
+
+
+class ResponseFields(NamedTuple):
+    """What an endpoint's headers say about its response.
+
+    Attributes
+    ----------
+    request_id : str or None
+        Request that it answers; None if the endpoint does not say.
+    is_signed : bool
+        Whether it carries the signature of an endpoint that ran the request.
+    is_not_run : bool
+        Whether the endpoint states that it did not run the request.
+    is_encoded : bool
+        Whether its body has a content coding, which no caller asked for.
+    """
+
+    request_id: str | None
+    is_signed: bool
+    is_not_run: bool
+    is_encoded: bool
+
+
+class Dialect(Protocol):
+    """Header names and formats towards callers and endpoints."""
+
+    def read_request(self, headers) -> RequestFields:
+        """Decode a caller's headers; ValueError if one cannot be read."""
+
+    def endpoint_headers(self, headers, options: SendOptions) -> list:
+        """Return the headers of a request to an endpoint."""
+
+    def read_response(self, status: int, headers) -> ResponseFields:
+        """Decode an endpoint's headers."""
+
+    def read_handle(self, address: str, body: bytes) -> str:
+        """Return the KV source named by a prefill's answer; ValueError."""
+
+    def refusal_headers(self, retry_after: float | None) -> list:
+        """Return the headers of a refusal; `retry_after` in seconds."""
+
+
+class ReplySink(Protocol):
+    """The caller's side of one request."""
+
+    def answer(self, status: int, headers, body: bytes) -> None:
+        """Send a whole answer."""
+
+    def start(self, status: int, headers) -> None:
+        """Send the head of a streamed answer."""
+
+    def send(self, data: bytes) -> None:
+        """Send a part of a streamed answer."""
+
+    def finish(self) -> None:
+        """End a streamed answer as complete."""
+
+    def abort(self) -> None:
+        """Close the connection so that the answer looks incomplete."""
+
+
+class RoutingRead(NamedTuple):
+    """Answer to a read of the routing configuration.
+
+    Attributes
+    ----------
+    is_known : bool
+        False if the store did not answer.
+    config : RoutingConfig or None
+        None if there is none or it has not changed.
+    cursor : int or None
+        Where the next watch goes on; None if the history is gone.
+    reason : str
+        Why it is not known.
+    """
+
+    is_known: bool
+    config: Any = None
+    cursor: int | None = None
+    reason: str = ""
+
+
+class RoutingSource(Protocol):
+    """Where the routing configuration comes from."""
+
+    def read(self, reply) -> None:
+        """Read it; `reply` gets a RoutingRead."""
+
+    def watch(self, cursor: int, wait: float, reply) -> None:
+        """Wait up to `wait` seconds for a change after `cursor`."""
+
+
+class RegistrySource(Protocol):
+    """Where the endpoints' registrations come from."""
+
+    def read(self, reply) -> None:
+        """Read all; `reply` gets a list of EndpointRecord, or None."""
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -23,6 +23,8 @@
     (Counter, "peer_messages_total", "Messages between instances.", ("direction",)),
     (Counter, "peer_bytes_total", "Bytes between instances.", ("direction",)),
     (Counter, "store_requests_total", "Requests to a store.", ("store", "result")),
+    (Counter, "forwarded_total", "Ended forwarded requests.", ("service", "outcome")),
+    (Counter, "endpoint_connections_total", "Connections opened to endpoints.", ()),
     (Gauge, "requests_in_progress", "Accepted requests in progress.", ()),
     (Gauge, "config_version", "Applied configuration version.", ()),
     (Gauge, "config_confirmed", "1 while new work may be dispatched.", ()),
@@ -32,6 +34,12 @@
     (Gauge, "process_uptime_seconds", "Time since the start.", ()),
 )
 HISTOGRAMS = (
+    (
+        "first_event_seconds",
+        "Time from a forwarded request's arrival to its first event.",
+        ("service",),
+        LATENCY_BUCKETS,
+    ),
     (
         "first_token_seconds",
         "Time from a request's arrival to its first token or whole answer.",
--- a/wagtailfront/platform/__init__.py
+++ b/wagtailfront/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's table service and object store."""
+"""Adapter to the users' platform: names, formats and calls only."""
--- /dev/null
+++ b/wagtailfront/platform/headers.py
@@ -0,0 +1,132 @@
+"""Headers towards callers and endpoints on the users' platform."""
+
+import msgspec
+
+from wagtailfront.forwarding.framing import find_header
+from wagtailfront.forwarding.interfaces import (
+    PromptPart,
+    RequestFields,
+    ResponseFields,
+)
+
+__all__ = ["PlatformDialect"]
+
+REQUEST_ID = b"X-Request-Id"
+DEADLINE = b"X-Deadline-Ms"  # time that is left, not a point in time
+MODEL = b"X-Model"
+TOKENS = b"X-Token-Count"  # prompt tokens, then the most output tokens
+PROMPT_PARTS = b"X-Prompt-Prefix"  # all parts, with the request's own one last
+LAST_EVENT = b"Last-Event-Id"
+SIGNATURE = b"X-Response-Stamp"  # proof that an engine made the answer
+NOT_RUN = b"X-Not-Executed"
+EXPECTED_ID = b"X-Expect-Instance"  # an endpoint's incarnation
+PRIORITY = b"X-Request-Priority"
+STAGE = b"X-Stage"
+KV_SOURCE = b"X-Kv-Source"
+RETRY_AFTER = b"Retry-After"
+HOST = b"host"
+PREFILL = b"prefill"
+LEAST_URGENT = 9  # greatest value of PRIORITY
+MS_PER_SECOND = 1000
+
+# Set by the system only; what a caller sends under these names is dropped.
+SYSTEM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        EXPECTED_ID,
+        PRIORITY,
+        STAGE,
+        KV_SOURCE,
+        b"X-Expect-Version",
+        b"X-Kv-Hold",
+        b"X-Kv-Backup",
+        b"X-Pin-Ms",
+        b"Kv-Fetch",
+        DEADLINE,
+    )
+)
+
+
+class _Handle(msgspec.Struct):
+    """Answer to a prefill."""
+
+    handle: str
+
+
+class PlatformDialect:
+    """Implements `wagtailfront.forwarding.interfaces.Dialect`."""
+
+    def read_request(self, headers):
+        """Decode a caller's headers."""
+        values = {name.lower(): value for name, value in headers}
+
+        def text(name):
+            return values.get(name.lower(), b"").decode("latin-1")
+
+        deadline = text(DEADLINE)
+        last_event = text(LAST_EVENT)
+        prompt_tokens, max_output = _read_tokens(text(TOKENS))
+        return RequestFields(
+            request_id=text(REQUEST_ID),
+            host=text(HOST).partition(":")[0],
+            time_left=float(deadline) / MS_PER_SECOND if deadline else None,
+            model=text(MODEL),
+            prompt_tokens=prompt_tokens,
+            max_output_tokens=max_output,
+            parts=_read_parts(text(PROMPT_PARTS)),
+            last_event_id=int(last_event) if last_event.isdigit() else None,
+        )
+
+    def endpoint_headers(self, headers, options):
+        """Return the headers of a request to an endpoint."""
+        replaced = set(SYSTEM_HEADERS)
+        added = [
+            (EXPECTED_ID, options.endpoint_id.encode()),
+            (DEADLINE, b"%d" % max(1, int(options.time_left * MS_PER_SECOND))),
+        ]
+        if options.priority is not None:
+            added.append((PRIORITY, b"%d" % min(options.priority, LEAST_URGENT)))
+        if options.prefill_only:
+            added.append((STAGE, PREFILL))
+        if options.kv_source is not None:
+            added.append((KV_SOURCE, options.kv_source.encode()))
+        if options.resume_after is not None:
+            replaced.add(LAST_EVENT.lower())
+            added.append((LAST_EVENT, b"%d" % options.resume_after))
+        return [h for h in headers if h[0].lower() not in replaced] + added
+
+    def read_response(self, status, headers):
+        """Decode an endpoint's headers."""
+        request_id = find_header(headers, REQUEST_ID.lower())
+        return ResponseFields(
+            request_id=None if request_id is None else request_id.decode("latin-1"),
+            is_signed=find_header(headers, SIGNATURE.lower()) is not None,
+            is_not_run=find_header(headers, NOT_RUN.lower()) is not None,
+            is_encoded=find_header(headers, b"content-encoding") is not None,
+        )
+
+    def read_handle(self, address, body):
+        """Return the KV source that a prefill's answer names."""
+        try:
+            handle = msgspec.json.decode(body, type=_Handle).handle
+        except msgspec.MsgspecError as error:
+            raise ValueError(f"unreadable handle: {error}")
+        return f"{address}/{handle}"
+
+    def refusal_headers(self, retry_after):
+        """Return the headers of a refusal."""
+        if retry_after is None:
+            return []
+        return [(RETRY_AFTER, b"%.3f" % retry_after)]
+
+
+def _read_tokens(text):
+    prompt, _comma, output = text.partition(",")
+    return int(prompt or 0), int(output or 0)
+
+
+def _read_parts(text):
+    pairs = (entry.partition(":") for entry in text.split(",") if entry.strip())
+    return tuple(
+        PromptPart(part_id.strip(), int(tokens)) for part_id, _colon, tokens in pairs
+    )
--- a/wagtailfront/programs/entry_tree.py
+++ b/wagtailfront/programs/entry_tree.py
@@ -30,10 +30,10 @@
     InstanceStatus,
     OperatorServer,
 )
-from wagtailfront.platform.object_client import ObjectClient
-from wagtailfront.platform.table_client import TableClient
 from wagtailfront.programs.health import Health
 from wagtailfront.programs.shutdown import Shutdown
+from wagtailfront.stores.object_client import ObjectClient
+from wagtailfront.stores.table_client import TableClient
 from wagtailfront.transport.http_client import HttpPool, WholeResponse
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
 
--- /dev/null
+++ b/wagtailfront/programs/forward.py
@@ -0,0 +1,85 @@
+"""One forwarding instance on the users' platform."""
+
+import sys
+
+from wagtailfront.observe.decision_log import standard_output_log
+from wagtailfront.observe.log import start_logging
+from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
+from wagtailfront.programs.settings import Address, Count, Name, Seconds, Share, run
+from wagtailfront.transport.supervisor import make_root
+
+__all__ = ["main", "forward"]
+
+
+def forward(
+    *,
+    instance: Name,
+    data_centre: Name,
+    callers: Address,
+    status: Address,
+    store: Address,
+    metrics: Address | None = None,
+    drain_timeout: Seconds = 8.0,
+    registry_interval: Seconds = 0.8,
+    repeat_share: Share = 0.2,
+    repeat_slack: Count = 2,
+    repeat_window: Seconds = 10.0,
+    max_descriptors: Count = 4096,
+):
+    """Forward callers' requests to endpoints by the operators' routes.
+
+    Parameters
+    ----------
+    instance : Name
+        Name of this instance.
+    data_centre : Name
+        Data centre that this instance runs in.
+    callers : Address
+        IP address and port for callers.
+    status : Address
+        IP address and port of the readiness page.
+    store : Address
+        IP address and port of the platform's store.
+    metrics : Address
+        IP address and port of the metrics page.
+    drain_timeout : Seconds
+        Seconds from SIGTERM until the process is killed.
+    registry_interval : Seconds
+        Seconds between two reads of the endpoints' registrations.
+    repeat_share : Share
+        Repeated attempts per request that all instances may make together.
+    repeat_slack : Count
+        Repeated attempts beyond the share, of this instance alone.
+    repeat_window : Seconds
+        Seconds over which repeated attempts are counted.
+    max_descriptors : Count
+        Descriptors that the process may open.
+    """
+    start_logging(level="warning", form="json")
+    settings = ForwardSettings(
+        instance=instance,
+        data_centre=data_centre,
+        callers=callers,
+        status=status,
+        store=store,
+        metrics=metrics,
+        drain_timeout=drain_timeout,
+        registry_interval=registry_interval,
+        repeat_share=repeat_share,
+        repeat_slack=repeat_slack,
+        repeat_window=repeat_window,
+        max_descriptors=max_descriptors,
+    )
+    log = standard_output_log(instance)
+    root = make_root(ForwardTree(settings=settings, log=log).build())
+    log.decision("start", outcome="started", data_centre=data_centre)
+    root.run()
+
+
+def main():
+    """Run the program `wagtailfront-forward`."""
+    sys.exit(run(forward, prog="wagtailfront-forward"))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wagtailfront/programs/forward_tree.py
@@ -0,0 +1,198 @@
+"""Supervisor tree of a forwarding instance."""
+
+import random
+import time
+from typing import Any, NamedTuple
+
+from wagtailfront.decisions.crash_evidence import CrashEvidence
+from wagtailfront.forwarding.caller_server import ForwardServer
+from wagtailfront.forwarding.departure import Departure
+from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
+from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.endpoint_pool import EndpointPool
+from wagtailfront.forwarding.forward_task import ForwardTools
+from wagtailfront.forwarding.forwarder import Budgets, Forwarder
+from wagtailfront.forwarding.registry_poller import RegistryPoller
+from wagtailfront.forwarding.routing_watcher import RoutingWatcher
+from wagtailfront.forwarding.status_server import StatusServer
+from wagtailfront.observe.metrics import Metrics
+from wagtailfront.platform.headers import PlatformDialect
+from wagtailfront.platform.paths import READY_PATH
+from wagtailfront.platform.store_client import (
+    StoreClient,
+    StoreRegistry,
+    StoreRouting,
+)
+from wagtailfront.transport.http_client import HttpPool
+from wagtailfront.transport.supervisor import ChildSpec, Supervisor
+from wagtailfront.transport.timers import Timers
+
+__all__ = ["ForwardSettings", "ForwardTree"]
+
+STORE_CONNECT_TIMEOUT = 0.5  # seconds; a few round trips within a region
+EVIDENCE_LIFETIME = 60.0  # seconds; longer than a caller goes on resending
+METRICS_PATH = "/metrics"
+# Descriptors kept for endpoints, the store and files.
+RESERVED_DESCRIPTORS = 1200
+
+
+class ForwardSettings(NamedTuple):
+    """Settings of one forwarding instance; addresses are (host, port)."""
+
+    instance: str
+    data_centre: str
+    callers: Any
+    status: Any
+    store: Any
+    metrics: Any
+    drain_timeout: float
+    registry_interval: float
+    repeat_share: float
+    repeat_slack: int
+    repeat_window: float
+    max_descriptors: int
+
+
+class ForwardTree:
+    """Builds the supervisor tree and holds what outlives a restart.
+
+    Parameters
+    ----------
+    settings : ForwardSettings
+    log : DecisionLog
+    """
+
+    def __init__(self, *, settings, log):
+        self.settings = settings
+        self.log = log
+        self.metrics = Metrics()
+        self.directory = EndpointDirectory()
+        self.timers = Timers()
+        self.pool = EndpointPool(timers=self.timers, on_connect=self._count_connection)
+        self.store_pool = HttpPool(
+            channel="store", connect_timeout=STORE_CONNECT_TIMEOUT
+        )
+        self.store = StoreClient(
+            pool=self.store_pool, host=settings.store[0], port=settings.store[1]
+        )
+        self.forwarder = Forwarder(tools=self._make_tools())
+        self.server = None
+
+    def _make_tools(self):
+        settings = self.settings
+        return ForwardTools(
+            dialect=PlatformDialect(),
+            directory=self.directory,
+            health=EndpointHealth(),
+            pool=self.pool,
+            timers=self.timers,
+            budgets=Budgets(
+                share=settings.repeat_share,
+                slack=settings.repeat_slack,
+                window=settings.repeat_window,
+            ),
+            evidence=CrashEvidence(lifetime=EVIDENCE_LIFETIME),
+            log=self.log,
+            metrics=self.metrics,
+            clock=time.monotonic,
+            rng=random.Random(),
+        )
+
+    def build(self):
+        """Return the root supervisor."""
+        factories = {
+            "timers": lambda: self.timers,
+            "store": lambda: self.store_pool,
+            "endpoints": lambda: self.pool,
+            "routing": self._routing,
+            "registry": self._registry,
+            "status": self._status,
+            "callers": self._callers,
+            "departure": self._departure,
+        }
+        if self.settings.metrics is not None:
+            factories["metrics"] = self._metrics_server
+        return Supervisor(
+            label="forward",
+            children=[ChildSpec(name, factory) for name, factory in factories.items()],
+        )
+
+    def _routing(self):
+        return RoutingWatcher(
+            source=StoreRouting(client=self.store),
+            on_config=self._use_config,
+            timers=self.timers,
+            log=self.log,
+        )
+
+    def _registry(self):
+        return RegistryPoller(
+            source=StoreRegistry(client=self.store, log=self.log),
+            directory=self.directory,
+            interval=self.settings.registry_interval,
+            on_change=self._on_endpoints,
+            log=self.log,
+        )
+
+    def _status(self):
+        return StatusServer(bind=self.settings.status, pages={READY_PATH: self.ready})
+
+    def _metrics_server(self):
+        return StatusServer(
+            bind=self.settings.metrics,
+            pages={METRICS_PATH: self.render_metrics},
+            channel="metrics",
+        )
+
+    def _callers(self):
+        self.server = ForwardServer(
+            bind=self.settings.callers,
+            forwarder=self.forwarder,
+            max_connections=max(
+                1, self.settings.max_descriptors - RESERVED_DESCRIPTORS
+            ),
+        )
+        return self.server
+
+    def _departure(self):
+        return Departure(
+            server=self.server,
+            forwarder=self.forwarder,
+            timers=self.timers,
+            grace=self.settings.drain_timeout,
+            log=self.log,
+        )
+
+    def _use_config(self, config):
+        applied = self.forwarder.use_config(config)
+        self.log.decision(
+            "configuration",
+            outcome="applied" if applied else "kept",
+            version=config.version,
+            routes=len(config.routes),
+        )
+        self.metrics.set("config_version", self.forwarder.config.version)
+
+    def _on_endpoints(self, change):
+        for record in (*change.leaving, *change.gone):
+            self.pool.drop_idle(record)
+        for record in change.gone:
+            self.forwarder.tools.health.forget(record)
+
+    def _count_connection(self):
+        self.metrics.count("endpoint_connections_total")
+
+    def ready(self):
+        """Answer 200 while new requests are welcome."""
+        is_ready = (
+            self.server is not None
+            and not self.server.is_leaving
+            and self.forwarder.config is not None
+            and bool(self.directory.records)
+        )
+        return (200 if is_ready else 503), "text/plain", b""
+
+    def render_metrics(self):
+        """Return all metrics."""
+        self.metrics.set("requests_in_progress", len(self.forwarder.tasks))
+        return 200, "text/plain; version=0.0.4", self.metrics.render()
--- a/wagtailfront/standins/tests/test_table_service.py
+++ b/wagtailfront/standins/tests/test_table_service.py
@@ -5,8 +5,10 @@
 from hypothesis import example, given, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from wagtailfront.platform import table_codec
-from wagtailfront.platform.interfaces import (
+from wagtailfront.standins.http_message import HttpRequest
+from wagtailfront.standins.table_service import TOKEN_LIFETIME, TableService
+from wagtailfront.stores import table_codec
+from wagtailfront.stores.interfaces import (
     Check,
     Committed,
     ConditionFailed,
@@ -17,8 +19,6 @@
     Row,
     Unknown,
 )
-from wagtailfront.standins.http_message import HttpRequest
-from wagtailfront.standins.table_service import TOKEN_LIFETIME, TableService
 
 KEYS = [Key(partition, sort) for partition in ("a", "b") for sort in ("x", "y", "é")]
 versions = st.integers(0, 3)
--- /dev/null
+++ b/wagtailfront/stores/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's table service and object store."""
--- a/wagtailfront/platform/memory.py
+++ b/wagtailfront/stores/memory.py
@@ -5,7 +5,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from wagtailfront.platform.interfaces import (
+from wagtailfront.stores.interfaces import (
     Committed,
     ConditionFailed,
     Found,
@@ -169,7 +169,7 @@
 
     Examples
     --------
-    >>> from wagtailfront.platform.interfaces import Put
+    >>> from wagtailfront.stores.interfaces import Put
     >>> table = MemoryTable(clock=lambda: 0.0)
     >>> put = Put(Key("p", "s"), 0, b"value")
     >>> table.transact(puts=(put,), token="t1", reply=print)
--- a/wagtailfront/platform/object_client.py
+++ b/wagtailfront/stores/object_client.py
@@ -1,7 +1,7 @@
 """Object store client over HTTP."""
 
-from wagtailfront.platform import object_codec
-from wagtailfront.platform.store_connection import StoreConnection
+from wagtailfront.stores import object_codec
+from wagtailfront.stores.store_connection import StoreConnection
 
 __all__ = ["ObjectClient"]
 
--- a/wagtailfront/platform/object_codec.py
+++ b/wagtailfront/stores/object_codec.py
@@ -4,7 +4,7 @@
 import re
 from urllib.parse import quote
 
-from wagtailfront.platform.interfaces import (
+from wagtailfront.stores.interfaces import (
     Committed,
     ConditionFailed,
     Found,
--- a/wagtailfront/platform/store_connection.py
+++ b/wagtailfront/stores/store_connection.py
@@ -4,7 +4,7 @@
 
 from circuits.core import BaseComponent
 
-from wagtailfront.platform.interfaces import Unavailable, Unknown
+from wagtailfront.stores.interfaces import Unavailable, Unknown
 from wagtailfront.transport.http_client import HttpPool, WholeResponse
 
 __all__ = ["StoreConnection"]
--- a/wagtailfront/platform/table_client.py
+++ b/wagtailfront/stores/table_client.py
@@ -1,8 +1,8 @@
 """Table store client over HTTP."""
 
-from wagtailfront.platform import table_codec
-from wagtailfront.platform.interfaces import Rows
-from wagtailfront.platform.store_connection import StoreConnection
+from wagtailfront.stores import table_codec
+from wagtailfront.stores.interfaces import Rows
+from wagtailfront.stores.store_connection import StoreConnection
 
 __all__ = ["TableClient"]
 
--- a/wagtailfront/platform/table_codec.py
+++ b/wagtailfront/stores/table_codec.py
@@ -3,7 +3,7 @@
 import base64
 import json
 
-from wagtailfront.platform.interfaces import (
+from wagtailfront.stores.interfaces import (
     Committed,
     ConditionFailed,
     Found,
--- a/wagtailfront/platform/tests/test_clients.py
+++ b/wagtailfront/stores/tests/test_clients.py
@@ -5,7 +5,9 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wagtailfront.platform.interfaces import (
+from wagtailfront.standins.fault_plan import parse_fault
+from wagtailfront.standins.platform import PlatformStandIn
+from wagtailfront.stores.interfaces import (
     Check,
     Committed,
     ConditionFailed,
@@ -18,10 +20,8 @@
     Unavailable,
     Unknown,
 )
-from wagtailfront.platform.object_client import ObjectClient
-from wagtailfront.platform.table_client import TableClient
-from wagtailfront.standins.fault_plan import parse_fault
-from wagtailfront.standins.platform import PlatformStandIn
+from wagtailfront.stores.object_client import ObjectClient
+from wagtailfront.stores.table_client import TableClient
 from wagtailfront.transport.http_client import HttpPool, WholeResponse
 from wagtailfront.transport.tests.event_loop import EventLoop
 
--- a/wagtailfront/platform/tests/test_codecs.py
+++ b/wagtailfront/stores/tests/test_codecs.py
@@ -6,8 +6,11 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from wagtailfront.platform import object_codec, table_codec
-from wagtailfront.platform.interfaces import (
+from wagtailfront.standins.http_message import HttpRequest
+from wagtailfront.standins.object_service import ObjectService
+from wagtailfront.standins.table_service import TableService, error_reply
+from wagtailfront.stores import object_codec, table_codec
+from wagtailfront.stores.interfaces import (
     Check,
     Committed,
     ConditionFailed,
@@ -20,9 +23,6 @@
     Unavailable,
     Unknown,
 )
-from wagtailfront.standins.http_message import HttpRequest
-from wagtailfront.standins.object_service import ObjectService
-from wagtailfront.standins.table_service import TableService, error_reply
 
 texts = st.text(min_size=1, max_size=20)
 keys = st.builds(Key, st.sampled_from("pq") | texts, texts)
--- a/wagtailfront/platform/tests/test_cut_replies.py
+++ b/wagtailfront/stores/tests/test_cut_replies.py
@@ -4,7 +4,7 @@
 from circuits.net.events import close, write
 from circuits.net.sockets import TCPServer
 
-from wagtailfront.platform.interfaces import (
+from wagtailfront.stores.interfaces import (
     Committed,
     Found,
     Key,
@@ -13,9 +13,9 @@
     Unavailable,
     Unknown,
 )
-from wagtailfront.platform.object_client import ObjectClient
-from wagtailfront.platform.object_codec import entity_tag
-from wagtailfront.platform.table_client import TableClient
+from wagtailfront.stores.object_client import ObjectClient
+from wagtailfront.stores.object_codec import entity_tag
+from wagtailfront.stores.table_client import TableClient
 from wagtailfront.transport.tests.event_loop import EventLoop
 
 KEY = Key("config", "head")
