--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -33,7 +33,8 @@
         self.task = task
         self.tools = task.tools
         self.record = record
-        self.label = f"{record.endpoint_id}#{number}"
+        # Unique, so that a crash is blamed on this request alone.
+        self.label = f"{record.endpoint_id}/{task.fields.request_id}#{number}"
         self.started = self.tools.clock()
         self.exchange = None
         self.is_dropped = False
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -73,6 +73,16 @@
         self._poller.discard(sock)
         sock.close()
 
+    @handler("prepare_unregister", channel="*")
+    def _on_prepare_unregister(self, event, component):
+        """Close all sockets, else the poller would report them for ever."""
+        if not event.in_subtree(self):
+            return
+        for sock in list(self.handshakes):
+            self.abort_handshake(sock)
+        for sock in [*self._clients, self._sock]:
+            self._close(sock)
+
     @handler("_disconnect", priority=1, override=True)
     def _on_disconnect(self, sock):
         if sock in self.handshakes:
