Exchange loads and placements between instances; place prompts by cost

Cause: three engines that read prompts were full while three that generate stood idle, and each instance kept its own idea of which engine keeps which shared part, so the same parts were read up to six times.

Change: every engine is a candidate; its cost is its queue of prompts at least as urgent, the tokens it does not keep, and what reading a kept part again takes from others.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -25,12 +25,18 @@
     record : EndpointRecord
     number : int
         Number of the attempt within its request, from 1.
+    unread_tokens : int, optional
+        Prompt tokens that the endpoint has to read.
+    expected : float, optional
+        Seconds until it has read them.
     """
 
     is_prefill = False
 
-    def __init__(self, *, task, record, number):
+    def __init__(self, *, task, record, number, unread_tokens=0, expected=0.0):
         self.task = task
+        self.unread_tokens = unread_tokens
+        self.expected = expected
         self.tools = task.tools
         self.record = record
         # Unique, so that a crash is blamed on this request alone.
@@ -47,7 +53,7 @@
     @property
     def health(self):
         """Return the observations of the attempt's endpoint."""
-        return self.tools.health.state(self.record)
+        return self.tools.health.state(self.record.incarnation)
 
     @property
     def body(self):
@@ -62,6 +68,7 @@
     def launch(self, options):
         """Send the request with `options`, a SendOptions."""
         self.health.outstanding += 1
+        self.health.add_pending(self.task.route.priority, self.unread_tokens)
         payload = self._encode(options)
         self.exchange = self.tools.pool.send(self.record, payload, sink=self)
 
@@ -71,6 +78,12 @@
             self.is_dropped = True
             self.exchange.cancel()
             self.health.outstanding -= 1
+            self.settle_pending()
+
+    def settle_pending(self):
+        """Note that the prompt no longer waits at the endpoint."""
+        self.health.add_pending(self.task.route.priority, -self.unread_tokens)
+        self.unread_tokens = 0
 
     def _encode(self, options):
         request = self.task.request
@@ -117,15 +130,6 @@
 
     is_prefill = True
 
-    def launch(self, options):
-        self.health.pending_tokens += self.task.fields.prompt_tokens
-        super().launch(options)
-
-    def drop(self):
-        if not self.is_dropped:
-            self.health.pending_tokens -= self.task.fields.prompt_tokens
-        super().drop()
-
     def on_end(self):
         self.task.take_prefill(self)
 
@@ -133,8 +137,8 @@
 class RunAttempt(_Attempt):
     """Run of a request; passes events on as they arrive."""
 
-    def __init__(self, *, task, record, number):
-        super().__init__(task=task, record=record, number=number)
+    def __init__(self, **options):
+        super().__init__(**options)
         self.splitter = None
         self.is_tracked = False
 
@@ -163,8 +167,8 @@
     def note_crash(self):
         """Note that the endpoint fell silent or broke off without a head."""
         self.is_tracked = False
-        incarnation = f"{self.record.endpoint_id}/{self.record.started_ms}"
-        self.tools.evidence.crash(self.label, incarnation, now=self.tools.clock())
+        crash = self.record.incarnation
+        self.tools.evidence.crash(self.label, crash, now=self.tools.clock())
 
     def _untrack(self, end):
         if self.is_tracked:
--- a/wagtailfront/forwarding/endpoint_directory.py
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -47,8 +47,8 @@
 
     @property
     def incarnation(self):
-        """Return what differs between two starts of an endpoint."""
-        return (self.endpoint_id, self.started_ms)
+        """Return a name that differs between two starts of an endpoint."""
+        return f"{self.endpoint_id}/{self.started_ms}"
 
 
 class DirectoryChange(NamedTuple):
@@ -130,6 +130,11 @@
         """Return the endpoints of a service that may get new work."""
         return self.by_service.get(service, ())
 
+    def find_service(self, incarnation):
+        """Return the service of an incarnation, or None."""
+        record = self.records.get(incarnation.rpartition("/")[0])
+        return None if record is None else record.service
+
     def is_current(self, record):
         """Return whether an incarnation may still get new work."""
         known = self.records.get(record.endpoint_id)
--- a/wagtailfront/forwarding/endpoint_health.py
+++ b/wagtailfront/forwarding/endpoint_health.py
@@ -1,6 +1,6 @@
 """What an instance's own requests tell about endpoints."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = ["EndpointState", "EndpointHealth"]
 
@@ -10,6 +10,9 @@
 FAILURE_WEIGHT = 0.2  # of the latest request in the share of failures
 GREY_SHARE = 0.25  # of failures above which others are preferred
 LATENCY_WEIGHT = 0.2  # of the latest request in the usual latency
+SLOWNESS_WEIGHT = 0.1  # of the latest read in an engine's slowness
+MIN_SLOWNESS, MAX_SLOWNESS = 0.5, 8.0  # bounds of one observation
+MIN_READ = 0.03  # seconds; shorter reads are mostly the time of the call
 
 
 @dataclass(kw_only=True, slots=True)
@@ -17,13 +20,29 @@
     """Observations of one incarnation; times in seconds."""
 
     outstanding: int = 0
-    pending_tokens: int = 0
+    pending: dict[int, int] = field(default_factory=dict)
+    slowness: float = 1.0
     failures_in_row: int = 0
     failure_share: float = 0.0
     latency: float = 0.0
     avoid_until: float = 0.0
     last_heard: float = 0.0
 
+    def add_pending(self, priority, tokens):
+        """Count prompt tokens that wait; negative once they are read."""
+        self.pending[priority] = self.pending.get(priority, 0) + tokens
+
+    def pending_before(self, priority):
+        """Return the waiting tokens of requests at least as urgent."""
+        return sum(
+            tokens for urgency, tokens in self.pending.items() if urgency <= priority
+        )
+
+    def note_read(self, *, expected, took):
+        """Note how long a read took, both in seconds."""
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, took / max(expected, MIN_READ)))
+        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+
 
 class EndpointHealth:
     """Keeps the observations and ranks endpoints by them."""
@@ -31,9 +50,9 @@
     def __init__(self):
         self.states = {}
 
-    def state(self, record):
+    def state(self, incarnation):
         """Return the observations of an incarnation."""
-        return self.states.setdefault(record.incarnation, EndpointState())
+        return self.states.setdefault(incarnation, EndpointState())
 
     def forget(self, record):
         """Drop the observations of an incarnation that is gone."""
@@ -41,7 +60,7 @@
 
     def succeed(self, record, *, latency, now):
         """Note an answer after `latency` seconds."""
-        state = self.state(record)
+        state = self.state(record.incarnation)
         state.failures_in_row = 0
         state.failure_share *= 1 - FAILURE_WEIGHT
         state.latency += LATENCY_WEIGHT * (latency - state.latency)
@@ -50,7 +69,7 @@
 
     def fail(self, record, *, now):
         """Note a failure; return the seconds for which it is avoided."""
-        state = self.state(record)
+        state = self.state(record.incarnation)
         state.failures_in_row += 1
         state.failure_share += FAILURE_WEIGHT * (1 - state.failure_share)
         pause = min(MAX_PAUSE, FIRST_PAUSE * 2 ** min(state.failures_in_row - 1, 8))
@@ -59,12 +78,12 @@
 
     def note_error(self, record):
         """Note an answer that says that the endpoint failed."""
-        state = self.state(record)
+        state = self.state(record.incarnation)
         state.failure_share += FAILURE_WEIGHT * (1 - state.failure_share)
 
     def shed(self, record, *, now):
         """Note that the endpoint had no room."""
-        state = self.state(record)
+        state = self.state(record.incarnation)
         state.avoid_until = max(state.avoid_until, now + BUSY_PAUSE)
         state.last_heard = now
 
@@ -73,6 +92,12 @@
 
         Endpoints that failed lately are left out while there are others.
         """
-        open_records = [r for r in records if self.state(r).avoid_until <= now]
-        sound = [r for r in open_records if self.state(r).failure_share < GREY_SHARE]
+        open_records = [
+            r for r in records if self.state(r.incarnation).avoid_until <= now
+        ]
+        sound = [
+            r
+            for r in open_records
+            if self.state(r.incarnation).failure_share < GREY_SHARE
+        ]
         return sound or open_records or list(records)
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -6,7 +6,7 @@
 from wagtailfront.forwarding.attempt import PrefillAttempt, RunAttempt, end_to_end
 from wagtailfront.forwarding.interfaces import SendOptions
 from wagtailfront.forwarding.placement import (
-    PlacementView,
+    EngineView,
     choose_least_loaded,
     plan_model_request,
 )
@@ -24,9 +24,10 @@
 # Seconds without a byte from an engine on any connection; a step with full
 # chunks of a long prompt takes a tenth of it.
 ENGINE_SILENCE = 0.9
+# An engine's queue may take this many times the expected time.
+QUEUE_PATIENCE = 2.0
 RETRY_AFTER = 0.25  # seconds; a full engine frees places within some steps
 POISON_RETRY_AFTER = 5.0  # seconds
-PREFILL = "prefill"
 TOO_MANY, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 429, 502, 503, 504
 
 
@@ -40,6 +41,8 @@
     timers: Any
     budgets: Any
     evidence: Any
+    kept: Any
+    load: Any
     log: Any
     metrics: Any
     clock: Any
@@ -181,49 +184,81 @@
         ]
         fresh = [r for r in records if r.incarnation not in self.tried]
         usable = self.tools.health.usable(fresh or records, now=now)
-        states = ((record, self.tools.health.state(record)) for record in usable)
-        return [
-            PlacementView(record, state.outstanding, state.pending_tokens)
-            for record, state in states
-        ]
+        return [self._view(record) for record in usable]
+
+    def _view(self, record):
+        now, load = self.tools.clock(), self.tools.load
+        incarnation = record.incarnation
+        outstanding = load.outstanding(incarnation, now=now)
+        if not self.service.is_model:
+            return EngineView(record, outstanding)
+        kept = self.tools.kept[self.service.name]
+        return EngineView(
+            record,
+            outstanding,
+            pending_tokens=load.pending_before(
+                incarnation, self.route.priority, now=now
+            ),
+            kept_tokens=kept.kept_tokens(incarnation, self.fields.parts),
+            slowness=self.tools.health.state(incarnation).slowness,
+        )
 
     def _dispatch_model(self, views):
-        is_first = self.last_event_id is None and not self.runs
-        self.plan = plan_model_request(
-            [v for v in views if v.record.stage == PREFILL and is_first],
-            [v for v in views if v.record.stage != PREFILL],
-            self.fields.parts,
-            rng=self.tools.rng,
+        may_split = self.last_event_id is None and not self.runs
+        plan = plan_model_request(
+            views, self.fields.prompt_tokens, may_split=may_split, rng=self.tools.rng
         )
-        if self.plan is None:
+        self.plan = plan
+        if plan is None:
             self._give_up("no engine generates", RETRY_AFTER)
-        elif self.plan.prefill is not None:
-            self._send(PrefillAttempt, self.plan.prefill, prefill_only=True)
-        else:
-            self._run(self.plan.decode)
+            return
+        reader = plan.prefill or plan.decode
+        self._note_kept(reader)
+        attempt_type = RunAttempt if plan.prefill is None else PrefillAttempt
+        self._send(
+            attempt_type,
+            reader,
+            unread_tokens=plan.unread_tokens,
+            expected=plan.expected,
+        )
+
+    def _note_kept(self, record):
+        kept = self.tools.kept[self.service.name]
+        kept.note(record.incarnation, self.fields.parts)
+        self.tools.load.note_prompt(record.incarnation, self.fields.parts)
 
     def _run(self, record):
-        self._send(RunAttempt, record, kv_source=self.kv_source)
+        self._send(RunAttempt, record)
 
-    def _send(self, attempt_type, record, **options):
+    def _send(self, attempt_type, record, unread_tokens=0, expected=0.0):
         self.sends += 1
-        self.attempt = attempt_type(task=self, record=record, number=self.sends)
+        attempt = attempt_type(
+            task=self,
+            record=record,
+            number=self.sends,
+            unread_tokens=unread_tokens,
+            expected=expected,
+        )
+        self.attempt = attempt
         options = SendOptions(
             endpoint_id=record.endpoint_id,
-            time_left=self.deadline - self.attempt.started,
+            time_left=self.deadline - attempt.started,
             priority=self.route.priority if self.service.is_model else None,
+            prefill_only=attempt.is_prefill,
+            kv_source=self.kv_source,
             resume_after=self.last_event_id,
-            **options,
         )
         self._log(
             "sent",
-            "prefill" if options.prefill_only else "run",
+            "prefill" if attempt.is_prefill else "run",
             endpoint=record.endpoint_id,
-            outstanding=self.attempt.health.outstanding,
+            outstanding=attempt.health.outstanding,
+            unread=unread_tokens,
+            expected=round(expected, 4),
             attempt=self.sends,
         )
-        self.attempt.launch(options)
-        self._watch_silence(self.attempt)
+        attempt.launch(options)
+        self._watch_silence(attempt)
 
     def _drop_attempt(self):
         attempt, self.attempt = self.attempt, None
@@ -235,7 +270,7 @@
     def _watch_silence(self, attempt):
         patience = max(MIN_PATIENCE, PATIENCE_TARGETS * self.route.target_latency)
         if self.service.is_model:
-            patience = ENGINE_SILENCE
+            patience = ENGINE_SILENCE + QUEUE_PATIENCE * attempt.expected
         self._after(patience, lambda: self._check_silence(attempt, patience))
 
     def _check_silence(self, attempt, patience):
@@ -275,8 +310,11 @@
             self.tried.add(record.incarnation)
             self._log("prefill_failed", str(error), endpoint=record.endpoint_id)
         else:
-            self.tools.health.succeed(record, latency=now - attempt.started, now=now)
+            latency = now - attempt.started
+            attempt.health.note_read(expected=attempt.expected, took=latency)
+            self.tools.health.succeed(record, latency=latency, now=now)
             if self.tools.directory.is_current(self.plan.decode):
+                self._note_kept(self.plan.decode)
                 self._run(self.plan.decode)
                 return
         views = self._views(now, stages=("decode", ""))
@@ -401,6 +439,9 @@
         self.may_have_run = True
         now = self.tools.clock()
         latency = now - attempt.started
+        if attempt.unread_tokens:
+            attempt.health.note_read(expected=attempt.expected, took=latency)
+        attempt.settle_pending()
         self.tools.health.succeed(attempt.record, latency=latency, now=now)
         self.tools.metrics.observe(
             "first_event_seconds", now - self.received, service=self.service.name
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -4,9 +4,10 @@
 
 from wagtailfront.forwarding.attempt_budget import AttemptBudget
 from wagtailfront.forwarding.forward_task import ForwardTask
+from wagtailfront.forwarding.kept_parts import KeptParts
 from wagtailfront.forwarding.routes import CallerLimits, RouteTable, choose_service
 
-__all__ = ["Forwarder", "Budgets"]
+__all__ = ["Forwarder", "Budgets", "KeptByService"]
 
 UNCONFIGURED_RETRY_AFTER = 0.5  # seconds; one read of the configuration
 BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 400, 404, 503
@@ -19,6 +20,21 @@
         super().__init__(lambda: AttemptBudget(share=share, slack=slack, window=window))
 
 
+class KeptByService(dict):
+    """What the engines of each model service keep."""
+
+    def use_services(self, services):
+        """Follow the services of a configuration."""
+        for name, service in services.items():
+            if service.is_model and name not in self:
+                self[name] = KeptParts(capacity_tokens=service.kv_capacity_tokens)
+
+    def forget(self, record):
+        """Forget an engine that is gone."""
+        if record.service in self:
+            self[record.service].forget(record.incarnation)
+
+
 class Forwarder:
     """Finds the route of each request and starts its task.
 
@@ -50,6 +66,7 @@
         self.config = config
         self.table = RouteTable(config.routes)
         self.limits = config.limits
+        self.tools.kept.use_services(config.services)
         return True
 
     def accept(self, request, reply):
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -10,6 +10,8 @@
     "Dialect",
     "ReplySink",
     "RegistrySource",
+    "InstanceRow",
+    "MembershipStore",
     "RoutingSource",
     "RoutingRead",
 ]
@@ -171,3 +173,30 @@
 
     def read(self, reply) -> None:
         """Read all; `reply` gets a list of EndpointRecord, or None."""
+
+
+class InstanceRow(NamedTuple):
+    """What an instance announces of itself.
+
+    Attributes
+    ----------
+    instance : str
+    address : str
+        Where it listens for the other instances.
+    version : int
+        Grows each time that it is announced.
+    """
+
+    instance: str
+    address: str
+    version: int = 0
+
+
+class MembershipStore(Protocol):
+    """Where instances announce themselves."""
+
+    def announce(self, row: InstanceRow, reply) -> None:
+        """Write a row; `reply` gets whether it was written."""
+
+    def read(self, reply) -> None:
+        """Read all; `reply` gets a list of InstanceRow, or None."""
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -2,9 +2,50 @@
 
 from typing import NamedTuple
 
-import xxhash
+__all__ = [
+    "EngineView",
+    "Plan",
+    "choose_least_loaded",
+    "expected_read_seconds",
+    "plan_model_request",
+]
+
+PREFILL = "prefill"
+# Prompt tokens that an engine of each kind reads a second, from the sheet of
+# the engines: one that generates reads at half the speed, in short chunks
+# between the tokens of other requests.
+READ_RATE = 150_000.0
+DECODE_READ_RATE = 50_000.0
+# Seconds that a separate read adds: a call, a second one, the KV transfer.
+HANDOVER_SECONDS = 0.015
+# Seconds by which a request in progress delays the tokens of a new one.
+STREAM_SECONDS = 0.0004
+# Weight of shared tokens that another engine keeps and this one would read
+# again: they take time from the requests that come after.
+REREAD_WEIGHT = 1.0
+
+
+class EngineView(NamedTuple):
+    """What is known of one endpoint that may be chosen.
 
-__all__ = ["Plan", "PlacementView", "plan_model_request", "choose_least_loaded"]
+    Attributes
+    ----------
+    record : EndpointRecord
+    outstanding : int
+        Requests in progress there.
+    pending_tokens : int
+        Prompt tokens that wait there, of requests at least as urgent.
+    kept_tokens : int
+        Leading tokens of the prompt that it does not read again.
+    slowness : float
+        Time that it takes relative to the expected one.
+    """
+
+    record: object
+    outstanding: int
+    pending_tokens: int = 0
+    kept_tokens: int = 0
+    slowness: float = 1.0
 
 
 class Plan(NamedTuple):
@@ -15,31 +56,16 @@
     prefill : EndpointRecord or None
         Reads the prompt first; None lets `decode` read it.
     decode : EndpointRecord
+    unread_tokens : int
+        Prompt tokens that have to be read.
+    expected : float
+        Seconds until the prompt has been read.
     """
 
     prefill: object
     decode: object
-
-
-class PlacementView(NamedTuple):
-    """What is known of one endpoint that may be chosen.
-
-    Attributes
-    ----------
-    record : EndpointRecord
-    outstanding : int
-        Requests in progress there.
-    pending_tokens : int
-        Prompt tokens that wait there to be read.
-    """
-
-    record: object
-    outstanding: int
-    pending_tokens: int
-
-
-def _rendezvous_weight(key, endpoint_id):
-    return xxhash.xxh3_64_intdigest(f"{key}/{endpoint_id}".encode())
+    unread_tokens: int
+    expected: float
 
 
 def choose_least_loaded(views, *, rng):
@@ -51,39 +77,35 @@
     return min(
         views,
         key=lambda view: (
-            view.outstanding / max(1, view.record.slots),
+            view.slowness * view.outstanding / max(1, view.record.slots),
             rng.random(),
         ),
     )
 
 
-def choose_prefill(views, parts):
-    """Return the view that reads the prompt soonest.
+def expected_read_seconds(view, prompt_tokens):
+    """Return the seconds until an engine has read a prompt.
 
-    Each shared part has a home that all instances agree on, the endpoint
-    with the highest rendezvous weight. Another endpoint is taken when the
-    home has so much to read that reading the shared part anew is quicker.
-    This keeps shared parts in one place while load is even, and spreads a
-    part that many callers ask for at once.
+    Answers the load of prompts that queue: an engine that keeps the shared
+    parts is worth waiting for only while its queue is shorter than the time
+    that another engine needs to read them.
     """
-    shared = parts[:-1]
-    key = shared[-1].part_id if shared else parts[0].part_id if parts else ""
-    shared_tokens = sum(part.tokens for part in shared)
-    home = max(views, key=lambda view: _rendezvous_weight(key, view.record.endpoint_id))
-
-    def tokens_before_start(view):
-        return view.pending_tokens + (0 if view is home else shared_tokens)
-
-    return min(views, key=tokens_before_start)
+    tokens = view.pending_tokens + max(0, prompt_tokens - view.kept_tokens)
+    if view.record.stage == PREFILL:
+        return HANDOVER_SECONDS + view.slowness * tokens / READ_RATE
+    streams = view.outstanding * STREAM_SECONDS
+    return view.slowness * (streams + tokens / DECODE_READ_RATE)
 
 
-def plan_model_request(prefill_views, decode_views, parts, *, rng):
+def plan_model_request(views, prompt_tokens, *, may_split, rng):
     """Return the plan for a model request, or None without an endpoint.
 
     Parameters
     ----------
-    prefill_views, decode_views : list of PlacementView
-    parts : sequence of PromptPart
+    views : list of EngineView
+    prompt_tokens : int
+    may_split : bool
+        Whether another engine may read the prompt.
     rng : random.Random
 
     Returns
@@ -91,10 +113,20 @@
     Plan or None
         None if no endpoint can generate the output.
     """
+    decode_views = [view for view in views if view.record.stage != PREFILL]
     if not decode_views:
         return None
-    if not prefill_views:
-        return Plan(None, choose_prefill(decode_views, parts).record)
-    prefill = choose_prefill(prefill_views, parts).record
-    decode = choose_least_loaded(decode_views, rng=rng).record
-    return Plan(prefill, decode)
+    most_kept = max(view.kept_tokens for view in views)
+
+    def cost(view):
+        read_again = (most_kept - view.kept_tokens) / READ_RATE
+        seconds = expected_read_seconds(view, prompt_tokens)
+        return seconds + REREAD_WEIGHT * read_again, rng.random()
+
+    best = min(views if may_split else decode_views, key=cost)
+    unread = max(0, prompt_tokens - best.kept_tokens)
+    expected = expected_read_seconds(best, prompt_tokens)
+    if best.record.stage == PREFILL:
+        decode = choose_least_loaded(decode_views, rng=rng).record
+        return Plan(best.record, decode, unread, expected)
+    return Plan(None, best.record, unread, expected)
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -19,6 +19,9 @@
     "SlowHint",
     "EngineLoad",
     "LoadDigest",
+    "EndpointPending",
+    "PlacedPrompt",
+    "PlacementDigest",
     "Leaving",
     "Message",
     "MAX_MESSAGE_BYTES",
@@ -138,6 +141,39 @@
     loads: Annotated[tuple[EngineLoad, ...], msgspec.Meta(max_length=512)]
 
 
+class EndpointPending(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender has in progress at one endpoint.
+
+    Attributes
+    ----------
+    endpoint : str
+        Incarnation of the endpoint.
+    outstanding : int
+        Requests.
+    pending : tuple of (int, int)
+        Priorities and the prompt tokens of each that wait to be read.
+    """
+
+    endpoint: Text
+    outstanding: Number
+    pending: Annotated[tuple[tuple[Number, Number], ...], msgspec.Meta(max_length=16)]
+
+
+class PlacedPrompt(msgspec.Struct, frozen=True, array_like=True):
+    """Shared parts of a prompt, as ids and tokens, sent to an endpoint."""
+
+    endpoint: Text
+    parts: Annotated[tuple[tuple[Text, Number], ...], msgspec.Meta(max_length=16)]
+
+
+class PlacementDigest(MessageBase):
+    """Endpoints whose load by the sender changed, and prompts it placed."""
+
+    incarnation: Text
+    loads: Annotated[tuple[EndpointPending, ...], msgspec.Meta(max_length=512)]
+    prompts: Annotated[tuple[PlacedPrompt, ...], msgspec.Meta(max_length=512)]
+
+
 class Leaving(MessageBase):
     """The sender takes no new work from now on."""
 
@@ -154,6 +190,7 @@
     | CrashReport
     | SlowHint
     | LoadDigest
+    | PlacementDigest
     | Leaving
 )
 
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -1,10 +1,14 @@
 """Calls to the platform's store."""
 
-from wagtailfront.forwarding.interfaces import RoutingRead
+import base64
+
+import msgspec
+
+from wagtailfront.forwarding.interfaces import InstanceRow, RoutingRead
 from wagtailfront.platform.rows import read_registry, read_routing, read_rows
 from wagtailfront.transport.http_client import WholeResponse
 
-__all__ = ["StoreClient", "StoreRegistry", "StoreRouting"]
+__all__ = ["StoreClient", "StoreMembership", "StoreRegistry", "StoreRouting"]
 
 CALL_TIMEOUT = 1.0  # seconds; the store answers in milliseconds when it is well
 WATCH_MARGIN = 0.6  # seconds beyond the wait of a watch
@@ -12,6 +16,7 @@
 MS_PER_SECOND = 1000
 REGISTRY_TABLE = "servers"
 OPERATOR_TABLE = "op"
+INSTANCE_TABLE = "instances"
 
 
 class StoreClient:
@@ -45,6 +50,32 @@
             timeout=timeout,
         )
 
+    def put(self, table, key, value, reply):
+        """Write a row; `reply` gets whether the store took it, and a reason."""
+        row = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+        }
+        body = {"expect": [], "put": [row], "remove": []}
+
+        def take(status, headers, answer):
+            known = f"status {status}" if status else str(headers)
+            reply(status == 200, "" if status == 200 else known)
+
+        sink = WholeResponse(take)
+        sink.exchange = self.pool.request(
+            host=self.host,
+            port=self.port,
+            method="POST",
+            path="/api/rows-tx",
+            headers=(("Content-Type", "application/json"),),
+            body=msgspec.json.encode(body),
+            sink=sink,
+            timeout=CALL_TIMEOUT,
+        )
+
     def read_table(self, table, reply):
         """Read a table; `reply` gets StoreRows, or None, and a reason."""
 
@@ -129,6 +160,41 @@
         )
 
 
+class StoreMembership:
+    """Implements `MembershipStore` on a table of the system's own."""
+
+    def __init__(self, *, client, log):
+        self.client = client
+        self.log = log
+
+    def announce(self, row, reply):
+        """Write an instance's address."""
+
+        def take(written, reason):
+            if not written:
+                self.log.decision("announcement", outcome="failed", reason=reason)
+            reply(written)
+
+        self.client.put(INSTANCE_TABLE, row.instance, row.address.encode(), take)
+
+    def read(self, reply):
+        """Read the instances' addresses."""
+
+        def take(rows, reason):
+            if rows is None:
+                self.log.decision("instances", outcome="unknown", reason=reason)
+                reply(None)
+            else:
+                reply([_read_instance(row) for row in rows.rows])
+
+        self.client.read_table(INSTANCE_TABLE, take)
+
+
+def _read_instance(row):
+    address = base64.b64decode(row.value).decode("ascii", "replace")
+    return InstanceRow(instance=row.key, address=address, version=row.ver)
+
+
 def _routing_read(rows):
     try:
         config = read_routing(rows.rows)
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -18,6 +18,7 @@
     callers: Address,
     status: Address,
     store: Address,
+    peers: Address,
     metrics: Address | None = None,
     drain_timeout: Seconds = 8.0,
     registry_interval: Seconds = 0.8,
@@ -40,6 +41,8 @@
         IP address and port of the readiness page.
     store : Address
         IP address and port of the platform's store.
+    peers : Address
+        IP address and port for the other instances.
     metrics : Address
         IP address and port of the metrics page.
     drain_timeout : Seconds
@@ -62,6 +65,7 @@
         callers=callers,
         status=status,
         store=store,
+        peers=peers,
         metrics=metrics,
         drain_timeout=drain_timeout,
         registry_interval=registry_interval,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -10,16 +10,22 @@
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.endpoint_pool import EndpointPool
+from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.forward_task import ForwardTools
-from wagtailfront.forwarding.forwarder import Budgets, Forwarder
+from wagtailfront.forwarding.forwarder import Budgets, Forwarder, KeptByService
+from wagtailfront.forwarding.interfaces import InstanceRow
+from wagtailfront.forwarding.load_exchange import LoadExchange
 from wagtailfront.forwarding.registry_poller import RegistryPoller
 from wagtailfront.forwarding.routing_watcher import RoutingWatcher
 from wagtailfront.forwarding.status_server import StatusServer
+from wagtailfront.identifiers import new_id
+from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
 from wagtailfront.platform.headers import PlatformDialect
 from wagtailfront.platform.paths import READY_PATH
 from wagtailfront.platform.store_client import (
     StoreClient,
+    StoreMembership,
     StoreRegistry,
     StoreRouting,
 )
@@ -44,6 +50,7 @@
     callers: Any
     status: Any
     store: Any
+    peers: Any
     metrics: Any
     drain_timeout: float
     registry_interval: float
@@ -80,10 +87,11 @@
 
     def _make_tools(self):
         settings = self.settings
+        health = EndpointHealth()
         return ForwardTools(
             dialect=PlatformDialect(),
             directory=self.directory,
-            health=EndpointHealth(),
+            health=health,
             pool=self.pool,
             timers=self.timers,
             budgets=Budgets(
@@ -92,6 +100,8 @@
                 window=settings.repeat_window,
             ),
             evidence=CrashEvidence(lifetime=EVIDENCE_LIFETIME),
+            kept=KeptByService(),
+            load=FleetLoad(incarnation=new_id(), health=health),
             log=self.log,
             metrics=self.metrics,
             clock=time.monotonic,
@@ -106,6 +116,8 @@
             "endpoints": lambda: self.pool,
             "routing": self._routing,
             "registry": self._registry,
+            "peer_bus": lambda: PeerBus(address=str(self.settings.peers)),
+            "load_exchange": self._load_exchange,
             "status": self._status,
             "callers": self._callers,
             "departure": self._departure,
@@ -134,6 +146,19 @@
             log=self.log,
         )
 
+    def _load_exchange(self):
+        tools = self.forwarder.tools
+        return LoadExchange(
+            row=InstanceRow(self.settings.instance, str(self.settings.peers)),
+            store=StoreMembership(client=self.store, log=self.log),
+            load=tools.load,
+            kept=tools.kept,
+            evidence=tools.evidence,
+            find_service=self.directory.find_service,
+            timers=self.timers,
+            log=self.log,
+        )
+
     def _status(self):
         return StatusServer(bind=self.settings.status, pages={READY_PATH: self.ready})
 
@@ -178,6 +203,7 @@
             self.pool.drop_idle(record)
         for record in change.gone:
             self.forwarder.tools.health.forget(record)
+            self.forwarder.tools.kept.forget(record)
 
     def _count_connection(self):
         self.metrics.count("endpoint_connections_total")
