--- /dev/null
+++ b/wagtailfront/platform/tests/test_headers.py
@@ -0,0 +1,81 @@
+"""Headers towards callers and endpoints."""
+
+import pytest
+
+from wagtailfront.forwarding.interfaces import PromptPart, SendOptions
+from wagtailfront.platform.headers import PlatformDialect
+
+DIALECT = PlatformDialect()
+CALLER = [
+    (b"Host", b"H.example:80"),
+    (b"X-Request-Id", b"r1"),
+    (b"X-Deadline-Ms", b"1500"),
+    (b"X-Token-Count", b"1460,80"),
+    (b"X-Prompt-Prefix", b"5c1e:800, 91bd:410"),
+    (b"Last-Event-Id", b"12"),
+    (b"X-Own", b"kept"),
+]
+
+
+def test_reads_what_a_caller_says():
+    """Guards units and order of a caller's headers."""
+    fields = DIALECT.read_request(CALLER)
+    assert (fields.request_id, fields.host) == ("r1", "H.example")
+    assert (fields.time_left, fields.last_event_id) == (1.5, 12)
+    assert (fields.prompt_tokens, fields.max_output_tokens) == (1460, 80)
+    assert fields.parts == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"X-Deadline-Ms", b"soon"),
+        (b"X-Token-Count", b"a,b"),
+        (b"X-Prompt-Prefix", b"5c1e"),
+    ],
+)
+def test_an_unreadable_header_is_an_error(header):
+    """Guards against a crash by a header of another form."""
+    with pytest.raises(ValueError):
+        DIALECT.read_request([header])
+
+
+def test_a_caller_cannot_set_what_only_the_system_sets():
+    """Guards engines against orders that a caller smuggles in."""
+    names = (b"X-Kv-Source", b"x-kv-hold", b"X-PIN-MS", b"X-Kv-Backup", b"X-Stage")
+    names += (b"X-Expect-Instance", b"X-Request-Priority", b"X-Deadline-Ms")
+    sent = DIALECT.endpoint_headers(
+        [(name, b"evil") for name in names], SendOptions("i-1", 0.5)
+    )
+    assert sorted(sent) == [(b"X-Deadline-Ms", b"500"), (b"X-Expect-Instance", b"i-1")]
+
+
+def test_passes_the_rest_on_and_adds_its_own():
+    """Guards the headers of a run that goes on at another engine."""
+    options = SendOptions(
+        "i-1", 1.0, priority=12, kv_source="10.0.0.1:80/k", resume_after=15
+    )
+    sent = dict(DIALECT.endpoint_headers(CALLER, options))
+    assert sent[b"X-Own"] == b"kept"
+    assert sent[b"X-Token-Count"] == b"1460,80"
+    assert sent[b"Last-Event-Id"] == b"15"
+    assert sent[b"X-Request-Priority"] == b"9"
+    assert sent[b"X-Kv-Source"] == b"10.0.0.1:80/k"
+
+
+def test_reads_an_endpoints_response():
+    """Guards the marks by which a response is trusted."""
+    fields = DIALECT.read_response(
+        503, [(b"x-not-executed", b"1"), (b"X-REQUEST-ID", b"r1")]
+    )
+    assert fields.is_not_run
+    assert fields.request_id == "r1"
+    assert not fields.is_signed
+    assert not fields.is_encoded
+
+
+def test_a_handle_names_its_engine():
+    """Guards the source from which a prompt's memory is fetched."""
+    assert DIALECT.read_handle("10.0.0.1:80", b'{"handle":"k"}') == "10.0.0.1:80/k"
+    with pytest.raises(ValueError):
+        DIALECT.read_handle("10.0.0.1:80", b"{}")
--- /dev/null
+++ b/wagtailfront/platform/tests/test_rows.py
@@ -0,0 +1,94 @@
+"""Decoding of what endpoints and operators write to the store."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from wagtailfront.forwarding.routes import RequestKind, ServiceShare
+from wagtailfront.platform.rows import read_registry, read_routing, read_rows
+from wagtailfront.platform.tests.builders import (
+    make_config,
+    make_registration,
+    make_row,
+)
+
+JUNK = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+def test_reads_an_endpoint():
+    """Guards the meaning of each field of a registration."""
+    (record,) = read_registry([make_row("i-1", make_registration(state="draining"))])
+    assert record.endpoint_id == "i-1"
+    assert (record.host, record.port, record.service) == ("10.0.0.9", 80, "s")
+    assert (record.data_centre, record.slots, record.stage) == ("a", 8, "decode")
+    assert record.is_leaving
+    assert record.incarnation == "i-1/5"
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"{",
+        {},
+        make_registration(address="nowhere"),
+        make_registration(address="10.0.0.9:0"),
+        make_registration(state="asleep"),
+        make_registration(slots="many"),
+        make_registration(service=""),
+        make_registration(service=7),
+    ],
+)
+def test_an_unreadable_registration_costs_only_itself(value):
+    """Guards against an entry of another writer that hides the others."""
+    skipped = {}
+    rows = [make_row("bad", value), make_row("good", make_registration())]
+    records = read_registry(rows, skipped=skipped)
+    assert [record.endpoint_id for record in records] == ["good"]
+    assert list(skipped) == ["bad"]
+
+
+@given(value=JUNK)
+def test_no_registration_raises(value):
+    """Guards against a crash by any JSON value."""
+    read_registry([make_row("i", value)])
+
+
+def test_reads_a_configuration():
+    """Guards units and meaning of the fields of a configuration."""
+    config = read_routing([make_row("config", make_config())])
+    (route,) = config.routes
+    assert config.version == 7
+    assert (route.timeout, route.target_latency, route.gap_target) == (5.0, 0.4, 0.25)
+    assert route.kind is RequestKind.STREAMING
+    assert route.shares == (ServiceShare("s", 90),)
+    assert route.may_repeat
+    assert config.services["s"].is_model
+    assert not config.services["t"].is_model
+    assert (config.limits.max_head, config.limits.idle_timeout) == (100, 1.5)
+
+
+@pytest.mark.parametrize(
+    "value", [b"{", {"routes": []}, make_config(version="seven"), make_config(routes=3)]
+)
+def test_an_unreadable_configuration_is_an_error(value):
+    """Guards the configuration in force against one that cannot be read."""
+    with pytest.raises(ValueError, match="unreadable configuration"):
+        read_routing([make_row("config", value)])
+
+
+def test_no_configuration_is_none():
+    """Guards the start before the operator has written anything."""
+    assert read_routing([]) is None
+
+
+def test_an_unreadable_answer_of_the_store_is_an_error():
+    """Guards against a store's answer that was cut off."""
+    with pytest.raises(ValueError, match="unreadable rows"):
+        read_rows(b'{"rows":[')
