--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -12,6 +12,7 @@
     "RegistrySource",
     "InstanceRow",
     "MembershipStore",
+    "EngineInquiry",
     "RoutingSource",
     "RoutingRead",
 ]
@@ -200,3 +201,13 @@
 
     def read(self, reply) -> None:
         """Read all; `reply` gets a list of InstanceRow, or None."""
+
+
+class EngineInquiry(Protocol):
+    """Questions to engines outside of callers' requests."""
+
+    def read_kept(self, record, reply) -> None:
+        """Ask which prompt parts an engine keeps.
+
+        `reply` gets a list of PromptPart, or None, and a reason.
+        """
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -15,6 +15,7 @@
 from wagtailfront.forwarding.forward_task import ForwardTools
 from wagtailfront.forwarding.forwarder import Budgets, Forwarder, KeptByService
 from wagtailfront.forwarding.interfaces import InstanceRow
+from wagtailfront.forwarding.kept_inquiry import KeptInquiry
 from wagtailfront.forwarding.load_exchange import LoadExchange
 from wagtailfront.forwarding.registry_poller import RegistryPoller
 from wagtailfront.forwarding.routing_watcher import RoutingWatcher
@@ -22,6 +23,7 @@
 from wagtailfront.identifiers import new_id
 from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
+from wagtailfront.platform.engine_client import EngineClient
 from wagtailfront.platform.headers import PlatformDialect
 from wagtailfront.platform.paths import READY_PATH
 from wagtailfront.platform.store_client import (
@@ -84,6 +86,13 @@
             pool=self.store_pool, host=settings.store[0], port=settings.store[1]
         )
         self.forwarder = Forwarder(tools=self._make_tools())
+        tools = self.forwarder.tools
+        self.inquiry = KeptInquiry(
+            client=EngineClient(pool=self.store_pool),
+            kept=tools.kept,
+            log=log,
+            rng=tools.rng,
+        )
         self.server = None
 
     def _make_tools(self):
@@ -201,6 +210,8 @@
         self.metrics.set("config_version", self.forwarder.config.version)
 
     def _on_endpoints(self, change):
+        if self.forwarder.config is not None:
+            self.inquiry.ask(change.added)
         for record in (*change.leaving, *change.gone):
             self.pool.drop_idle(record)
         for record in change.gone:
