Split the request's task; drop what nothing uses

Change: forward_tools, endpoint_choice, silence_watch and stream_relay take what they are named for; unused parameters and an unused latency go.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -195,7 +195,7 @@
             return
         self._note_progress()
         if events:
-            self.task.pass_events(self, events)
+            self.task.stream.pass_events(self, events)
 
     def on_end(self):
         if self.splitter is None:
@@ -203,4 +203,4 @@
         elif self.splitter.has_rest:
             self.fail("stream ended within an event")
         else:
-            self.task.end_stream(self)
+            self.task.stream.finish(self)
--- /dev/null
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -0,0 +1,92 @@
+"""Choice of endpoints for one request, from what the instance knows."""
+
+from wagtailfront.forwarding.admission import admit
+from wagtailfront.forwarding.placement import (
+    EngineView,
+    choose_least_loaded,
+    plan_model_request,
+)
+
+__all__ = ["EndpointChoice"]
+
+MOST_URGENT = -1  # more urgent than any route's priority
+
+
+class EndpointChoice:
+    """Looks at directory, health and loads on behalf of one request.
+
+    Parameters
+    ----------
+    tools : ForwardTools
+    service : Service
+    route : Route
+    fields : RequestFields
+    """
+
+    def __init__(self, *, tools, service, route, fields):
+        self.tools = tools
+        self.service = service
+        self.route = route
+        self.fields = fields
+
+    def views(self, *, without=(), stages=None):
+        """Return what is known of the endpoints that may be chosen.
+
+        Parameters
+        ----------
+        without : collection of str, optional
+            Incarnations that are taken only if there are no others.
+        stages : collection of str, optional
+            Stages of engines to choose from; all by default.
+        """
+        records = [
+            record
+            for record in self.tools.directory.find(self.service.name)
+            if stages is None or record.stage in stages
+        ]
+        others = [r for r in records if r.incarnation not in without]
+        usable = self.tools.health.usable(others or records, now=self.tools.clock())
+        return [self._view(record) for record in usable]
+
+    def _view(self, record):
+        now, load = self.tools.clock(), self.tools.load
+        incarnation, urgency = record.incarnation, self.route.priority
+        outstanding = load.outstanding(incarnation, now=now)
+        if not self.service.is_model:
+            return EngineView(record, outstanding)
+        kept = self.tools.kept[self.service.name]
+        waiting = load.pending_before(incarnation, urgency, now=now)
+        return EngineView(
+            record,
+            outstanding,
+            pending_tokens=waiting + load.blocking(incarnation, urgency, now=now),
+            kept_tokens=kept.kept_tokens(incarnation, self.fields.parts),
+            slowness=self.tools.health.state(incarnation).slowness,
+            blocking_tokens=load.blocking(incarnation, MOST_URGENT, now=now),
+        )
+
+    def least_loaded(self, views):
+        """Return the record of the least loaded of `views`."""
+        return choose_least_loaded(views, rng=self.tools.rng).record
+
+    def plan(self, views, *, may_split):
+        """Return the plan of a model request, or None without an engine."""
+        return plan_model_request(
+            views, self.fields.prompt_tokens, may_split=may_split, rng=self.tools.rng
+        )
+
+    def admit(self, plan, *, time_left):
+        """Return the Admission of a model request with this plan."""
+        return admit(
+            expected=plan.expected,
+            route=self.route,
+            time_left=time_left,
+            limits=self.tools.limits,
+            rng=self.tools.rng,
+        )
+
+    def note_kept(self, record):
+        """Note, here and for the peers, that an engine gets the prompt."""
+        kept = self.tools.kept[self.service.name]
+        kept.note(record.incarnation, self.fields.parts)
+        self.tools.load.note_prompt(record.incarnation, self.fields.parts)
--- a/wagtailfront/forwarding/endpoint_health.py
+++ b/wagtailfront/forwarding/endpoint_health.py
@@ -9,7 +9,6 @@
 BUSY_PAUSE = 0.15  # seconds; a full engine frees a place within a few steps
 FAILURE_WEIGHT = 0.2  # of the latest request in the share of failures
 GREY_SHARE = 0.25  # of failures above which others are preferred
-LATENCY_WEIGHT = 0.2  # of the latest request in the usual latency
 SLOWNESS_WEIGHT = 0.1  # of the latest read in an engine's slowness
 MIN_SLOWNESS, MAX_SLOWNESS = 0.5, 8.0  # bounds of one observation
 MIN_READ = 0.03  # seconds; shorter reads are mostly the time of the call
@@ -24,7 +23,6 @@
     slowness: float = 1.0
     failures_in_row: int = 0
     failure_share: float = 0.0
-    latency: float = 0.0
     avoid_until: float = 0.0
     last_heard: float = 0.0
 
@@ -60,12 +58,11 @@
         """Drop the observations of an incarnation that is gone."""
         self.states.pop(record.incarnation, None)
 
-    def succeed(self, record, *, latency, now):
-        """Note an answer after `latency` seconds."""
+    def succeed(self, record, *, now):
+        """Note an answer."""
         state = self.state(record.incarnation)
         state.failures_in_row = 0
         state.failure_share *= 1 - FAILURE_WEIGHT
-        state.latency += LATENCY_WEIGHT * (latency - state.latency)
         state.last_heard = now
         state.avoid_until = min(state.avoid_until, now)
 
--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -59,8 +59,6 @@
     record : EndpointRecord
     is_sent : bool
         Whether a byte of the request may have reached the endpoint.
-    is_reused : bool
-        Whether it went out on a connection that was open before.
     """
 
     def __init__(self, *, pool, record, payload, sink):
@@ -70,7 +68,6 @@
         self.sink = sink
         self.connection = None
         self.is_sent = False
-        self.is_reused = False
         self.is_done = False
 
     def cancel(self):
@@ -151,7 +148,7 @@
                 is_needed=lambda: self.connections,
             ).register(self)
 
-    def send(self, record, payload, *, sink, fresh=False):
+    def send(self, record, payload, *, sink):
         """Send a request to an endpoint and return its exchange.
 
         Parameters
@@ -159,15 +156,11 @@
         record : EndpointRecord
         payload : bytes
         sink : ExchangeSink
-        fresh : bool, optional
-            Open a new connection even if an idle one is at hand.
         """
         exchange = Exchange(pool=self, record=record, payload=payload, sink=sink)
-        connection = None if fresh else self._take_idle(record)
+        connection = self._take_idle(record)
         if connection is None:
             connection = self._open(record)
-        else:
-            exchange.is_reused = True
         exchange.connection = connection
         connection.exchange = exchange
         connection.outgoing = payload
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -1,59 +1,25 @@
 """One caller's request from its arrival to its only answer."""
 
-from typing import Any, NamedTuple
-
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
-from wagtailfront.forwarding.admission import admit
 from wagtailfront.forwarding.attempt import PrefillAttempt, RunAttempt, end_to_end
+from wagtailfront.forwarding.endpoint_choice import EndpointChoice
 from wagtailfront.forwarding.interfaces import SendOptions
-from wagtailfront.forwarding.placement import (
-    EngineView,
-    choose_least_loaded,
-    plan_model_request,
-)
+from wagtailfront.forwarding.silence_watch import SilenceWatch
+from wagtailfront.forwarding.stream_relay import StreamRelay
 
-__all__ = ["ForwardTools", "ForwardTask"]
+__all__ = ["ForwardTask"]
 
 MAX_SENDS = 4  # sends of one request, with those that did not run it
 MIN_TIME_LEFT = 0.02  # seconds below which no endpoint can answer in time
 # Seconds after the deadline in which the endpoint's own late answer arrives.
 DEADLINE_GRACE = 0.05
-# An idempotent call with no answer after this many target latencies is
-# repeated, but not before the time in seconds, which covers a slow moment.
-PATIENCE_TARGETS = 2.0
-MIN_PATIENCE = 0.25
-# Seconds without a byte from an engine on any connection; a step with full
-# chunks of a long prompt takes a tenth of it.
-ENGINE_SILENCE = 0.9
-SILENCE_RECHECK = 0.02  # seconds; a look that comes early is not repeated at once
-# An engine's queue may take this many times the expected time.
-QUEUE_PATIENCE = 2.0
 RETRY_AFTER = 0.25  # seconds; a full engine frees places within some steps
 POISON_RETRY_AFTER = 5.0  # seconds
 FETCHED_PRIORITY = 0
-MOST_URGENT = -1  # more urgent than any route's priority
+GENERATING = ("decode", "")  # stages of engines that generate
 TOO_MANY, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 429, 502, 503, 504
 
 
-class ForwardTools(NamedTuple):
-    """What a task works with; shared by all tasks of an instance."""
-
-    dialect: Any
-    directory: Any
-    health: Any
-    pool: Any
-    timers: Any
-    budgets: Any
-    evidence: Any
-    kept: Any
-    load: Any
-    limits: Any
-    log: Any
-    metrics: Any
-    clock: Any
-    rng: Any
-
-
 class ForwardTask:
     """Sends a request to endpoints until it has an answer or may not go on.
 
@@ -101,9 +67,7 @@
         self.sends = 0
         self.runs = 0
         self.may_have_run = False
-        self.is_started = False
         self.is_done = False
-        self.last_event_id = None
         self.kv_source = None
         self.plan = None
         self.timers = []
@@ -112,6 +76,11 @@
         if fields.time_left is not None:
             time_left = min(time_left, fields.time_left)
         self.deadline = self.received + time_left
+        self.choice = EndpointChoice(
+            tools=tools, service=service, route=route, fields=fields
+        )
+        self.silence = SilenceWatch(task=self)
+        self.stream = StreamRelay(task=self)
         self.fingerprint = request_fingerprint(
             request.target.decode("latin-1"), repr(fields.parts).encode() + request.body
         )
@@ -120,7 +89,7 @@
 
     def begin(self):
         """Place the request."""
-        self._after(self.deadline - self.received + DEADLINE_GRACE, self._expire)
+        self.after(self.deadline - self.received + DEADLINE_GRACE, self._expire)
         self.tools.budgets[self.service.name].note_request(now=self.received)
         placement = self.tools.evidence.place(
             self.fingerprint, endpoints=(), live=(), now=self.received
@@ -133,10 +102,11 @@
     def cancel(self):
         """End the work because the caller left."""
         if not self.is_done:
-            self._log("cancelled", "the caller closed its connection")
-            self._end("cancelled")
+            self.note("cancelled", "the caller closed its connection")
+            self.end("cancelled")
 
-    def _end(self, outcome):
+    def end(self, outcome):
+        """End the task after its answer has been sent."""
         self.is_done = True
         for timer in self.timers:
             timer.cancel()
@@ -146,7 +116,8 @@
         )
         self.on_done(self)
 
-    def _after(self, delay, callback):
+    def after(self, delay, callback):
+        """Call `callback` after `delay` seconds unless the task has ended."""
         self.timers.append(self.tools.timers.after(delay, callback))
 
     def _expire(self):
@@ -155,19 +126,19 @@
 
     def _give_up(self, reason, retry_after, status=BAD_GATEWAY):
         """Send the only answer that is still true."""
-        if self.is_started:
-            self._log("cut", reason)
+        if self.stream.is_started:
+            self.note("cut", reason)
             self.reply.abort()
-            self._end("cut")
+            self.end("cut")
         elif self.may_have_run or self._run_is_open():
-            self._log("failed", reason, status=status)
+            self.note("failed", reason, status=status)
             self.reply.answer(status, [], b"")
-            self._end("failed")
+            self.end("failed")
         else:
-            self._log("refused", reason, retry_after=retry_after)
+            self.note("refused", reason, retry_after=retry_after)
             headers = self.tools.dialect.refusal_headers(retry_after)
             self.reply.answer(UNAVAILABLE, headers, b"")
-            self._end("refused")
+            self.end("refused")
 
     def _run_is_open(self):
         """Return whether a run was sent that the endpoint has not answered."""
@@ -186,56 +157,24 @@
         if self.sends >= MAX_SENDS:
             self._give_up("no endpoint took it", RETRY_AFTER)
             return
-        views = self._views(now)
+        views = self.choice.views(without=self.tried)
         if not views:
             self._give_up("no endpoint is known", RETRY_AFTER)
         elif self.service.is_model:
             self._dispatch_model(views)
         else:
-            self._run(choose_least_loaded(views, rng=self.tools.rng).record)
-
-    def _views(self, now, stages=None):
-        """Return what is known of the endpoints that may be chosen."""
-        records = [
-            record
-            for record in self.tools.directory.find(self.service.name)
-            if stages is None or record.stage in stages
-        ]
-        fresh = [r for r in records if r.incarnation not in self.tried]
-        usable = self.tools.health.usable(fresh or records, now=now)
-        return [self._view(record) for record in usable]
-
-    def _view(self, record):
-        now, load = self.tools.clock(), self.tools.load
-        incarnation = record.incarnation
-        outstanding = load.outstanding(incarnation, now=now)
-        if not self.service.is_model:
-            return EngineView(record, outstanding)
-        kept = self.tools.kept[self.service.name]
-        urgency = self.route.priority
-        return EngineView(
-            record,
-            outstanding,
-            pending_tokens=load.pending_before(incarnation, urgency, now=now)
-            + load.blocking(incarnation, urgency, now=now),
-            kept_tokens=kept.kept_tokens(incarnation, self.fields.parts),
-            slowness=self.tools.health.state(incarnation).slowness,
-            blocking_tokens=load.blocking(incarnation, MOST_URGENT, now=now),
-        )
+            self._run(self.choice.least_loaded(views))
 
     def _dispatch_model(self, views):
-        may_split = self.last_event_id is None and not self.runs
-        plan = plan_model_request(
-            views, self.fields.prompt_tokens, may_split=may_split, rng=self.tools.rng
-        )
-        self.plan = plan
+        may_split = self.stream.last_event_id is None and not self.runs
+        self.plan = plan = self.choice.plan(views, may_split=may_split)
         if plan is None:
             self._give_up("no engine generates", RETRY_AFTER)
             return
-        if self.sends == 0 and not self._admit(plan):
-            return
         reader = plan.prefill or plan.decode
-        self._note_kept(reader)
+        if self.sends == 0 and not self._admit(plan, reader):
+            return
+        self.choice.note_kept(reader)
         attempt_type = RunAttempt if plan.prefill is None else PrefillAttempt
         self._send(
             attempt_type,
@@ -244,17 +183,12 @@
             expected=plan.expected,
         )
 
-    def _admit(self, plan):
-        admission = admit(
-            expected=plan.expected,
-            route=self.route,
-            time_left=self.deadline - self.tools.clock(),
-            limits=self.tools.limits,
-            rng=self.tools.rng,
-        )
+    def _admit(self, plan, reader):
+        """Return whether the request is taken; refuse it otherwise."""
+        time_left = self.deadline - self.tools.clock()
+        admission = self.choice.admit(plan, time_left=time_left)
         if not admission.is_taken:
-            reader = plan.prefill or plan.decode
-            self._log(
+            self.note(
                 "not_admitted",
                 "it would start too late",
                 expected=round(plan.expected, 3),
@@ -267,11 +201,6 @@
             self._give_up(reason, admission.retry_after)
         return admission.is_taken
 
-    def _note_kept(self, record):
-        kept = self.tools.kept[self.service.name]
-        kept.note(record.incarnation, self.fields.parts)
-        self.tools.load.note_prompt(record.incarnation, self.fields.parts)
-
     def _run(self, record):
         self._send(RunAttempt, record)
 
@@ -291,9 +220,9 @@
             priority=self._urgency() if self.service.is_model else None,
             prefill_only=attempt.is_prefill,
             kv_source=self.kv_source,
-            resume_after=self.last_event_id,
+            resume_after=self.stream.last_event_id,
         )
-        self._log(
+        self.note(
             "sent",
             "prefill" if attempt.is_prefill else "run",
             endpoint=record.endpoint_id,
@@ -304,7 +233,7 @@
             **self._ages(),
         )
         attempt.launch(options)
-        self._watch_silence(attempt)
+        self.silence.watch(attempt)
 
     def _urgency(self):
         """Return the priority at an engine, 0 for the most urgent.
@@ -319,36 +248,11 @@
         if attempt is not None:
             attempt.drop()
 
-    # Silence
-
-    def _watch_silence(self, attempt):
-        patience = max(MIN_PATIENCE, PATIENCE_TARGETS * self.route.target_latency)
-        if self.service.is_model:
-            patience = ENGINE_SILENCE + QUEUE_PATIENCE * attempt.expected
-        self._after(patience, lambda: self._check_silence(attempt, patience))
-
-    def _check_silence(self, attempt, patience):
-        if self.is_done or self.attempt is not attempt:
-            return
-        now = self.tools.clock()
-        heard = attempt.started
-        if self.service.is_model:
-            heard = max(heard, attempt.health.last_heard)
-        if now - heard < patience:
-            remaining = max(SILENCE_RECHECK, heard + patience - now)
-            self._after(remaining, lambda: self._check_silence(attempt, patience))
-        elif attempt.is_prefill or self._may_repeat():
-            attempt.exchange.cancel()
-            self.take_failure(attempt, "silent", attempt.exchange.is_sent)
-        else:
-            self.tools.health.fail(attempt.record, now=now)
-            self._log("silent", "not repeatable", endpoint=attempt.record.endpoint_id)
-
     # What attempts report
 
     def note_foreign_response(self, attempt, request_id):
         """Note a response to another request, which is dropped."""
-        self._log(
+        self.note(
             "foreign", "dropped", endpoint=attempt.record.endpoint_id, other=request_id
         )
 
@@ -362,20 +266,20 @@
         except ValueError as error:
             self.tools.health.shed(record, now=now)
             self.tried.add(record.incarnation)
-            self._log("prefill_failed", str(error), endpoint=record.endpoint_id)
+            self.note("prefill_failed", str(error), endpoint=record.endpoint_id)
         else:
             latency = now - attempt.started
             attempt.health.note_read(expected=attempt.expected, took=latency)
-            self.tools.health.succeed(record, latency=latency, now=now)
+            self.tools.health.succeed(record, now=now)
             if self.tools.directory.is_current(self.plan.decode):
-                self._note_kept(self.plan.decode)
+                self.choice.note_kept(self.plan.decode)
                 self._run(self.plan.decode)
                 return
-        views = self._views(now, stages=("decode", ""))
+        views = self.choice.views(without=self.tried, stages=GENERATING)
         if not views or self.sends >= MAX_SENDS:
             self._give_up("no engine generates", RETRY_AFTER)
         else:
-            self._run(choose_least_loaded(views, rng=self.tools.rng).record)
+            self._run(self.choice.least_loaded(views))
 
     def _read_handle(self, attempt):
         if attempt.status != 200:
@@ -391,24 +295,23 @@
             self.take_failure(attempt, f"{status} without a promise", True)
         elif status < 300 and not attempt.is_trusted:
             self.take_failure(attempt, "not the endpoint's own answer", True)
-        elif status >= 500 and self._may_repeat() and self._spend_repeat():
+        elif status >= 500 and self.may_repeat() and self._spend_repeat():
             self.tools.health.note_error(attempt.record)
-            self._log("error", str(status), endpoint=attempt.record.endpoint_id)
+            self.note("error", str(status), endpoint=attempt.record.endpoint_id)
             self._repeat(attempt)
         else:
             self._pass_answer(attempt)
 
     def _pass_answer(self, attempt):
         now = self.tools.clock()
-        latency = now - attempt.started
         if attempt.status >= 500:
             self.tools.health.note_error(attempt.record)
         else:
-            self.tools.health.succeed(attempt.record, latency=latency, now=now)
+            self.tools.health.succeed(attempt.record, now=now)
             attempt.note_success()
-        self._log("answered", str(attempt.status), endpoint=attempt.record.endpoint_id)
+        self.note("answered", str(attempt.status), endpoint=attempt.record.endpoint_id)
         self.reply.answer(attempt.status, end_to_end(attempt.headers), attempt.body)
-        self._end("answered")
+        self.end("answered")
 
     def _take_refusal(self, attempt):
         """Go on after an endpoint stated that it did not run the request."""
@@ -418,7 +321,7 @@
         if self.kv_source is None:
             self.tried.add(record.incarnation)
         self.kv_source = None
-        self._log("shed", str(attempt.status), endpoint=record.endpoint_id)
+        self.note("shed", str(attempt.status), endpoint=record.endpoint_id)
         if self.sends < MAX_SENDS and self._spend_repeat():
             self._dispatch()
         else:
@@ -430,7 +333,7 @@
             return
         record = attempt.record
         pause = self.tools.health.fail(record, now=self.tools.clock())
-        self._log(
+        self.note(
             "attempt_failed",
             reason,
             endpoint=record.endpoint_id,
@@ -440,7 +343,7 @@
         if sent and not attempt.is_prefill:
             if attempt.status == 0:
                 attempt.note_crash()
-            if self._may_repeat() and self._spend_repeat():
+            if self.may_repeat() and self._spend_repeat():
                 self._repeat(attempt)
             else:
                 self.may_have_run = True
@@ -450,7 +353,7 @@
         self.tried.add(record.incarnation)
         self._dispatch()
 
-    def _may_repeat(self):
+    def may_repeat(self):
         """Return whether one more run is allowed beside the present one."""
         return (
             self.route.may_repeat
@@ -469,39 +372,7 @@
         self._drop_attempt()
         self._dispatch()
 
-    # Streams
-
-    def pass_events(self, attempt, events):
-        """Pass whole events on to the caller."""
-        if not self.is_started:
-            self._start_stream(attempt)
-        if attempt.splitter.last_id is not None:
-            self.last_event_id = attempt.splitter.last_id
-        self.reply.send(events)
-
-    def end_stream(self, attempt):
-        """Pass on the end of a stream."""
-        if not self.is_started:
-            self._start_stream(attempt)
-        attempt.note_success()
-        self._log("answered", "stream", endpoint=attempt.record.endpoint_id)
-        self.reply.finish()
-        self._end("answered")
-
-    def _start_stream(self, attempt):
-        self.is_started = True
-        self.may_have_run = True
-        now = self.tools.clock()
-        latency = now - attempt.started
-        if attempt.unread_tokens:
-            attempt.health.note_read(expected=attempt.expected, took=latency)
-        attempt.settle_pending()
-        self.tools.health.succeed(attempt.record, latency=latency, now=now)
-        self.tools.metrics.observe(
-            "first_event_seconds", now - self.received, service=self.service.name
-        )
-        self._log("first_event", "", endpoint=attempt.record.endpoint_id)
-        self.reply.start(attempt.status, end_to_end(attempt.headers))
+    # Log
 
     def _ages(self):
         """Return the version and age of what decisions go by."""
@@ -509,7 +380,8 @@
         age = None if read_at is None else round(self.tools.clock() - read_at, 3)
         return {"config": self.config_version, "registry_age": age}
 
-    def _log(self, kind, outcome, **inputs):
+    def note(self, kind, outcome, **inputs):
+        """Log a decision on this request with its inputs."""
         self.tools.log.decision(
             kind,
             request=self.fields.request_id,
--- /dev/null
+++ b/wagtailfront/forwarding/forward_tools.py
@@ -0,0 +1,24 @@
+"""What all requests of an instance share."""
+
+from typing import Any, NamedTuple
+
+__all__ = ["ForwardTools"]
+
+
+class ForwardTools(NamedTuple):
+    """What a task works with; shared by all tasks of an instance."""
+
+    dialect: Any
+    directory: Any
+    health: Any
+    pool: Any
+    timers: Any
+    budgets: Any
+    evidence: Any
+    kept: Any
+    load: Any
+    limits: Any
+    log: Any
+    metrics: Any
+    clock: Any
+    rng: Any
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -41,13 +41,10 @@
     Parameters
     ----------
     tools : ForwardTools
-    on_idle : callable, optional
-        Called when the last task has ended.
     """
 
-    def __init__(self, *, tools, on_idle=None):
+    def __init__(self, *, tools):
         self.tools = tools
-        self.on_idle = on_idle or (lambda: None)
         self.config = None
         self.table = None
         self.limits = CallerLimits()
@@ -119,5 +116,3 @@
 
     def _on_done(self, task):
         self.tasks.discard(task)
-        if not self.tasks:
-            self.on_idle()
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -11,7 +11,8 @@
 )
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
-from wagtailfront.forwarding.forward_task import ForwardTask, ForwardTools
+from wagtailfront.forwarding.forward_task import ForwardTask
+from wagtailfront.forwarding.forward_tools import ForwardTools
 from wagtailfront.forwarding.forwarder import Budgets, KeptByService
 from wagtailfront.forwarding.framing import Request
 from wagtailfront.forwarding.interfaces import PromptPart, RequestFields
@@ -132,7 +133,7 @@
     def __init__(self):
         self.exchanges = []
 
-    def send(self, record, payload, *, sink, fresh=False):
+    def send(self, record, payload, *, sink):
         self.exchanges.append(FakeExchange(record, payload, sink))
         return self.exchanges[-1]
 
--- a/wagtailfront/forwarding/tests/test_policies.py
+++ b/wagtailfront/forwarding/tests/test_policies.py
@@ -95,13 +95,13 @@
     health = EndpointHealth()
     good, grey = make_record("good"), make_record("grey")
     for step in range(20):
-        health.succeed(good, latency=0.1, now=float(step))
+        health.succeed(good, now=float(step))
         (health.note_error if step % 2 else _succeed(health, step))(grey)
     assert health.usable([good, grey], now=30.0) == [good]
 
 
 def _succeed(health, step):
-    return lambda record: health.succeed(record, latency=0.1, now=float(step))
+    return lambda record: health.succeed(record, now=float(step))
 
 
 def test_the_fleets_load_spreads_requests_that_instances_place_alone():
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -12,7 +12,7 @@
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.endpoint_pool import EndpointPool
 from wagtailfront.forwarding.fleet_load import FleetLoad
-from wagtailfront.forwarding.forward_task import ForwardTools
+from wagtailfront.forwarding.forward_tools import ForwardTools
 from wagtailfront.forwarding.forwarder import Budgets, Forwarder, KeptByService
 from wagtailfront.forwarding.interfaces import InstanceRow
 from wagtailfront.forwarding.kept_inquiry import KeptInquiry
