--- a/wagtailfront/observe/request_story.py
+++ b/wagtailfront/observe/request_story.py
@@ -37,7 +37,7 @@
     ----------
     lines : iterable of str
         Log lines of any instances. What stands before the first brace, such
-        as a time or a machine's name, is passed over, and so are lines that
+        as a time or an instance's name, is passed over, and so are lines that
         are no JSON object.
     request_id : str
 
