--- a/wagtailfront/forwarding/fleet_load.py
+++ b/wagtailfront/forwarding/fleet_load.py
@@ -1,6 +1,7 @@
 """Load that all instances together put on endpoints."""
 
 import itertools
+from collections import Counter
 
 from wagtailfront.membership.messages import (
     EndpointPending,
@@ -11,6 +12,7 @@
 __all__ = ["FleetLoad"]
 
 PEER_LIFETIME = 3.0  # seconds; a peer repeats its whole state every second
+EXPIRY_INTERVAL = 0.25  # seconds between looks for peers that fell silent
 # Tokens left of a prompt in progress: half of a usual long one.
 BLOCKING_TOKENS = 6000
 MAX_PROMPTS = 256  # placements in one digest
@@ -36,7 +38,8 @@
     Notes
     -----
     A digest holds whole states of endpoints, not changes, so a digest that
-    is lost or comes twice does no lasting harm.
+    is lost or comes twice does no lasting harm. The sums are kept as digests
+    arrive, so a placement costs the same however many peers there are.
 
     Examples
     --------
@@ -54,6 +57,9 @@
         self.incarnation = incarnation
         self.health = health
         self.peers = {}
+        self.outstanding_totals = Counter()
+        self.pending_totals = {}
+        self.expiry_due = 0.0
         self.sent = {}
         self.prompts = []
 
@@ -86,14 +92,15 @@
         loads = tuple(
             load
             for endpoint, load in present.items()
-            if (whole and load.outstanding) or self.sent.get(endpoint) != load
+            if (whole and (load.outstanding or load.pending))
+            or self.sent.get(endpoint) != load
         )
         self.sent = present
         prompts, self.prompts = tuple(self.prompts), []
         if not loads and not prompts and not whole:
             return None
         return PlacementDigest(
-            incarnation=self.incarnation, loads=loads, prompts=prompts
+            incarnation=self.incarnation, loads=loads, prompts=prompts, is_whole=whole
         )
 
     def merge(self, digest, *, now):
@@ -102,20 +109,55 @@
             return
         peer = self.peers.setdefault(digest.incarnation, _Peer())
         peer.heard = now
-        peer.loads.update((load.endpoint, load) for load in digest.loads)
+        told = {load.endpoint: load for load in digest.loads}
+        if digest.is_whole:
+            # Endpoints that it no longer names have no load by this peer.
+            for endpoint in peer.loads.keys() - told.keys():
+                self._add(peer.loads.pop(endpoint), -1)
+        for endpoint, load in told.items():
+            before = peer.loads.get(endpoint)
+            if before is not None:
+                self._add(before, -1)
+            peer.loads[endpoint] = load
+            self._add(load, 1)
+
+    def _add(self, load, sign):
+        self.outstanding_totals[load.endpoint] += sign * load.outstanding
+        if not self.outstanding_totals[load.endpoint]:
+            # Incarnations that are gone must not pile up.
+            del self.outstanding_totals[load.endpoint]
+        if load.pending:
+            totals = self.pending_totals.setdefault(load.endpoint, Counter())
+            for priority, tokens in load.pending:
+                totals[priority] += sign * tokens
+            if not any(totals.values()):
+                del self.pending_totals[load.endpoint]
+
+    def _expire(self, now):
+        """Drop what peers said that have fallen silent."""
+        if now < self.expiry_due:
+            return
+        self.expiry_due = now + EXPIRY_INTERVAL
+        silent = [
+            incarnation
+            for incarnation, peer in self.peers.items()
+            if now - peer.heard > PEER_LIFETIME
+        ]
+        for incarnation in silent:
+            for load in self.peers.pop(incarnation).loads.values():
+                self._add(load, -1)
 
     def outstanding(self, endpoint, *, now):
         """Return the requests of all instances at an endpoint."""
+        self._expire(now)
         own = self.health.state(endpoint).outstanding
-        return own + sum(load.outstanding for load in self._loads(endpoint, now))
+        return own + self.outstanding_totals[endpoint]
 
     def pending_before(self, endpoint, priority, *, now):
         """Return the waiting tokens of requests at least as urgent."""
-        own = self.health.state(endpoint).pending_before(priority)
-        return own + sum(
+        return sum(
             tokens
-            for load in self._loads(endpoint, now)
-            for urgency, tokens in load.pending
+            for urgency, tokens in self._pending(endpoint, now)
             if urgency <= priority
         )
 
@@ -125,25 +167,17 @@
         An engine finishes the prompt that it has begun, so even the most
         urgent request waits for a part of it.
         """
-        own = self.health.state(endpoint).pending.items()
-        others = (load.pending for load in self._loads(endpoint, now))
         less_urgent = sum(
             tokens
-            for urgency, tokens in itertools.chain(own, *others)
+            for urgency, tokens in self._pending(endpoint, now)
             if urgency > priority
         )
         return min(less_urgent, BLOCKING_TOKENS)
 
-    def _loads(self, endpoint, now):
-        silent = [
-            incarnation
-            for incarnation, peer in self.peers.items()
-            if now - peer.heard > PEER_LIFETIME
-        ]
-        for incarnation in silent:
-            del self.peers[incarnation]
-        return [
-            peer.loads[endpoint]
-            for peer in self.peers.values()
-            if endpoint in peer.loads
-        ]
+    def _pending(self, endpoint, now):
+        """Return pairs of priority and waiting tokens of all instances."""
+        self._expire(now)
+        return itertools.chain(
+            self.health.state(endpoint).pending.items(),
+            self.pending_totals.get(endpoint, {}).items(),
+        )
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -10,6 +10,7 @@
     "Dialect",
     "ReplySink",
     "RegistrySource",
+    "RegistryRead",
     "InstanceRow",
     "MembershipStore",
     "EngineInquiry",
@@ -151,12 +152,15 @@
         Where the next watch goes on; None if the history is gone.
     reason : str
         Why it is not known.
+    changed : int
+        The store's version at the latest change; 0 if there was none.
     """
 
     is_known: bool
     config: Any = None
     cursor: int | None = None
     reason: str = ""
+    changed: int = 0
 
 
 class RoutingSource(Protocol):
@@ -169,11 +173,34 @@
         """Wait up to `wait` seconds for a change after `cursor`."""
 
 
+class RegistryRead(NamedTuple):
+    """Answer to a read of the endpoints' registrations.
+
+    Attributes
+    ----------
+    is_known : bool
+        False if the store did not answer.
+    records : tuple of EndpointRecord, or None
+        All endpoints; None if they have not changed.
+    cursor, reason, changed
+        As of a RoutingRead.
+    """
+
+    is_known: bool
+    records: tuple | None = None
+    cursor: int | None = None
+    reason: str = ""
+    changed: int = 0
+
+
 class RegistrySource(Protocol):
     """Where the endpoints' registrations come from."""
 
     def read(self, reply) -> None:
-        """Read all; `reply` gets a list of EndpointRecord, or None."""
+        """Read all; `reply` gets a RegistryRead."""
+
+    def watch(self, cursor: int, wait: float, reply) -> None:
+        """Wait up to `wait` seconds for a change after `cursor`."""
 
 
 class InstanceRow(NamedTuple):
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -2,23 +2,35 @@
 
 import time
 
+import msgspec
 from circuits import BaseComponent, Event, handler
 
 from wagtailfront.forwarding.interfaces import PromptPart
-from wagtailfront.membership.messages import CrashReport, PlacementDigest
-from wagtailfront.membership.peer_bus import peer_send, peers_changed
+from wagtailfront.forwarding.relay_groups import RelayTargets, relay_targets
+from wagtailfront.membership.messages import (
+    CrashReport,
+    PlacementDigest,
+    RelayedReports,
+)
+from wagtailfront.membership.peer_bus import peer_broadcast, peers_changed
 from wagtailfront.transport.ticker import Ticker
 
 __all__ = ["LoadExchange"]
 
 SEND_INTERVAL = 0.08  # seconds between digests; a prompt takes about as long
+# Seconds between digests where they are relayed: twice the messages of a small
+# fleet, half as often.
+RELAYED_SEND_INTERVAL = 0.16
 WHOLE_INTERVAL = 1.0  # seconds between digests of everything
+FIRST_READS = (0.4, 2.0)  # seconds after the start
 READ_INTERVAL = 4.0  # seconds between reads of the instances' rows
-FIRST_READS = (0.4, 1.5, 3.0)  # seconds after the start
 ANNOUNCE_INTERVAL = 15.0  # seconds
-# An instance that was not announced for this long, in s, is gone.
-ROW_LIFETIME = 50.0
+# An instance that neither was announced nor heard of for this long, in s, is
+# gone; some announcements may fail in between.
+INSTANCE_LIFETIME = 50.0
 ANNOUNCE_RETRY = 1.0  # seconds after an announcement that failed
+MAX_EVIDENCE = 512  # items in one report
+MAX_RELAYED = 128  # reports in one message
 
 
 class send_digest(Event):
@@ -36,11 +48,19 @@
     load : FleetLoad
     kept : KeptByService
     evidence : CrashEvidence
+    versions : StoreVersions
+    pace : FleetPace
     find_service : callable
         Returns the service of an endpoint's incarnation, or None.
     timers : Timers
     log : DecisionLog
     clock : callable, optional
+
+    Notes
+    -----
+    A large fleet relays: see `relay_targets`. Each report keeps the name of
+    the instance that it comes from, so one that arrives twice, or over
+    another way after the fleet has changed, does no harm.
     """
 
     channel = "load_exchange"
@@ -53,6 +73,8 @@
         load,
         kept,
         evidence,
+        versions,
+        pace,
         find_service,
         timers,
         log,
@@ -64,18 +86,31 @@
         self.load = load
         self.kept = kept
         self.evidence = evidence
+        self.versions = versions
+        self.pace = pace
         self.find_service = find_service
         self.timers = timers
         self.log = log
         self.clock = clock
-        self.addresses = ()
-        self.versions = {}
+        self.targets = RelayTargets()
+        self.row_versions = {}
+        self.last_seen = {}
+        self.to_relay = []
+        self.send_due = 0.0
         self.whole_due = 0.0
         self.reported = ()
+        self.told_versions = ()
         Ticker(
             interval=SEND_INTERVAL, make_event=send_digest, target=self.channel
         ).register(self)
 
+    @property
+    def addresses(self):
+        """Return the addresses of the other instances."""
+        return tuple(sorted(self.last_seen))
+
+    # Instances
+
     @handler("started", channel="*")
     def _on_started(self, manager):
         self._announce()
@@ -87,66 +122,118 @@
         self.store.announce(self.row, self._take_announced)
 
     def _take_announced(self, written):
-        delay = ANNOUNCE_INTERVAL if written else ANNOUNCE_RETRY
+        delay = self.pace.stretch(ANNOUNCE_INTERVAL) if written else ANNOUNCE_RETRY
         self.timers.after(delay, self._announce)
 
     def _read_regularly(self):
         self.store.read(self._take_rows)
-        self.timers.after(READ_INTERVAL, self._read_regularly)
+        self.timers.after(self.pace.stretch(READ_INTERVAL), self._read_regularly)
 
     def _take_rows(self, rows):
         if rows is None:
             return
         now = self.clock()
+        seen = dict(self.last_seen)
         for row in rows:
-            version, _since = self.versions.get(row.instance, (None, now))
-            if version != row.version:
-                self.versions[row.instance] = (row.version, now)
-        addresses = tuple(
-            sorted(
-                row.address
-                for row in rows
-                if row.address != self.row.address
-                and now - self.versions[row.instance][1] < ROW_LIFETIME
+            if self.row_versions.get(row.instance) != row.version:
+                self.row_versions[row.instance] = row.version
+                if row.address != self.row.address:
+                    seen[row.address] = now
+        self._use_seen(seen, now)
+
+    def _use_seen(self, seen, now):
+        """Take when each instance was last seen."""
+        before = self.addresses
+        self.last_seen = {
+            address: time
+            for address, time in seen.items()
+            if now - time < INSTANCE_LIFETIME
+        }
+        if self.addresses != before:
+            self.targets = relay_targets(self.addresses, self.row.address)
+            self.log.decision(
+                "peers",
+                outcome="changed",
+                count=len(self.addresses),
+                told=len(self.targets.addresses),
             )
-        )
-        if addresses != self.addresses:
-            self.addresses = addresses
-            self.log.decision("peers", outcome="changed", count=len(addresses))
-            self.fire(peers_changed(addresses), "peer_bus")
+            self.fire(peers_changed(self.targets.addresses), "peer_bus")
+
+    # Sending
 
     @handler("send_digest")
     def _on_send_digest(self):
         now = self.clock()
+        # Half a tick early is on time: ticks come a little late.
+        if now < self.send_due - SEND_INTERVAL / 2:
+            return
+        is_relayed = bool(self.targets.others)
+        self.send_due = now + (RELAYED_SEND_INTERVAL if is_relayed else SEND_INTERVAL)
+        reports = self._own_reports(now)
+        for report in reports:
+            self._send(self.targets.group, report)
+        relayed, self.to_relay = (*reports, *self.to_relay), []
+        for start in range(0, len(relayed) if is_relayed else 0, MAX_RELAYED):
+            part = tuple(relayed[start : start + MAX_RELAYED])
+            self._send(self.targets.others, RelayedReports(reports=part))
+
+    def _own_reports(self, now):
+        """Return what there is to tell of this instance."""
+        reports = []
         whole = now >= self.whole_due
         if whole:
             self.whole_due = now + WHOLE_INTERVAL
-        digest = self.load.digest(whole=whole)
+        known = self.versions.known
+        digest = self.load.digest(whole=whole or known != self.told_versions)
         if digest is not None:
-            self._send(digest)
-        self._send_evidence(now)
-
-    def _send_evidence(self, now):
+            self.told_versions = known
+            reports.append(
+                msgspec.structs.replace(
+                    digest, address=self.row.address, versions=known
+                )
+            )
         items = self.evidence.report(now=now)
-        known = tuple((item.fingerprint, item.crash, item.cleared) for item in items)
-        if known != self.reported:
-            self.reported = known
-            report = CrashReport(incarnation=self.load.incarnation, items=items[-512:])
-            self._send(report)
+        told = tuple((item.fingerprint, item.crash, item.cleared) for item in items)
+        if told != self.reported:
+            self.reported = told
+            reports.append(
+                CrashReport(
+                    incarnation=self.load.incarnation, items=items[-MAX_EVIDENCE:]
+                )
+            )
+        return reports
 
-    def _send(self, message):
-        for address in self.addresses:
-            self.fire(peer_send(address, message), "peer_bus")
+    def _send(self, addresses, message):
+        if addresses:
+            self.fire(peer_broadcast(addresses, message), "peer_bus")
+
+    # Receiving
 
     @handler("peer_message", channel="peer_bus")
     def _on_peer_message(self, message, source):
         now = self.clock()
-        if isinstance(message, PlacementDigest):
-            self.load.merge(message, now=now)
-            for prompt in message.prompts:
-                self._note_prompt(prompt)
-        elif isinstance(message, CrashReport):
-            self.evidence.merge(message.incarnation, message.items, now=now)
+        if isinstance(message, RelayedReports):
+            for report in message.reports:
+                self._take_report(report, now)
+        elif isinstance(message, PlacementDigest | CrashReport):
+            self._take_report(message, now)
+            if self.targets.others:
+                self.to_relay.append(message)
+
+    def _take_report(self, report, now):
+        if report.incarnation == self.load.incarnation:
+            return
+        if isinstance(report, CrashReport):
+            self.evidence.merge(report.incarnation, report.items, now=now)
+            return
+        self.load.merge(report, now=now)
+        self.versions.hear(report.versions)
+        for prompt in report.prompts:
+            self._note_prompt(prompt)
+        if report.address in self.last_seen:
+            self.last_seen[report.address] = now
+        elif report.address and report.address != self.row.address:
+            self._use_seen({**self.last_seen, report.address: now}, now)
 
     def _note_prompt(self, prompt):
         kept = self.kept.get(self.find_service(prompt.endpoint))
--- /dev/null
+++ b/wagtailfront/forwarding/registry_follower.py
@@ -0,0 +1,58 @@
+"""Keeps the directory of endpoints up to date."""
+
+import time
+
+__all__ = ["RegistryFollower"]
+
+
+class RegistryFollower:
+    """Applies reads of the registry to the directory.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+    on_change : callable
+        Called with each DirectoryChange.
+    log : DecisionLog
+    timers : Timers
+    clock : callable, optional
+    """
+
+    def __init__(self, *, directory, on_change, log, timers, clock=time.monotonic):
+        self.directory = directory
+        self.on_change = on_change
+        self.log = log
+        self.timers = timers
+        self.clock = clock
+        self.records = ()
+        self.recheck = None
+
+    def use_read(self, read):
+        """Take a RegistryRead; one without records brings no change."""
+        if read.records is not None:
+            self.records = read.records
+        self._apply()
+
+    def _apply(self):
+        now = self.clock()
+        change = self.directory.replace(self.records, now=now)
+        for kind, group in zip(change._fields, change, strict=True):
+            for record in group:
+                self.log.decision(
+                    f"endpoint_{kind}",
+                    outcome=record.endpoint_id,
+                    service=record.service,
+                    address=record.address,
+                    stage=record.stage,
+                )
+        if any(change):
+            self.on_change(change)
+        if self.recheck is None and self.directory.hold_until > now:
+            # No read has to come when the time of the missing ones is over.
+            self.recheck = self.timers.after(
+                self.directory.hold_until - now, self._check_held
+            )
+
+    def _check_held(self):
+        self.recheck = None
+        self._apply()
--- /dev/null
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -0,0 +1,165 @@
+"""Keeps up with one table of the platform's store."""
+
+import time
+
+from circuits import BaseComponent, handler
+
+__all__ = ["StoreWatcher", "StoreVersions"]
+
+# A watch that is answered this long, in s, after it began has not changed; a
+# connection that has gone silent is noticed soon after.
+WATCH_SECONDS = 1.2
+RETRY_DELAY = 0.25  # seconds after a read that failed
+# Seconds that a watch may lag behind what a peer has seen: the store answers
+# all watches of a change within milliseconds.
+CATCH_UP_DELAY = 0.3
+
+
+class StoreVersions:
+    """The latest change of each table that this instance knows.
+
+    Instances tell each other these versions, so that one whose watch went
+    unanswered learns that it has missed a change.
+
+    Parameters
+    ----------
+    tables : tuple of str
+        In the order in which versions are sent.
+
+    Examples
+    --------
+    >>> versions = StoreVersions(tables=("routing", "registry"))
+    >>> versions.note("registry", 7)
+    >>> versions.known
+    (0, 7)
+    >>> versions.listeners["registry"] = print
+    >>> versions.hear((3, 9))
+    9
+    """
+
+    def __init__(self, *, tables):
+        self.tables = tables
+        self.changed = dict.fromkeys(tables, 0)
+        self.listeners = {}
+
+    @property
+    def known(self):
+        """Return the versions in the order of the tables."""
+        return tuple(self.changed.values())
+
+    def note(self, table, version):
+        """Note the version of a change that this instance has applied."""
+        self.changed[table] = max(self.changed[table], version)
+
+    def hear(self, versions):
+        """Take the versions that a peer knows."""
+        for table, version in zip(self.tables, versions, strict=False):
+            if version > self.changed[table] and table in self.listeners:
+                self.listeners[table](version)
+
+
+class StoreWatcher(BaseComponent):
+    """Reads a table, then watches for changes.
+
+    Parameters
+    ----------
+    table : str
+        Name for the log and for `versions`.
+    source : RoutingSource or RegistrySource
+    on_read : callable
+        Called with each read that was answered.
+    versions : StoreVersions
+    pace : FleetPace
+    timers : Timers
+    log : DecisionLog
+    min_gap : float, optional
+        Seconds between an answer and the next watch, in which changes that
+        come close together gather.
+    clock : callable, optional
+    """
+
+    channel = "store_watcher"
+
+    def __init__(
+        self,
+        *,
+        table,
+        source,
+        on_read,
+        versions,
+        pace,
+        timers,
+        log,
+        min_gap=0.0,
+        clock=time.monotonic,
+    ):
+        super().__init__()
+        self.table = table
+        self.source = source
+        self.on_read = on_read
+        self.versions = versions
+        self.pace = pace
+        self.timers = timers
+        self.log = log
+        self.min_gap = min_gap
+        self.clock = clock
+        self.cursor = None
+        self.is_reachable = None
+        self.call_number = 0
+        self.catch_up_version = 0
+        versions.listeners[table] = self.hear
+
+    @handler("started", channel="*")
+    def _on_started(self, manager):
+        self._ask()
+
+    def _ask(self):
+        """Ask the store; an answer to an earlier call no longer counts."""
+        self.call_number += 1
+        number = self.call_number
+
+        def take(read):
+            if number == self.call_number:
+                self._take(read)
+
+        if self.cursor is None:
+            self.source.read(take)
+        else:
+            wait = self.pace.stretch(WATCH_SECONDS)
+            self.source.watch(self.cursor, wait, take)
+
+    def _take(self, read):
+        if read.is_known != self.is_reachable:
+            self.is_reachable = read.is_known
+            outcome = "reached" if read.is_known else "lost"
+            self.log.decision(self.table, outcome=outcome, reason=read.reason)
+        if not read.is_known:
+            # Also a watch that went unanswered may have missed a change.
+            self.cursor = None
+            self._ask_after(RETRY_DELAY)
+            return
+        if read.cursor is None and self.cursor is not None:
+            self.log.decision(self.table, outcome="history gone", reason=read.reason)
+        self.cursor = read.cursor
+        self.versions.note(self.table, read.changed)
+        self.on_read(read)
+        self._ask_after(self.min_gap if read.cursor is not None else RETRY_DELAY)
+
+    def _ask_after(self, delay):
+        number = self.call_number
+        self.timers.after(delay, lambda: number == self.call_number and self._ask())
+
+    def hear(self, version):
+        """Learn that the store has a change with this version."""
+        if version <= self.catch_up_version or (self.cursor or 0) >= version:
+            return
+        self.catch_up_version = version
+        self.timers.after(CATCH_UP_DELAY, lambda: self._catch_up(version))
+
+    def _catch_up(self, version):
+        if self.cursor is not None and self.cursor < version:
+            self.log.decision(
+                self.table, outcome="behind", known=self.cursor, heard=version
+            )
+            self.cursor = None
+            self._ask()
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -1,20 +1,23 @@
 """Components that follow the store and the peers, in virtual time."""
 
+import random
 from types import SimpleNamespace
 
 import pytest
+from hypothesis import given, strategies as st
 
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.forwarding.departure import NOTICE_SECONDS, Departure
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
+from wagtailfront.forwarding.fleet_pace import FleetPace
 from wagtailfront.forwarding.forwarder import Forwarder, KeptByService
-from wagtailfront.forwarding.interfaces import InstanceRow, RoutingRead
-from wagtailfront.forwarding.load_exchange import ROW_LIFETIME, LoadExchange
-from wagtailfront.forwarding.registry_poller import RegistryPoller
+from wagtailfront.forwarding.interfaces import InstanceRow, RegistryRead, RoutingRead
+from wagtailfront.forwarding.load_exchange import INSTANCE_LIFETIME, LoadExchange
+from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
-from wagtailfront.forwarding.routing_watcher import RoutingWatcher
+from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
 from wagtailfront.forwarding.tests.builders import (
     FakeReply,
     LogLines,
@@ -59,14 +62,38 @@
         return [(kind, cursor) for kind, cursor, _reply in self.calls]
 
 
+def make_versions():
+    """Return the versions of both tables."""
+    return StoreVersions(tables=("routing", "registry"))
+
+
+def make_pace(peers=0):
+    """Return the pace in a fleet with so many peers."""
+    return FleetPace(count_peers=lambda: peers, rng=random.Random(1))
+
+
+def make_watcher(*, table="routing", on_read, min_gap=0.0):
+    """Return a watcher that was started, with all that it works on."""
+    parts = SimpleNamespace(
+        source=ScriptedSource(),
+        timers=VirtualTimers(),
+        log=LogLines(),
+        versions=make_versions(),
+    )
+    watcher = StoreWatcher(
+        table=table, on_read=on_read, pace=make_pace(), min_gap=min_gap, **vars(parts)
+    )
+    watcher._on_started(None)
+    return parts
+
+
 @pytest.fixture
 def watcher():
-    source, timers, log, seen = ScriptedSource(), VirtualTimers(), LogLines(), []
-    watcher = RoutingWatcher(
-        source=source, on_config=seen.append, timers=timers, log=log
+    seen = []
+    parts = make_watcher(
+        on_read=lambda read: read.config is None or seen.append(read.config)
     )
-    watcher._on_started(None)
-    return SimpleNamespace(source=source, timers=timers, log=log, seen=seen)
+    return SimpleNamespace(seen=seen, **vars(parts))
 
 
 def test_changes_are_watched_from_where_the_last_read_ended(watcher):
@@ -131,26 +158,90 @@
     assert reply.status == 400
 
 
-def test_the_registry_is_read_once_at_a_time_and_loss_is_logged():
-    """Guards the store against reads that pile up while it is slow."""
-    source, log, changes = ScriptedSource(), LogLines(), []
-    poller = RegistryPoller(
-        source=source,
+def make_follower(changes, timers=None):
+    """Return a follower of the registry that notes its changes."""
+    timers = timers or VirtualTimers()
+    return RegistryFollower(
         directory=EndpointDirectory(),
-        interval=1.0,
         on_change=changes.append,
-        log=log,
+        log=LogLines(),
+        timers=timers,
+        clock=timers.clock,
     )
-    for _ in range(3):
-        poller._on_poll()
-    assert len(source.calls) == 1
-    source.answer([make_record()])
-    poller._on_poll()
-    source.answer(None)
-    assert log.kinds() == ["registry", "endpoint_added", "registry"]
+
+
+def test_the_registry_is_read_once_at_a_time_and_loss_is_logged():
+    """Guards the store against reads that pile up while it is slow."""
+    changes = []
+    follower = make_follower(changes)
+    parts = make_watcher(table="registry", on_read=follower.use_read, min_gap=0.3)
+    parts.timers.advance(5.0)
+    assert len(parts.source.calls) == 1
+    parts.source.answer(RegistryRead(True, records=(make_record(),), cursor=4))
+    parts.timers.advance(0.1)
+    assert len(parts.source.calls) == 1
+    parts.timers.advance(0.3)
+    parts.source.answer(RegistryRead(False, reason="timed out"))
+    parts.timers.advance(0.3)
+    assert parts.source.kinds() == [("read", None), ("watch", 4), ("read", None)]
+    assert parts.log.kinds() == ["registry", "registry"]
+    assert follower.log.kinds() == ["endpoint_added"]
     assert len(changes) == 1
 
 
+def test_endpoints_held_after_an_outage_go_without_a_further_read():
+    """Guards against work for a lapsed endpoint until the next change."""
+    changes, timers = [], VirtualTimers()
+    follower = make_follower(changes, timers)
+    follower.use_read(RegistryRead(True, records=(make_record(),)))
+    timers.advance(6.0)
+    follower.use_read(RegistryRead(True, records=()))
+    assert not changes[1:]
+    timers.advance(2.1)
+    assert [record.endpoint_id for record in changes[-1].gone] == ["e1"]
+    assert follower.directory.find("s") == ()
+
+
+def test_a_peers_newer_version_ends_a_watch_that_went_unanswered(watcher):
+    """Guards against a change that stays unknown for a long watch."""
+    watcher.source.answer(RoutingRead(True, config=make_config(1), cursor=7, changed=5))
+    watcher.timers.advance(0.0)
+    lost_watch = watcher.source.calls[-1][2]
+    watcher.versions.hear((9, 0))
+    watcher.timers.advance(1.0)
+    assert watcher.source.kinds() == [("read", None), ("watch", 7), ("read", None)]
+    watcher.source.answer(RoutingRead(True, config=make_config(2), cursor=9, changed=9))
+    lost_watch(RoutingRead(True, config=make_config(3), cursor=8))
+    assert [config.version for config in watcher.seen] == [1, 2]
+    assert watcher.versions.known == (9, 0)
+
+
+def test_a_version_that_the_watch_brings_in_time_leads_to_no_read(watcher):
+    """Guards the store against a read by every instance at each change."""
+    watcher.source.answer(RoutingRead(True, config=make_config(1), cursor=7, changed=5))
+    watcher.timers.advance(0.0)
+    watcher.versions.hear((9, 0))
+    watcher.timers.advance(0.1)
+    watcher.source.answer(RoutingRead(True, config=make_config(2), cursor=9, changed=9))
+    watcher.timers.advance(1.0)
+    assert [kind for kind, _cursor in watcher.source.kinds()] == [
+        "read",
+        "watch",
+        "watch",
+    ]
+
+
+@given(instances=st.integers(1, 400))
+def test_a_fleet_asks_the_store_no_more_often_than_a_small_one(instances):
+    """Guards the store's limit on calls and the delay of changes."""
+    pace = make_pace(peers=instances - 1)
+    interval = pace.stretch(1.2)
+    assert 1.2 <= interval <= 20.0
+    # At most as many calls a second as six instances make, but for the jitter
+    # and for fleets whose intervals have reached the limit.
+    assert instances / interval <= max(6 / 1.2 / 0.7, instances / (20.0 * 0.7))
+
+
 class FakeMembership:
     """Table of instances that the test fills."""
 
@@ -175,6 +266,8 @@
         load=FleetLoad(incarnation="a", health=EndpointHealth()),
         kept=KeptByService(),
         evidence=CrashEvidence(),
+        versions=make_versions(),
+        pace=make_pace(),
         find_service=lambda endpoint: None,
         timers=timers,
         log=LogLines(),
@@ -194,7 +287,7 @@
     exchange._on_started(None)
     timers.advance(1.0)
     assert exchange.addresses == ("10.0.0.2:1", "10.0.0.3:1")
-    for step in range(int(ROW_LIFETIME) + 2):
+    for step in range(int(INSTANCE_LIFETIME) + 2):
         store.rows[2] = store.rows[2]._replace(version=10 + step)
         timers.advance(1.0)
     assert exchange.addresses == ("10.0.0.3:1",)
--- /dev/null
+++ b/wagtailfront/forwarding/tests/test_relays.py
@@ -0,0 +1,195 @@
+"""What instances hear of each other through relays, without a network."""
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from wagtailfront.decisions.crash_evidence import CrashEvidence
+from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.fleet_load import FleetLoad
+from wagtailfront.forwarding.fleet_pace import FleetPace
+from wagtailfront.forwarding.forwarder import KeptByService
+from wagtailfront.forwarding.interfaces import InstanceRow
+from wagtailfront.forwarding.load_exchange import LoadExchange
+from wagtailfront.forwarding.relay_groups import relay_targets
+from wagtailfront.forwarding.store_watcher import StoreVersions
+from wagtailfront.forwarding.tests.builders import LogLines, VirtualTimers
+from wagtailfront.membership.messages import decode_message, encode_message
+
+
+@given(size=st.integers(1, 350))
+def test_every_instance_is_told_of_every_other(size):
+    """Guards against instances that never hear of some others."""
+    fleet = [f"10.0.{number // 250}.{number % 250}:7" for number in range(size)]
+    targets = {own: relay_targets(fleet, own) for own in fleet}
+    for own in fleet:
+        told = Counter([own, *targets[own].group])
+        for relay in (own, *targets[own].group):
+            told.update(targets[relay].others)
+        assert told == Counter(fleet)
+
+
+@given(size=st.integers(13, 1000))
+def test_an_instance_sends_to_few_peers(size):
+    """Guards peers' traffic against growing with the fleet's square."""
+    fleet = [f"{number:04}" for number in range(size)]
+    most = max(len(relay_targets(fleet, own).addresses) for own in fleet)
+    assert most <= 3 * size**0.5
+
+
+class Fleet:
+    """Instances whose messages arrive at once, in virtual time."""
+
+    def __init__(self, size):
+        self.timers = VirtualTimers()
+        self.rows = []
+        self.sent = Counter()
+        self.lost = set()
+        self.instances = {}
+        for number in range(size):
+            self.add(f"i{number:03}")
+
+    def add(self, name):
+        """Start an instance that knows the ones so far."""
+        load = FleetLoad(incarnation=name, health=EndpointHealth())
+        row = InstanceRow(name, f"{name}:7", len(self.rows) + 1)
+        exchange = LoadExchange(
+            row=row,
+            store=None,
+            load=load,
+            kept=KeptByService(),
+            evidence=CrashEvidence(),
+            versions=StoreVersions(tables=("routing",)),
+            pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
+            find_service=lambda endpoint: None,
+            timers=self.timers,
+            log=LogLines(),
+            clock=self.timers.clock,
+        )
+        exchange.fire = lambda event, *channels: self._deliver(row.address, event)
+        self.instances[row.address] = exchange
+        self.rows.append(row)
+        return exchange
+
+    def meet(self):
+        """Let all read the rows of all."""
+        for exchange in self.instances.values():
+            exchange._take_rows(self.rows)
+
+    def _deliver(self, sender, event):
+        if event.name != "peer_broadcast" or sender in self.lost:
+            return
+        addresses, message = event.args
+        self.sent[sender] += len(addresses)
+        data = encode_message(message)
+        for address in addresses:
+            if address not in self.lost:
+                self.instances[address]._on_peer_message(decode_message(data), None)
+
+    def run(self, seconds):
+        """Let the instances tell each other for a while."""
+        for _ in range(round(seconds / 0.08)):
+            self.timers.advance(0.08)
+            for exchange in self.instances.values():
+                exchange._on_send_digest()
+
+    def outstanding(self, exchange, endpoint="e1/1"):
+        """Return what an instance believes of an endpoint's load."""
+        return exchange.load.outstanding(endpoint, now=self.timers.now)
+
+
+@pytest.mark.parametrize("size", [2, 6, 12, 13, 40, 84])
+def test_all_instances_know_the_load_of_all(size):
+    """Plays requests of all instances at one endpoint."""
+    fleet = Fleet(size)
+    fleet.meet()
+    for exchange in fleet.instances.values():
+        exchange.load.health.state("e1/1").outstanding = 2
+    fleet.run(0.6)
+    known = {fleet.outstanding(exchange) for exchange in fleet.instances.values()}
+    assert known == {2 * size}
+    for exchange in fleet.instances.values():
+        exchange.load.health.state("e1/1").outstanding = 0
+    fleet.run(0.6)
+    known = {fleet.outstanding(exchange) for exchange in fleet.instances.values()}
+    assert known == {0}
+
+
+def test_messages_of_an_instance_hardly_grow_with_the_fleet():
+    """Guards small instances in a large fleet; all have news all the time."""
+    rates = {}
+    for size in (12, 84):
+        fleet = Fleet(size)
+        fleet.meet()
+        fleet.sent.clear()
+        for step in range(25):
+            for exchange in fleet.instances.values():
+                exchange.load.health.state("e1/1").outstanding = step
+            fleet.run(0.08)
+        rates[size] = max(fleet.sent.values()) / 2.0
+    assert rates[84] <= rates[12]
+
+
+def test_a_joining_instance_is_known_to_all_without_reads_of_the_store():
+    """Guards the store against reads by all at each start of one."""
+    fleet = Fleet(20)
+    fleet.meet()
+    joined = fleet.add("i900")
+    joined._take_rows(fleet.rows)
+    joined.load.health.state("e1/1").outstanding = 5
+    fleet.run(3.0)
+    for exchange in fleet.instances.values():
+        assert len(exchange.addresses) == 20
+        assert fleet.outstanding(exchange) == 5
+
+
+def test_the_load_of_an_instance_that_is_gone_is_forgotten():
+    """Guards endpoints against load that nobody puts on them any more."""
+    fleet = Fleet(20)
+    fleet.meet()
+    for exchange in fleet.instances.values():
+        exchange.load.health.state("e1/1").outstanding = 1
+    fleet.run(0.6)
+    gone = fleet.rows[7].address
+    fleet.lost.add(gone)
+    fleet.run(5.0)
+    others = [fleet.instances[a] for a in fleet.instances if a != gone]
+    # Those that the lost one relayed for miss the others of its group too.
+    assert all(fleet.outstanding(exchange) <= 19 for exchange in others)
+    group = relay_targets(fleet.instances, gone).group
+    assert {fleet.outstanding(fleet.instances[a]) for a in group} == {19}
+
+
+@settings(deadline=None)
+@given(
+    steps=st.lists(
+        st.tuples(st.integers(0, 3), st.integers(0, 2), st.integers(0, 5)), max_size=60
+    ),
+    lost=st.sets(st.integers(0, 59)),
+)
+def test_sums_equal_what_the_peers_said_last(steps, lost):
+    """Guards the running sums against digests that are lost."""
+    receiver = FleetLoad(incarnation="r", health=EndpointHealth())
+    senders = [
+        FleetLoad(incarnation=str(number), health=EndpointHealth())
+        for number in range(4)
+    ]
+    for number, (sender, endpoint, load) in enumerate(steps):
+        state = senders[sender].health.state(f"e{endpoint}/1")
+        state.outstanding = load
+        state.pending[load % 2] = load * 100
+        digest = senders[sender].digest(whole=False)
+        if digest is not None and number not in lost:
+            receiver.merge(digest, now=0.0)
+    for sender in senders:
+        receiver.merge(sender.digest(whole=True), now=0.0)
+    for endpoint in ("e0/1", "e1/1", "e2/1"):
+        states = [sender.health.state(endpoint) for sender in senders]
+        assert receiver.outstanding(endpoint, now=0.0) == sum(
+            state.outstanding for state in states
+        )
+        assert receiver.pending_before(endpoint, 9, now=0.0) == sum(
+            state.pending_before(9) for state in states
+        )
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -22,6 +22,7 @@
     "EndpointPending",
     "PlacedPrompt",
     "PlacementDigest",
+    "RelayedReports",
     "Leaving",
     "Message",
     "MAX_MESSAGE_BYTES",
@@ -167,11 +168,27 @@
 
 
 class PlacementDigest(MessageBase):
-    """Endpoints whose load by the sender changed, and prompts it placed."""
+    """Endpoints whose load by the sender changed, and prompts it placed.
+
+    A whole digest names all endpoints that have load by the sender. `address`
+    is where the sender listens, and `versions` holds the store's version of
+    the latest change that it knows, for each table that instances follow.
+    """
 
     incarnation: Text
     loads: Annotated[tuple[EndpointPending, ...], msgspec.Meta(max_length=512)]
     prompts: Annotated[tuple[PlacedPrompt, ...], msgspec.Meta(max_length=512)]
+    is_whole: bool = False
+    address: Text = ""
+    versions: Annotated[tuple[Number, ...], msgspec.Meta(max_length=8)] = ()
+
+
+class RelayedReports(MessageBase):
+    """Reports of several instances, passed on by one that heard them."""
+
+    reports: Annotated[
+        tuple[PlacementDigest | CrashReport, ...], msgspec.Meta(max_length=128)
+    ]
 
 
 class Leaving(MessageBase):
@@ -191,6 +208,7 @@
     | SlowHint
     | LoadDigest
     | PlacementDigest
+    | RelayedReports
     | Leaving
 )
 
--- a/wagtailfront/membership/peer_bus.py
+++ b/wagtailfront/membership/peer_bus.py
@@ -21,6 +21,7 @@
     "Source",
     "peer_message",
     "peer_send",
+    "peer_broadcast",
     "peer_reply",
     "peers_changed",
     "PeerBus",
@@ -35,9 +36,10 @@
 DRAIN_MESSAGES = 100
 # Seconds between looks at all sockets, in case a readiness signal was missed.
 FALLBACK_INTERVAL = 0.25
-# Milliseconds. A connection that has gone silent is closed and made anew.
-HEARTBEAT_MS = 1000
-HEARTBEAT_TIMEOUT_MS = 3000
+MS_PER_SECOND = 1000
+# Seconds. A connection that has gone silent is closed and made anew.
+HEARTBEAT = 1.0
+MISSED_HEARTBEATS = 3  # after which a connection is closed
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1000
 CONNECT_TIMEOUT_MS = 2000
@@ -82,6 +84,10 @@
     """Send to the peer at an address: `address`, `message`."""
 
 
+class peer_broadcast(Event):
+    """Send to the peers at these addresses: `addresses`, `message`."""
+
+
 class peer_reply(Event):
     """Send back to where a message came from: `source`, `message`."""
 
@@ -103,6 +109,9 @@
         IP number and port to bind; port 0 binds a free one.
     keys : BusKeys, optional
         Turns on CURVE; only clients with an allowed key are heard.
+    heartbeat : float, optional
+        Seconds between looks whether a connection still lives; it is closed
+        after three that went unanswered.
 
     Notes
     -----
@@ -116,12 +125,14 @@
 
     channel = "peer_bus"
 
-    def __init__(self, *, address, keys=None):
+    def __init__(self, *, address, keys=None, heartbeat=HEARTBEAT):
         super().__init__()
         self.keys = keys
+        self.heartbeat_ms = int(heartbeat * MS_PER_SECOND)
         self.poller = None
         self.context = zmq.Context()
         self.dealers = {}
+        self.by_descriptor = {}
         self.dropped = 0
         self.refused = 0
         self.sent = Traffic()
@@ -152,8 +163,8 @@
         socket.linger = 0
         socket.maxmsgsize = MAX_MESSAGE_BYTES
         socket.sndhwm = socket.rcvhwm = QUEUE_MESSAGES
-        socket.heartbeat_ivl = HEARTBEAT_MS
-        socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        socket.heartbeat_ivl = self.heartbeat_ms
+        socket.heartbeat_timeout = MISSED_HEARTBEATS * self.heartbeat_ms
         if self.keys:
             socket.curve_publickey = self.keys.public
             socket.curve_secretkey = self.keys.secret
@@ -173,7 +184,7 @@
             socket.curve_serverkey = server_key
         socket.connect(f"tcp://{address}")
         self.dealers[address] = socket
-        self._watch(socket)
+        self._watch(socket, address)
         return socket
 
     # Readiness
@@ -192,35 +203,51 @@
         self.poller = poller
         for socket in self._sockets():
             self._watch(socket)
+        for address, socket in self.dealers.items():
+            self._watch(socket, address)
         self.fire(drain_sockets())
 
     def _sockets(self):
         own = (self.zap, self.router) if self.zap else (self.router,)
         return (*own, *self.dealers.values())
 
-    def _watch(self, socket):
+    def _watch(self, socket, address=None):
         if self.poller is not None:
-            self.poller.addReader(self, socket.getsockopt(zmq.FD))
+            descriptor = socket.getsockopt(zmq.FD)
+            self.by_descriptor[descriptor] = address
+            self.poller.addReader(self, descriptor)
 
     def _close(self, socket):
         if self.poller is not None:
-            self.poller.discard(socket.getsockopt(zmq.FD))
+            descriptor = socket.getsockopt(zmq.FD)
+            self.by_descriptor.pop(descriptor, None)
+            self.poller.discard(descriptor)
         socket.close()
 
     @handler("_read")
     def _on_read(self, descriptor):
-        self._drain_all()
+        # With many peers a look at every socket costs more than the message.
+        address = self.by_descriptor.get(descriptor)
+        if address in self.dealers:
+            self._drain(self.dealers[address], address)
+        else:
+            self._drain_own()
 
     @handler("drain_sockets")
     def _on_drain_sockets(self):
         self._drain_all()
 
-    def _drain_all(self):
+    def _drain_own(self):
         if self.router.closed:
             return
         if self.zap:
             self._drain_zap()
         self._drain(self.router, None)
+
+    def _drain_all(self):
+        if self.router.closed:
+            return
+        self._drain_own()
         for address, socket in list(self.dealers.items()):
             self._drain(socket, address)
 
@@ -264,36 +291,48 @@
 
     @handler("peer_send")
     def _on_peer_send(self, address, message):
-        if self.router.closed:
-            return
-        socket = self.dealers.get(address) or self._connect(address)
-        if socket is None:
-            self.dropped += 1
+        self._on_peer_broadcast((address,), message)
+
+    @handler("peer_broadcast")
+    def _on_peer_broadcast(self, addresses, message):
+        data = self._encode(message)
+        if self.router.closed or data is None:
             return
-        self._send(socket, address, (), message)
+        for address in addresses:
+            socket = self.dealers.get(address) or self._connect(address)
+            if socket is None:
+                self.dropped += 1
+            else:
+                self._send(socket, address, (data,))
 
     @handler("peer_reply")
     def _on_peer_reply(self, source, message):
-        if self.router.closed:
+        data = self._encode(message)
+        if self.router.closed or data is None:
             return
         if source.identity is not None:
-            self._send(self.router, None, (source.identity,), message)
+            self._send(self.router, None, (source.identity, data))
         elif source.address in self.dealers:
-            self._send(self.dealers[source.address], source.address, (), message)
+            self._send(self.dealers[source.address], source.address, (data,))
 
-    def _send(self, socket, address, prefix, message):
+    def _encode(self, message):
+        """Return a message as bytes, or None if it is too large."""
         try:
-            data = encode_message(message)
-            socket.send_multipart((*prefix, data), zmq.NOBLOCK)
-            self.sent.add(len(data))
+            return encode_message(message)
+        except ProtocolError as error:
+            self.dropped += 1
+            logger.error("[bus] message not sent: %s", error)
+            return None
+
+    def _send(self, socket, address, parts):
+        try:
+            socket.send_multipart(parts, zmq.NOBLOCK)
+            self.sent.add(len(parts[-1]))
         except zmq.ZMQError as error:
             # The queue is full or the peer is not connected.
             if error.errno not in (zmq.EAGAIN, zmq.EHOSTUNREACH):
                 raise
             self.dropped += 1
-        except ProtocolError as error:
-            self.dropped += 1
-            logger.error("[bus] message not sent: %s", error)
         self._drain(socket, address)
 
     @handler("peers_changed")
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -1,11 +1,17 @@
 """Calls to the platform's store."""
 
 import base64
+from urllib.parse import quote
 
 import msgspec
 
-from wagtailfront.forwarding.interfaces import InstanceRow, RoutingRead
-from wagtailfront.platform.rows import read_registry, read_routing, read_rows
+from wagtailfront.forwarding.interfaces import InstanceRow, RegistryRead, RoutingRead
+from wagtailfront.platform.rows import (
+    StoreRows,
+    read_registry,
+    read_routing,
+    read_rows,
+)
 from wagtailfront.transport.http_client import WholeResponse
 
 __all__ = ["StoreClient", "StoreMembership", "StoreRegistry", "StoreRouting"]
@@ -78,19 +84,62 @@
 
     def read_table(self, table, reply):
         """Read a table; `reply` gets StoreRows, or None, and a reason."""
+        self._read_from(table, "", [], reply)
+
+    def _read_from(self, table, first_key, pages, reply):
+        """Read the rows from `first_key` on, after the pages that came."""
 
         def take(status, body):
-            if status != 200:
-                reply(None, f"status {status}" if status else str(body))
+            page, reason = _read_page(status, body)
+            if page is None:
+                reply(None, reason)
                 return
-            try:
-                rows = read_rows(body)
-            except ValueError as error:
-                reply(None, str(error))
+            pages.append(page)
+            if page.has_more and page.rows:
+                self._read_from(table, page.rows[-1].key + "\0", pages, reply)
                 return
-            reply(rows, "")
+            rows = [row for each in pages for row in each.rows]
+            # A change after the first page is found by watching from there.
+            reply(StoreRows(rows=rows, ver=pages[0].ver), "")
+
+        path = f"/api/rows-get?table={table}&part="
+        if first_key:
+            path += f"&from={quote(first_key, safe='')}"
+        self.get(path, take)
+
+    def watch_table(self, table, cursor, wait, reply):
+        """Wait for changes; `reply` gets rows, or None, and whether lost.
 
-        self.get(f"/api/rows-get?table={table}&part=", take)
+        `reply` gets StoreRows or None, a reason, and whether the history
+        after `cursor` is gone.
+        """
+
+        def take(status, body):
+            if status == GONE:
+                reply(None, "the store dropped its history", True)
+            else:
+                reply(*_read_page(status, body), False)
+
+        wait_ms = int(wait * MS_PER_SECOND)
+        self.get(
+            f"/api/rows-feed?table={table}&after={cursor}&wait-ms={wait_ms}",
+            take,
+            timeout=wait + WATCH_MARGIN,
+        )
+
+
+def _read_page(status, body):
+    """Return the StoreRows of an answer, or None, and a reason."""
+    if status != 200:
+        return None, f"status {status}" if status else str(body)
+    try:
+        return read_rows(body), ""
+    except ValueError as error:
+        return None, str(error)
+
+
+def _latest(rows):
+    return max((row.ver for row in rows), default=0)
 
 
 class StoreRegistry:
@@ -100,25 +149,53 @@
         self.client = client
         self.log = log
         self.skipped = {}
+        self.rows = {}
+        self.read_ver = 0
 
     def read(self, reply):
         """Read all registrations."""
 
         def take(rows, reason):
             if rows is None:
-                reply(None)
+                reply(RegistryRead(False, reason=reason))
                 return
-            skipped = {}
-            records = read_registry(rows.rows, skipped=skipped)
-            for key in skipped.keys() - self.skipped.keys():
-                self.log.decision(
-                    "registration_skipped", outcome=key, reason=skipped[key]
-                )
-            self.skipped = skipped
-            reply(records)
+            self.rows = {row.key: row for row in rows.rows}
+            self.read_ver = rows.ver
+            reply(self._registry_read(rows))
 
         self.client.read_table(REGISTRY_TABLE, take)
 
+    def watch(self, cursor, wait, reply):
+        """Wait for a change of the registrations."""
+
+        def take(rows, reason, is_history_gone):
+            if rows is None:
+                reply(RegistryRead(is_history_gone, reason=reason))
+                return
+            # Another read may have overtaken this watch.
+            news = [row for row in rows.rows if row.ver > self.read_ver]
+            self.read_ver = max(self.read_ver, rows.ver)
+            for row in news:
+                self.rows.pop(row.key, None)
+                if not row.removed:
+                    self.rows[row.key] = row
+            if news:
+                reply(self._registry_read(rows))
+            else:
+                reply(RegistryRead(True, cursor=rows.ver))
+
+        self.client.watch_table(REGISTRY_TABLE, cursor, wait, take)
+
+    def _registry_read(self, rows):
+        skipped = {}
+        records = tuple(read_registry(self.rows.values(), skipped=skipped))
+        for key in skipped.keys() - self.skipped.keys():
+            self.log.decision("registration_skipped", outcome=key, reason=skipped[key])
+        self.skipped = skipped
+        return RegistryRead(
+            True, records=records, cursor=rows.ver, changed=_latest(rows.rows)
+        )
+
 
 class StoreRouting:
     """Implements `RoutingSource` on the operator's table."""
@@ -137,27 +214,13 @@
     def watch(self, cursor, wait, reply):
         """Wait for a change of the configuration."""
 
-        def take(status, body):
-            if status == GONE:
-                reply(RoutingRead(True, reason="the store dropped its history"))
-                return
-            if status != 200:
-                reason = f"status {status}" if status else str(body)
-                reply(RoutingRead(False, reason=reason))
-                return
-            try:
-                rows = read_rows(body)
-            except ValueError as error:
-                reply(RoutingRead(False, reason=str(error)))
-                return
-            reply(_routing_read(rows))
+        def take(rows, reason, is_history_gone):
+            if rows is None:
+                reply(RoutingRead(is_history_gone, reason=reason))
+            else:
+                reply(_routing_read(rows))
 
-        wait_ms = int(wait * MS_PER_SECOND)
-        self.client.get(
-            f"/api/rows-feed?table={OPERATOR_TABLE}&after={cursor}&wait-ms={wait_ms}",
-            take,
-            timeout=wait + WATCH_MARGIN,
-        )
+        self.client.watch_table(OPERATOR_TABLE, cursor, wait, take)
 
 
 class StoreMembership:
@@ -200,4 +263,5 @@
         config = read_routing(rows.rows)
     except ValueError as error:
         return RoutingRead(False, reason=str(error))
-    return RoutingRead(True, config=config, cursor=rows.ver)
+    changed = _latest(rows.rows)
+    return RoutingRead(True, config=config, cursor=rows.ver, changed=changed)
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -21,7 +21,7 @@
     peers: Address,
     metrics: Address | None = None,
     drain_timeout: Seconds = 8.0,
-    registry_interval: Seconds = 0.8,
+    registry_gap: Seconds = 0.3,
     repeat_share: Share = 0.2,
     repeat_slack: Count = 2,
     repeat_window: Seconds = 10.0,
@@ -47,8 +47,8 @@
         IP address and port of the metrics page.
     drain_timeout : Seconds
         Seconds from SIGTERM until the process is killed.
-    registry_interval : Seconds
-        Seconds between two reads of the endpoints' registrations.
+    registry_gap : Seconds
+        Seconds between news of the endpoints and the next question for them.
     repeat_share : Share
         Repeated attempts per request that all instances may make together.
     repeat_slack : Count
@@ -68,7 +68,7 @@
         peers=peers,
         metrics=metrics,
         drain_timeout=drain_timeout,
-        registry_interval=registry_interval,
+        registry_gap=registry_gap,
         repeat_share=repeat_share,
         repeat_slack=repeat_slack,
         repeat_window=repeat_window,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -12,14 +12,15 @@
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.endpoint_pool import EndpointPool
 from wagtailfront.forwarding.fleet_load import FleetLoad
+from wagtailfront.forwarding.fleet_pace import FleetPace
 from wagtailfront.forwarding.forward_tools import ForwardTools
 from wagtailfront.forwarding.forwarder import Budgets, Forwarder, KeptByService
 from wagtailfront.forwarding.interfaces import InstanceRow
 from wagtailfront.forwarding.kept_inquiry import KeptInquiry
 from wagtailfront.forwarding.load_exchange import LoadExchange
-from wagtailfront.forwarding.registry_poller import RegistryPoller
-from wagtailfront.forwarding.routing_watcher import RoutingWatcher
+from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.status_server import StatusServer
+from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
 from wagtailfront.identifiers import new_id
 from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
@@ -41,6 +42,9 @@
 STORE_CONNECT_TIMEOUT = 0.5  # seconds; a few round trips within a region
 EVIDENCE_LIFETIME = 60.0  # seconds; longer than a caller goes on resending
 METRICS_PATH = "/metrics"
+# Seconds. Peers hear a digest each second, so a heartbeat has to find only
+# connections of a peer that lost power.
+PEER_HEARTBEAT = 3.0
 # Descriptors kept for endpoints, the store and files.
 RESERVED_DESCRIPTORS = 1200
 
@@ -56,7 +60,7 @@
     peers: Any
     metrics: Any
     drain_timeout: float
-    registry_interval: float
+    registry_gap: float
     repeat_share: float
     repeat_slack: int
     repeat_window: float
@@ -94,6 +98,14 @@
             rng=tools.rng,
         )
         self.server = None
+        self.versions = StoreVersions(tables=("routing", "registry"))
+        self.pace = FleetPace(count_peers=lambda: len(tools.load.peers), rng=tools.rng)
+        self.follower = RegistryFollower(
+            directory=self.directory,
+            on_change=self._on_endpoints,
+            log=log,
+            timers=self.timers,
+        )
 
     def _make_tools(self):
         settings = self.settings
@@ -127,7 +139,9 @@
             "endpoints": lambda: self.pool,
             "routing": self._routing,
             "registry": self._registry,
-            "peer_bus": lambda: PeerBus(address=str(self.settings.peers)),
+            "peer_bus": lambda: PeerBus(
+                address=str(self.settings.peers), heartbeat=PEER_HEARTBEAT
+            ),
             "load_exchange": self._load_exchange,
             "status": self._status,
             "callers": self._callers,
@@ -140,21 +154,29 @@
             children=[ChildSpec(name, factory) for name, factory in factories.items()],
         )
 
-    def _routing(self):
-        return RoutingWatcher(
-            source=StoreRouting(client=self.store),
-            on_config=self._use_config,
+    def _watcher(self, table, **options):
+        return StoreWatcher(
+            table=table,
+            versions=self.versions,
+            pace=self.pace,
             timers=self.timers,
             log=self.log,
+            **options,
+        )
+
+    def _routing(self):
+        return self._watcher(
+            "routing",
+            source=StoreRouting(client=self.store),
+            on_read=self._use_routing,
         )
 
     def _registry(self):
-        return RegistryPoller(
+        return self._watcher(
+            "registry",
             source=StoreRegistry(client=self.store, log=self.log),
-            directory=self.directory,
-            interval=self.settings.registry_interval,
-            on_change=self._on_endpoints,
-            log=self.log,
+            on_read=self.follower.use_read,
+            min_gap=self.settings.registry_gap,
         )
 
     def _load_exchange(self):
@@ -165,6 +187,8 @@
             load=tools.load,
             kept=tools.kept,
             evidence=tools.evidence,
+            versions=self.versions,
+            pace=self.pace,
             find_service=self.directory.find_service,
             timers=self.timers,
             log=self.log,
@@ -199,7 +223,10 @@
             log=self.log,
         )
 
-    def _use_config(self, config):
+    def _use_routing(self, read):
+        config = read.config
+        if config is None:
+            return
         applied = self.forwarder.use_config(config)
         self.log.decision(
             "configuration",
