Prefer endpoints of the own data centre; stretch the store's watches further

Change: choices add 6 ms for an endpoint in another data centre; of equal plain endpoints the own data centre's is taken. FleetPace keeps the fleet's rate at that of three instances.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -52,8 +52,9 @@
         now, load = self.tools.clock(), self.tools.load
         incarnation, urgency = record.incarnation, self.route.priority
         outstanding = load.outstanding(incarnation, now=now)
+        is_remote = record.data_centre != self.tools.data_centre
         if not self.service.is_model:
-            return EngineView(record, outstanding)
+            return EngineView(record, outstanding, is_remote=is_remote)
         kept = self.tools.kept[self.service.name]
         waiting = load.pending_before(incarnation, urgency, now=now)
         return EngineView(
@@ -63,6 +64,7 @@
             kept_tokens=kept.kept_tokens(incarnation, self.fields.parts),
             slowness=self.tools.health.state(incarnation).slowness,
             blocking_tokens=load.blocking(incarnation, MOST_URGENT, now=now),
+            is_remote=is_remote,
         )
 
     def least_loaded(self, views):
--- a/wagtailfront/forwarding/fleet_pace.py
+++ b/wagtailfront/forwarding/fleet_pace.py
@@ -4,8 +4,8 @@
 
 # Instances that ask at the base interval; a larger fleet as a whole asks as
 # often as this many.
-REFERENCE_INSTANCES = 6
-MAX_SECONDS = 20.0  # the store's watches wait for 30 s at most
+REFERENCE_INSTANCES = 3
+MAX_SECONDS = 25.0  # the store's watches wait for 30 s at most
 JITTER = 0.3  # share by which intervals differ, so that peers do not coincide
 
 
@@ -25,10 +25,10 @@
     Examples
     --------
     >>> import random
-    >>> pace = FleetPace(count_peers=lambda: 59, rng=random.Random(1))
+    >>> pace = FleetPace(count_peers=lambda: 29, rng=random.Random(1))
     >>> 8.4 <= pace.stretch(1.2) <= 12.0
     True
-    >>> FleetPace(count_peers=lambda: 5, rng=random.Random(1)).stretch(1.2)
+    >>> FleetPace(count_peers=lambda: 2, rng=random.Random(1)).stretch(1.2)
     1.2
     """
 
--- a/wagtailfront/forwarding/forward_tools.py
+++ b/wagtailfront/forwarding/forward_tools.py
@@ -8,6 +8,7 @@
 class ForwardTools(NamedTuple):
     """What a task works with; shared by all tasks of an instance."""
 
+    data_centre: str
     dialect: Any
     directory: Any
     health: Any
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -24,6 +24,9 @@
 # Unread tokens above which a prompt is not read by an engine that generates:
 # while it reads, no other request there gets its first token.
 MAX_DIRECT_TOKENS = 5000
+# Seconds of delay that a call to another data centre is taken to be worth: the
+# way there and back, and the prompt's bytes on a link that is paid for.
+REMOTE_SECONDS = 0.006
 # Weight of shared tokens that another engine keeps and this one would read
 # again: they take time from the requests that come after.
 REREAD_WEIGHT = 2.5
@@ -45,6 +48,8 @@
         Time that it takes relative to the expected one.
     blocking_tokens : int
         Tokens left of prompts that it reads, whatever their urgency.
+    is_remote : bool
+        Whether it is in another data centre.
     """
 
     record: object
@@ -53,6 +58,7 @@
     kept_tokens: int = 0
     slowness: float = 1.0
     blocking_tokens: int = 0
+    is_remote: bool = False
 
 
 class Plan(NamedTuple):
@@ -78,13 +84,15 @@
 def choose_least_loaded(views, *, rng):
     """Return the view with the fewest requests in progress per place.
 
-    Ties are broken at random, so that instances that know little of each
-    other do not all choose the same endpoint.
+    Of equals one in the own data centre is chosen, else one at random, so
+    that instances that know little of each other do not all choose the same
+    endpoint.
     """
     return min(
         views,
         key=lambda view: (
             view.slowness * view.outstanding / max(1, view.record.slots),
+            view.is_remote,
             rng.random(),
         ),
     )
@@ -95,11 +103,16 @@
 
     def seconds_to_first_token(view):
         blocked = view.blocking_tokens / DECODE_READ_RATE
-        return view.slowness * (blocked + view.outstanding * STREAM_SECONDS)
+        busy = view.slowness * (blocked + view.outstanding * STREAM_SECONDS)
+        return busy + _remote_seconds(view)
 
     return min(views, key=lambda view: (seconds_to_first_token(view), rng.random()))
 
 
+def _remote_seconds(view):
+    return REMOTE_SECONDS if view.is_remote else 0.0
+
+
 def _reads_little(view, prompt_tokens):
     return prompt_tokens - view.kept_tokens <= MAX_DIRECT_TOKENS
 
@@ -141,7 +154,7 @@
 
     def cost(view):
         read_again = (most_kept - view.kept_tokens) / READ_RATE
-        seconds = expected_read_seconds(view, prompt_tokens)
+        seconds = expected_read_seconds(view, prompt_tokens) + _remote_seconds(view)
         return seconds + REREAD_WEIGHT * read_again, rng.random()
 
     readers = decode_views
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -206,6 +206,7 @@
         kept = KeptByService()
         kept.use_services({"s": self.service})
         self.tools = ForwardTools(
+            data_centre="dc",
             dialect=PlatformDialect(),
             directory=self.directory,
             health=health,
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -236,10 +236,10 @@
     """Guards the store's limit on calls and the delay of changes."""
     pace = make_pace(peers=instances - 1)
     interval = pace.stretch(1.2)
-    assert 1.2 <= interval <= 20.0
-    # At most as many calls a second as six instances make, but for the jitter
-    # and for fleets whose intervals have reached the limit.
-    assert instances / interval <= max(6 / 1.2 / 0.7, instances / (20.0 * 0.7))
+    assert 1.2 <= interval <= 25.0
+    # At most as many calls a second as three instances make, but for the
+    # jitter and for fleets whose intervals have reached the limit.
+    assert instances / interval <= max(3 / 1.2 / 0.7, instances / (25.0 * 0.7))
 
 
 class FakeMembership:
--- a/wagtailfront/forwarding/tests/test_policies.py
+++ b/wagtailfront/forwarding/tests/test_policies.py
@@ -8,7 +8,11 @@
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
-from wagtailfront.forwarding.placement import EngineView, choose_least_loaded
+from wagtailfront.forwarding.placement import (
+    EngineView,
+    choose_generator,
+    choose_least_loaded,
+)
 from wagtailfront.forwarding.tests.builders import make_record
 
 
@@ -140,3 +144,36 @@
     for _ in range(200):
         state.note_read(expected=0.1 * state.slowness, took=0.4)
     assert 3.8 < state.slowness < 4.2
+
+
+def test_prompts_stay_in_their_data_centre_while_it_has_room():
+    """Plays calls that arrive in one of four equal data centres.
+
+    Guards the links between data centres against three prompts in four, and
+    the own engines against a queue that others would not have.
+    """
+    rng = random.Random(2)
+    records = [make_record(f"e{number}") for number in range(8)]
+    outstanding = dict.fromkeys(records, 0)
+    remote = []
+    for _ in range(400):
+        views = [
+            EngineView(record, outstanding[record], is_remote=number >= 2)
+            for number, record in enumerate(records)
+        ]
+        chosen = choose_generator(views, rng=rng).record
+        outstanding[chosen] += 1
+        remote.append(records.index(chosen) >= 2)
+    assert not any(remote[:20])
+    assert sum(remote) > 200
+    assert max(outstanding.values()) - min(outstanding.values()) <= 16
+
+
+def test_of_equal_endpoints_the_one_in_the_own_data_centre_is_chosen():
+    """Guards against calls to other data centres without a reason."""
+    near, far = make_record("e1"), make_record("e2")
+    views = [EngineView(far, 1, is_remote=True), EngineView(near, 1)]
+    rng = random.Random(1)
+    assert {choose_least_loaded(views, rng=rng).record for _ in range(20)} == {near}
+    busy = [EngineView(far, 1, is_remote=True), EngineView(near, 2)]
+    assert choose_least_loaded(busy, rng=rng).record is far
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -111,6 +111,7 @@
         settings = self.settings
         health = EndpointHealth()
         return ForwardTools(
+            data_centre=settings.data_centre,
             dialect=PlatformDialect(),
             directory=self.directory,
             health=health,
