Give engines their stages before requests come; sample engines where loads are old

Those engines were full in bursts while the others had most of their 12 places free; and 84 instances that hear of each other 0.2 to 0.4 s late all chose the same engine meanwhile.

Change: one instance, under a lease in the store, orders engines to another stage until the configured share reads prompts; only while no request has come, as an engine that changes turns requests down for some seconds. In fleets that relay, the engines that keep most of a prompt are compared with three others drawn at random.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -6,6 +6,7 @@
     choose_least_loaded,
     plan_model_request,
 )
+from wagtailfront.forwarding.relay_groups import MAX_DIRECT_INSTANCES
 
 __all__ = ["EndpointChoice"]
 
@@ -74,7 +75,12 @@
     def plan(self, views, *, may_split):
         """Return the plan of a model request, or None without an engine."""
         return plan_model_request(
-            views, self.fields.prompt_tokens, may_split=may_split, rng=self.tools.rng
+            views,
+            self.fields.prompt_tokens,
+            may_split=may_split,
+            rng=self.tools.rng,
+            # A relay takes longer than a prompt.
+            is_load_old=len(self.tools.load.peers) >= MAX_DIRECT_INSTANCES,
         )
 
     def admit(self, plan, *, time_left):
--- a/wagtailfront/forwarding/fleet_load.py
+++ b/wagtailfront/forwarding/fleet_load.py
@@ -62,6 +62,11 @@
         self.expiry_due = 0.0
         self.sent = {}
         self.prompts = []
+        self.has_peer_requests = False
+
+    def has_seen_requests(self):
+        """Return whether any instance was heard to have had a request."""
+        return bool(self.health.states) or self.has_peer_requests
 
     def note_prompt(self, endpoint, parts):
         """Note a placement, to be told to the peers."""
@@ -109,6 +114,8 @@
             return
         peer = self.peers.setdefault(digest.incarnation, _Peer())
         peer.heard = now
+        if digest.loads or digest.prompts:
+            self.has_peer_requests = True
         told = {load.endpoint: load for load in digest.loads}
         if digest.is_whole:
             # Endpoints that it no longer names have no load by this peer.
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -14,6 +14,7 @@
     "InstanceRow",
     "MembershipStore",
     "EngineInquiry",
+    "StageOrders",
     "RoutingSource",
     "RoutingRead",
 ]
@@ -238,3 +239,14 @@
 
         `reply` gets a list of PromptPart, or None, and a reason.
         """
+
+
+class StageOrders(Protocol):
+    """Orders that change what engines do."""
+
+    def order_stage(self, record, stage: str, grant, may_send, reply) -> None:
+        """Order an engine to read prompts only, or to generate.
+
+        `may_send` is asked directly before the order is sent. `reply` gets
+        whether the engine took the order, and a reason if not.
+        """
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -9,6 +9,7 @@
     "choose_least_loaded",
     "expected_read_seconds",
     "plan_model_request",
+    "sample_engines",
 ]
 
 PREFILL = "prefill"
@@ -30,6 +31,9 @@
 # Weight of shared tokens that another engine keeps and this one would read
 # again: they take time from the requests that come after.
 REREAD_WEIGHT = 2.5
+# Engines that are compared where the loads that peers report are old: with
+# all of them every instance would choose the same one until it hears of it.
+SAMPLED_ENGINES = 3
 
 
 class EngineView(NamedTuple):
@@ -98,6 +102,24 @@
     )
 
 
+def sample_engines(views, *, rng):
+    """Return a few views to choose from where reported loads are old.
+
+    Answers many instances that place at the same time. Those engines that
+    keep most of the prompt stay in the choice.
+    """
+    most_kept = max((view.kept_tokens for view in views), default=0)
+    groups = (
+        [view for view in views if view.kept_tokens == most_kept],
+        [view for view in views if view.kept_tokens != most_kept],
+    )
+    return [
+        view
+        for group in groups
+        for view in rng.sample(group, min(len(group), SAMPLED_ENGINES))
+    ]
+
+
 def choose_generator(views, *, rng):
     """Return the view that soonest generates for a prompt read elsewhere."""
 
@@ -131,7 +153,7 @@
     return view.slowness * (streams + tokens / DECODE_READ_RATE)
 
 
-def plan_model_request(views, prompt_tokens, *, may_split, rng):
+def plan_model_request(views, prompt_tokens, *, may_split, rng, is_load_old=False):
     """Return the plan for a model request, or None without an endpoint.
 
     Parameters
@@ -141,6 +163,8 @@
     may_split : bool
         Whether another engine may read the prompt.
     rng : random.Random
+    is_load_old : bool, optional
+        Whether many requests are placed before a load is heard of.
 
     Returns
     -------
@@ -162,6 +186,9 @@
         prefill_views = [view for view in views if view.record.stage == PREFILL]
         short = [v for v in decode_views if _reads_little(v, prompt_tokens)]
         readers = prefill_views + short or decode_views
+    if is_load_old:
+        readers = sample_engines(readers, rng=rng)
+        decode_views = sample_engines(decode_views, rng=rng)
     best = min(readers, key=cost)
     unread = max(0, prompt_tokens - best.kept_tokens)
     expected = expected_read_seconds(best, prompt_tokens)
--- a/wagtailfront/forwarding/relay_groups.py
+++ b/wagtailfront/forwarding/relay_groups.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["RelayTargets", "relay_targets"]
+__all__ = ["MAX_DIRECT_INSTANCES", "RelayTargets", "relay_targets"]
 
 # Fleets up to this size are told directly: a relay would add its delay and
 # save few messages.
--- /dev/null
+++ b/wagtailfront/forwarding/stage_keeper.py
@@ -0,0 +1,167 @@
+"""Gives engines their stages before requests come."""
+
+import time
+
+from circuits import BaseComponent, Event, handler
+
+from wagtailfront.authority.lease import candidates
+from wagtailfront.authority.lease_keeper import LeaseKeeper
+from wagtailfront.forwarding.stage_plan import plan_stages
+from wagtailfront.transport.ticker import Ticker
+
+__all__ = ["StageKeeper"]
+
+LEASE = "stages"
+CHECK_INTERVAL = 0.5  # seconds
+# Seconds after the start in which the instances hear of each other, so that
+# only one of them asks for the lease.
+MEETING_SECONDS = 1.5
+# Seconds without a new engine after which all are taken to have registered;
+# they do so within some seconds of each other as a service starts.
+SETTLE_SECONDS = 2.5
+# Seconds between the loss of the lease by one instance and the first order of
+# the next: the platform takes orders of two holders for a conflict within 3 s,
+# and one that got no answer may reach its engine up to 12 s later.
+SUCCESSION_SECONDS = 15.0
+# Seconds for which an engine that was ordered is taken to change: it finishes
+# its work, is away for some seconds and registers again.
+CHANGE_SECONDS = 8.0
+
+
+class consider_stages(Event):
+    """Look whether engines should change their stage."""
+
+
+class StageKeeper(BaseComponent):
+    """Orders engines to change their stage while the fleet is idle.
+
+    One instance does so, under a lease. An engine that changes is away for
+    some seconds and turns its waiting requests down, so once a request has
+    come the stages stay as they are.
+
+    Parameters
+    ----------
+    incarnation : str
+        Names this start of the instance.
+    directory : EndpointDirectory
+    load : FleetLoad
+    orders : StageOrders
+    table : TableStore
+    prefill_share : float
+        Share of each service's engines that is to read prompts only; 0 leaves
+        the engines as they are.
+    log : DecisionLog
+    clock : callable, optional
+    """
+
+    channel = "stage_keeper"
+
+    def __init__(
+        self,
+        *,
+        incarnation,
+        directory,
+        load,
+        orders,
+        table,
+        prefill_share,
+        log,
+        clock=time.monotonic,
+    ):
+        super().__init__()
+        self.incarnation = incarnation
+        self.directory = directory
+        self.load = load
+        self.orders = orders
+        self.prefill_share = prefill_share
+        self.log = log
+        self.clock = clock
+        self.started_at = clock()
+        self.ordered = {}
+        self.known = frozenset()
+        self.known_since = self.started_at
+        self.is_done = not prefill_share
+        self.lease = LeaseKeeper(
+            group=LEASE, instance=incarnation, store=table, clock=clock
+        ).register(self)
+        Ticker(
+            interval=CHECK_INTERVAL,
+            make_event=consider_stages,
+            target=self.channel,
+            is_needed=lambda: not self.is_done,
+        ).register(self)
+
+    @handler("consider_stages")
+    def _on_consider_stages(self):
+        now = self.clock()
+        if self.is_done or now - self.started_at < MEETING_SECONDS:
+            return
+        if self.load.has_seen_requests():
+            self.is_done = True
+            self.lease.want(False)
+            self.log.decision("stages", outcome="left as they are from now on")
+            return
+        if not self._is_settled(now):
+            return
+        changes = self._changes(now)
+        self.lease.want(bool(changes) and self._is_first())
+        if changes and self._may_order():
+            for change in changes:
+                self._order(change, now)
+
+    def _is_settled(self, now):
+        """Return whether the engines have been the same ones for a while."""
+        known = frozenset(r.incarnation for r in self.directory.records.values())
+        if known != self.known:
+            self.known, self.known_since = known, now
+        return now - self.known_since >= SETTLE_SECONDS
+
+    def _changes(self, now):
+        """Return the changes that are wanted and were not ordered lately."""
+        services = {record.service for record in self.directory.records.values()}
+        return [
+            change
+            for service in sorted(services)
+            for change in plan_stages(
+                [self._expected(r, now) for r in self.directory.find(service)],
+                prefill_share=self.prefill_share,
+            )
+        ]
+
+    def _expected(self, record, now):
+        """Return a record with the stage that its engine will soon have."""
+        stage, until = self.ordered.get(record.incarnation, ("", 0.0))
+        return record._replace(stage=stage) if now < until else record
+
+    def _is_first(self):
+        instances = [self.incarnation, *self.load.peers]
+        return candidates(LEASE, instances, count=1) == [self.incarnation]
+
+    def _may_order(self):
+        grant = self.lease.grant()
+        if grant is None:
+            return False
+        has_predecessor = grant.fencing > 1
+        return not has_predecessor or self.clock() - grant.since >= SUCCESSION_SECONDS
+
+    def _order(self, change, now):
+        record, stage = change
+        grant = self.lease.grant()
+        self.ordered[record.incarnation] = (stage, now + CHANGE_SECONDS)
+        self.log.decision(
+            "stage_ordered",
+            outcome=stage,
+            endpoint=record.endpoint_id,
+            service=record.service,
+            fencing=grant.fencing,
+        )
+
+        def take(is_taken, reason):
+            if not is_taken:
+                self.log.decision(
+                    "stage_order_failed", outcome=reason, endpoint=record.endpoint_id
+                )
+
+        self.orders.order_stage(
+            record, stage, grant, lambda: self.clock() < grant.until, take
+        )
--- /dev/null
+++ b/wagtailfront/forwarding/tests/test_old_loads.py
@@ -0,0 +1,83 @@
+"""Placement by many instances that hear late of each other's requests."""
+
+import random
+from collections import deque
+from typing import NamedTuple
+
+import pytest
+
+from wagtailfront.forwarding.placement import (
+    READ_RATE,
+    EngineView,
+    plan_model_request,
+)
+from wagtailfront.forwarding.tests.builders import make_record
+
+ENGINES = [make_record(f"p{i}", stage="prefill") for i in range(18)]
+GENERATORS = [make_record(f"d{i}", stage="decode") for i in range(3)]
+INSTANCES = 84
+PROMPT_TOKENS = 9_000
+USE = 0.7  # of what the engines can read
+
+
+class Placed(NamedTuple):
+    """A prompt in an engine's queue; `end` is when it has been read."""
+
+    at: float
+    engine: str
+    end: float
+    instance: int
+
+
+def play(*, lag, is_load_old, seed, seconds=30.0):
+    """Return the share of prompts that were read within 0.3 s.
+
+    Each instance knows its own prompts at once and those of the others `lag`
+    seconds late.
+    """
+    rng = random.Random(seed)
+    rate = USE * len(ENGINES) * READ_RATE / PROMPT_TOKENS
+    free_at = dict.fromkeys((record.incarnation for record in ENGINES), 0.0)
+    placed, now, count, in_time = deque(), 0.0, 0, 0
+    while now < seconds:
+        now += rng.expovariate(rate)
+        instance = rng.randrange(INSTANCES)
+        while placed and placed[0].end < now - lag and placed[0].at < now - lag:
+            placed.popleft()
+        known = dict.fromkeys(free_at, 0)
+        for prompt in placed:
+            seen_at = now if prompt.instance == instance else now - lag
+            known[prompt.engine] += PROMPT_TOKENS * (prompt.at <= seen_at < prompt.end)
+        views = [
+            EngineView(record, 0, pending_tokens=known[record.incarnation])
+            for record in ENGINES
+        ]
+        plan = plan_model_request(
+            views + [EngineView(record, 0) for record in GENERATORS],
+            PROMPT_TOKENS,
+            may_split=True,
+            rng=rng,
+            is_load_old=is_load_old,
+        )
+        engine = plan.prefill.incarnation
+        end = max(now, free_at[engine]) + PROMPT_TOKENS / READ_RATE
+        free_at[engine] = end
+        placed.append(Placed(now, engine, end, instance))
+        count += 1
+        in_time += end - now <= 0.3
+    return in_time / count
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_late_loads_do_not_send_all_instances_to_one_engine(seed):
+    """Plays 84 instances whose digests take longer than a prompt."""
+    alike = play(lag=0.3, is_load_old=False, seed=seed)
+    sampled = play(lag=0.3, is_load_old=True, seed=seed)
+    assert 1 - sampled < 0.6 * (1 - alike)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_fresh_loads_are_compared_in_full(seed):
+    """Guards small fleets, where all engines are worth comparing."""
+    in_full = play(lag=0.01, is_load_old=False, seed=seed)
+    assert in_full > 0.97
--- /dev/null
+++ b/wagtailfront/forwarding/tests/test_stages.py
@@ -0,0 +1,181 @@
+"""Stages that engines get before requests come, without a network."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import given, strategies as st
+
+from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
+from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.fleet_load import FleetLoad
+from wagtailfront.forwarding.stage_keeper import SUCCESSION_SECONDS, StageKeeper
+from wagtailfront.forwarding.stage_plan import plan_stages
+from wagtailfront.forwarding.tests.builders import LogLines, make_record
+from wagtailfront.stores.interfaces import Committed, ConditionFailed, Found, Missing
+
+
+def make_engines(prefill, decode, data_centres=3):
+    """Return engines of both stages, spread over the data centres."""
+    stages = ["prefill"] * prefill + ["decode"] * decode
+    return [
+        make_record(
+            f"e{number:02}", stage=stage, data_centre=f"dc{number % data_centres}"
+        )
+        for number, stage in enumerate(stages)
+    ]
+
+
+@given(
+    prefill=st.integers(0, 40),
+    decode=st.integers(0, 40),
+    share=st.floats(0.05, 0.95),
+)
+def test_changes_lead_to_the_share_and_keep_both_stages(prefill, decode, share):
+    """Guards against a service without engines of one stage."""
+    engines = {e.endpoint_id: e for e in make_engines(prefill, decode)}
+    for change in plan_stages(engines.values(), prefill_share=share):
+        record = change.record
+        assert record.stage != change.stage
+        engines[record.endpoint_id] = record._replace(stage=change.stage)
+    count = Counter(engine.stage for engine in engines.values())
+    if len(engines) >= 2:
+        assert min(count["prefill"], count["decode"]) >= 1
+        assert abs(count["prefill"] - share * len(engines)) <= 1
+    assert plan_stages(engines.values(), prefill_share=share) == []
+
+
+def test_data_centres_keep_their_share_of_both_stages():
+    """Guards against KV caches that all have to leave their data centre."""
+    engines = make_engines(0, 12)
+    changes = plan_stages(engines, prefill_share=0.5)
+    count = Counter(change.record.data_centre for change in changes)
+    assert set(count.values()) == {2}
+
+
+class MemoryRow:
+    """Table with the one row of the lease."""
+
+    def __init__(self):
+        self.row = None
+        self.version = 0
+        self.calls = 0
+
+    def get(self, *, key, reply):
+        self.calls += 1
+        reply(Missing() if self.row is None else Found(row=self.row))
+
+    def transact(self, *, puts, token, reply, checks=()):
+        from wagtailfront.stores.interfaces import Row
+
+        self.calls += 1
+        if puts[0].expected != self.version:
+            reply(ConditionFailed())
+            return
+        self.version += 1
+        self.row = Row(puts[0].key, self.version, puts[0].value)
+        reply(Committed())
+
+
+class FakeOrders:
+    """Engines that take orders."""
+
+    def __init__(self):
+        self.sent = []
+
+    def order_stage(self, record, stage, grant, may_send, reply):
+        if may_send():
+            self.sent.append((record.endpoint_id, stage, grant.fencing))
+        reply(True, "")
+
+
+class Stage:
+    """Instances that share a table and engines, in virtual time."""
+
+    def __init__(self, names, engines):
+        self.now = 100.0
+        self.table = MemoryRow()
+        self.directory = EndpointDirectory()
+        self.directory.replace(engines, now=self.now)
+        self.keepers = {}
+        for name in names:
+            self.add(name)
+
+    def add(self, name):
+        """Start an instance."""
+        orders = FakeOrders()
+        load = FleetLoad(incarnation=name, health=EndpointHealth())
+        self.keepers[name] = keeper = StageKeeper(
+            incarnation=name,
+            directory=self.directory,
+            load=load,
+            orders=orders,
+            table=self.table,
+            prefill_share=0.5,
+            log=LogLines(),
+            clock=lambda: self.now,
+        )
+        keeper.orders = orders
+        return keeper
+
+    def run(self, seconds):
+        """Let all look for changes for a while."""
+        for _ in range(round(seconds / 0.5)):
+            self.now += 0.5
+            for keeper in self.keepers.values():
+                for other in self.keepers.values():
+                    digest = other.load.digest(whole=True)
+                    keeper.load.merge(digest, now=self.now)
+                keeper.lease.wake_if_due(self.now)
+                keeper._on_consider_stages()
+
+    def sent(self):
+        """Return all orders."""
+        return [
+            order for keeper in self.keepers.values() for order in keeper.orders.sent
+        ]
+
+
+@pytest.mark.parametrize("count", [1, 6, 40])
+def test_one_instance_orders_before_requests_come(count):
+    """Guards against orders to one engine by two instances."""
+    stage = Stage([f"i{number}" for number in range(count)], make_engines(3, 7))
+    stage.run(4.0)
+    assert sorted(stage.sent()) == [("e03", "prefill", 1), ("e04", "prefill", 1)]
+    assert stage.table.calls <= 4
+
+
+def test_no_order_goes_out_while_engines_are_still_registering():
+    """Guards against orders that further engines would call back."""
+    engines = make_engines(3, 7)
+    stage = Stage(["i1", "i2"], engines[:4])
+    for count in range(4, 11):
+        stage.directory.replace(engines[:count], now=stage.now)
+        stage.run(1.0)
+    assert stage.sent() == []
+    stage.run(3.0)
+    assert len(stage.sent()) == 2
+
+
+def test_no_engine_changes_once_a_request_has_come():
+    """Guards requests against engines that are away while they change."""
+    stage = Stage(["i1", "i2"], make_engines(3, 7))
+    keeper = stage.keepers["i1"]
+    keeper.load.health.state("e03/1").outstanding = 1
+    stage.run(5.0)
+    assert stage.sent() == []
+    keeper.load.health.state("e03/1").outstanding = 0
+    stage.run(5.0)
+    assert stage.sent() == []
+
+
+def test_a_successor_waits_before_its_orders():
+    """Guards against orders of two holders within a short time."""
+    stage = Stage(["i1"], make_engines(3, 7))
+    stage.run(4.0)
+    assert len(stage.sent()) == 2
+    stage.keepers.clear()
+    successor = stage.add("i2")
+    taken_at = stage.now
+    stage.run(30.0)
+    assert [fencing for _, _, fencing in successor.orders.sent] == [2, 2]
+    assert stage.now - taken_at >= SUCCESSION_SECONDS
--- a/wagtailfront/platform/engine_client.py
+++ b/wagtailfront/platform/engine_client.py
@@ -3,12 +3,16 @@
 import msgspec
 
 from wagtailfront.forwarding.interfaces import PromptPart
+from wagtailfront.platform.headers import EXPECTED_ID
 from wagtailfront.transport.http_client import WholeResponse
 
 __all__ = ["EngineClient"]
 
 KEPT_PATH = "/api/kv-list"
-CALL_TIMEOUT = 1.0  # seconds; the list is of use only while it is fresh
+ORDER_PATH = "/api/order"
+CALL_TIMEOUT = 1.0  # seconds; answers are of use only while they are fresh
+# The order was taken, or the engine was in that stage already.
+TAKEN = (202, 200)
 
 
 class _KeptList(msgspec.Struct):
@@ -24,15 +28,18 @@
 
 
 class EngineClient:
-    """Implements `EngineInquiry`.
+    """Implements `EngineInquiry` and `StageOrders`.
 
     Parameters
     ----------
     pool : HttpPool
+    instance : str
+        Name of this instance, the holder of its orders.
     """
 
-    def __init__(self, *, pool):
+    def __init__(self, *, pool, instance):
         self.pool = pool
+        self.instance = instance
 
     def read_kept(self, record, reply):
         """Ask which prompt parts an engine keeps."""
@@ -58,3 +65,32 @@
             sink=sink,
             timeout=CALL_TIMEOUT,
         )
+
+    def order_stage(self, record, stage, grant, may_send, reply):
+        """Order an engine to change its stage."""
+
+        def take(status, headers, body):
+            reason = f"status {status}" if status else str(headers)
+            reply(status in TAKEN, "" if status in TAKEN else reason)
+
+        order = {
+            "op": "stage",
+            "stage": stage,
+            "holder": self.instance,
+            "fencing-token": grant.fencing,
+        }
+        sink = WholeResponse(take)
+        sink.exchange = self.pool.request(
+            host=record.host,
+            port=record.port,
+            method="POST",
+            path=ORDER_PATH,
+            headers=(
+                ("Content-Type", "application/json"),
+                (EXPECTED_ID.decode(), record.endpoint_id),
+            ),
+            body=msgspec.json.encode(order),
+            sink=sink,
+            timeout=CALL_TIMEOUT,
+            may_send=may_send,
+        )
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -56,21 +56,24 @@
             timeout=timeout,
         )
 
-    def put(self, table, key, value, reply):
-        """Write a row; `reply` gets whether it was written, and a reason."""
-        row = {
-            "table": table,
-            "part": "",
-            "key": key,
-            "value": base64.b64encode(value).decode(),
-        }
-        body = {"expect": [], "put": [row], "remove": []}
-
-        def take(status, headers, answer):
-            known = f"status {status}" if status else str(headers)
-            reply(status == 200, "" if status == 200 else known)
-
-        sink = WholeResponse(take)
+    def put(self, table, key, value, reply, *, expected_ver=None):
+        """Write a row; `reply` gets the status, or None, and the body.
+
+        Parameters
+        ----------
+        expected_ver : int, optional
+            Version that the row must have, 0 if it must not exist; status
+            412 if it has another one.
+        """
+        row = {"table": table, "part": "", "key": key}
+        expect = [] if expected_ver is None else [{**row, "ver": expected_ver}]
+        value = base64.b64encode(value).decode()
+        body = {"expect": expect, "put": [{**row, "value": value}], "remove": []}
+        sink = WholeResponse(
+            lambda status, headers, answer: reply(
+                status, headers if status is None else answer
+            )
+        )
         sink.exchange = self.pool.request(
             host=self.host,
             port=self.port,
@@ -233,10 +236,11 @@
     def announce(self, row, reply):
         """Write an instance's address."""
 
-        def take(written, reason):
-            if not written:
+        def take(status, body):
+            if status != 200:
+                reason = f"status {status}" if status else str(body)
                 self.log.decision("announcement", outcome="failed", reason=reason)
-            reply(written)
+            reply(status == 200)
 
         self.client.put(INSTANCE_TABLE, row.instance, row.address.encode(), take)
 
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -22,6 +22,7 @@
     metrics: Address | None = None,
     drain_timeout: Seconds = 8.0,
     registry_gap: Seconds = 0.3,
+    prefill_share: Share = 0.0,
     repeat_share: Share = 0.2,
     repeat_slack: Count = 2,
     repeat_window: Seconds = 10.0,
@@ -49,6 +50,9 @@
         Seconds from SIGTERM until the process is killed.
     registry_gap : Seconds
         Seconds between news of the endpoints and the next question for them.
+    prefill_share : Share
+        Share of a service's engines that is set to read prompts only before
+        the first request comes; 0 leaves the engines as they are.
     repeat_share : Share
         Repeated attempts per request that all instances may make together.
     repeat_slack : Count
@@ -69,6 +73,7 @@
         metrics=metrics,
         drain_timeout=drain_timeout,
         registry_gap=registry_gap,
+        prefill_share=prefill_share,
         repeat_share=repeat_share,
         repeat_slack=repeat_slack,
         repeat_window=repeat_window,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -19,6 +19,7 @@
 from wagtailfront.forwarding.kept_inquiry import KeptInquiry
 from wagtailfront.forwarding.load_exchange import LoadExchange
 from wagtailfront.forwarding.registry_follower import RegistryFollower
+from wagtailfront.forwarding.stage_keeper import StageKeeper
 from wagtailfront.forwarding.status_server import StatusServer
 from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
 from wagtailfront.identifiers import new_id
@@ -33,6 +34,7 @@
     StoreRegistry,
     StoreRouting,
 )
+from wagtailfront.platform.store_table import StoreTable
 from wagtailfront.transport.http_client import HttpPool
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
 from wagtailfront.transport.timers import Timers
@@ -61,6 +63,7 @@
     metrics: Any
     drain_timeout: float
     registry_gap: float
+    prefill_share: float
     repeat_share: float
     repeat_slack: int
     repeat_window: float
@@ -91,8 +94,9 @@
         )
         self.forwarder = Forwarder(tools=self._make_tools())
         tools = self.forwarder.tools
+        self.engines = EngineClient(pool=self.store_pool, instance=settings.instance)
         self.inquiry = KeptInquiry(
-            client=EngineClient(pool=self.store_pool),
+            client=self.engines,
             kept=tools.kept,
             log=log,
             rng=tools.rng,
@@ -144,6 +148,7 @@
                 address=str(self.settings.peers), heartbeat=PEER_HEARTBEAT
             ),
             "load_exchange": self._load_exchange,
+            "stages": self._stage_keeper,
             "status": self._status,
             "callers": self._callers,
             "departure": self._departure,
@@ -195,6 +200,18 @@
             log=self.log,
         )
 
+    def _stage_keeper(self):
+        load = self.forwarder.tools.load
+        return StageKeeper(
+            incarnation=load.incarnation,
+            directory=self.directory,
+            load=load,
+            orders=self.engines,
+            table=StoreTable(client=self.store),
+            prefill_share=self.settings.prefill_share,
+            log=self.log,
+        )
+
     def _status(self):
         return StatusServer(bind=self.settings.status, pages={READY_PATH: self.ready})
 
