Let store news gather for a second in a large fleet

The second read of the instances found nothing that the peers had not told.

Change: the gap before the next watch grows with the fleet, to 1 s at most; the second read is made only while no peer was heard of.

Ruled out: importing the library's parts lazily to start sooner (0.64 s of processor time before, 0.68 s after: the modules are needed anyway).

--- a/wagtailfront/forwarding/fleet_pace.py
+++ b/wagtailfront/forwarding/fleet_pace.py
@@ -36,10 +36,17 @@
         self.count_peers = count_peers
         self.rng = rng
 
-    def stretch(self, seconds):
-        """Return the interval to use in place of one of a small fleet."""
+    def stretch(self, seconds, *, most=MAX_SECONDS):
+        """Return the interval to use in place of one of a small fleet.
+
+        Parameters
+        ----------
+        seconds : float
+        most : float, optional
+            Upper limit in seconds, where more would be late.
+        """
         instances = self.count_peers() + 1
         if instances <= REFERENCE_INSTANCES:
             return seconds
-        stretched = min(MAX_SECONDS, seconds * instances / REFERENCE_INSTANCES)
+        stretched = min(most, seconds * instances / REFERENCE_INSTANCES)
         return max(seconds, stretched * self.rng.uniform(1 - JITTER, 1))
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -22,7 +22,8 @@
 # fleet, half as often.
 RELAYED_SEND_INTERVAL = 0.16
 WHOLE_INTERVAL = 1.0  # seconds between digests of everything
-FIRST_READS = (0.4, 2.0)  # seconds after the start
+FIRST_READ = 0.4  # seconds after the start, when most have announced themselves
+SECOND_READ = 2.0  # seconds after the start, if no peer was heard of till then
 READ_INTERVAL = 4.0  # seconds between reads of the instances' rows
 ANNOUNCE_INTERVAL = 15.0  # seconds
 # An instance that neither was announced nor heard of for this long, in s, is
@@ -114,8 +115,8 @@
     @handler("started", channel="*")
     def _on_started(self, manager):
         self._announce()
-        for delay in FIRST_READS:
-            self.timers.after(delay, lambda: self.store.read(self._take_rows))
+        self.timers.after(FIRST_READ, lambda: self.store.read(self._take_rows))
+        self.timers.after(SECOND_READ, self._read_if_alone)
         self.timers.after(READ_INTERVAL, self._read_regularly)
 
     def _announce(self):
@@ -125,6 +126,10 @@
         delay = self.pace.stretch(ANNOUNCE_INTERVAL) if written else ANNOUNCE_RETRY
         self.timers.after(delay, self._announce)
 
+    def _read_if_alone(self):
+        if not self.load.peers:
+            self.store.read(self._take_rows)
+
     def _read_regularly(self):
         self.store.read(self._take_rows)
         self.timers.after(self.pace.stretch(READ_INTERVAL), self._read_regularly)
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -10,6 +10,9 @@
 # connection that has gone silent is noticed soon after.
 WATCH_SECONDS = 1.2
 RETRY_DELAY = 0.25  # seconds after a read that failed
+# Longest stretched gap in seconds: an endpoint that leaves may get new work
+# for 3 s after it has said so.
+MAX_GAP = 1.0
 # Seconds that a watch may lag behind what a peer has seen: the store answers
 # all watches of a change within milliseconds.
 CATCH_UP_DELAY = 0.3
@@ -143,7 +146,8 @@
         self.cursor = read.cursor
         self.versions.note(self.table, read.changed)
         self.on_read(read)
-        self._ask_after(self.min_gap if read.cursor is not None else RETRY_DELAY)
+        gap = self.pace.stretch(self.min_gap, most=MAX_GAP) if self.min_gap else 0.0
+        self._ask_after(gap if read.cursor is not None else RETRY_DELAY)
 
     def _ask_after(self, delay):
         number = self.call_number
