--- /dev/null
+++ b/wagtailfront/platform/tests/store_pool.py
@@ -0,0 +1,73 @@
+"""A store in memory behind the interface of `HttpPool`."""
+
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+
+class StorePool:
+    """Answers calls at once from rows that the test writes.
+
+    Parameters
+    ----------
+    page_rows : int, optional
+        Most rows in one answer.
+    """
+
+    def __init__(self, *, page_rows=500):
+        self.page_rows = page_rows
+        self.rows = {}
+        self.ver = 100
+        self.calls = []
+        self.failures = []
+
+    def write(self, table, key, value):
+        """Write a row, or remove it with None."""
+        self.ver += 1
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[table, key] = (value, self.ver)
+        return self.ver
+
+    def request(self, *, host, port, method, path, sink, body=b"", **options):
+        """Answer a call, or fail as the test said."""
+        self.calls.append((method, path))
+        if self.failures:
+            status = self.failures.pop(0)
+            if status is None:
+                sink.on_failure("timed out", True)
+                return
+            answer = {}
+        elif method == "POST":
+            status, answer = self._transact(msgspec.json.decode(body))
+        else:
+            url = urlsplit(path)
+            fields = {key: values[0] for key, values in parse_qs(url.query).items()}
+            status, answer = 200, self._rows(fields)
+        sink.on_head(status, [])
+        sink.on_data(msgspec.json.encode({**answer, "ver": self.ver}))
+        sink.on_end()
+
+    def _rows(self, fields):
+        after = int(fields.get("after", 0))
+        found = [
+            {"key": key, "value": value, "ver": ver}
+            for (table, key), (value, ver) in sorted(self.rows.items())
+            if table == fields["table"]
+            and key >= fields.get("from", "")
+            and ver > after
+        ]
+        return {
+            "rows": found[: self.page_rows],
+            "has-more": len(found) > self.page_rows,
+        }
+
+    def _transact(self, body):
+        for row in body["expect"]:
+            held = self.rows.get((row["table"], row["key"]), ("", 0))
+            if held[1] != row["ver"]:
+                return 412, {}
+        for row in body["put"]:
+            self.write(row["table"], row["key"], row["value"])
+        return 200, {}
--- /dev/null
+++ b/wagtailfront/platform/tests/test_engine_client.py
@@ -0,0 +1,96 @@
+"""Calls to engines outside of callers' requests."""
+
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from wagtailfront.forwarding.tests.builders import make_record
+from wagtailfront.platform.engine_client import EngineClient
+
+
+class EnginePool:
+    """An engine that answers each call with one status and body."""
+
+    def __init__(self, status, body=b""):
+        self.status = status
+        self.body = body
+        self.calls = []
+
+    def request(self, *, sink, may_send=None, **call):
+        if may_send is not None and not may_send():
+            sink.on_failure("not sent", False)
+            return
+        self.calls.append(call)
+        if self.status is None:
+            sink.on_failure("timed out", True)
+            return
+        sink.on_head(self.status, [])
+        sink.on_data(self.body)
+        sink.on_end()
+
+
+def order(pool, *, may_send=True):
+    """Order an engine to read prompts; return the reply."""
+    replies = []
+    EngineClient(pool=pool, instance="a").order_stage(
+        make_record("i-1", stage="decode"),
+        "prefill",
+        SimpleNamespace(fencing=3),
+        lambda: may_send,
+        lambda *reply: replies.append(reply),
+    )
+    return replies
+
+
+@pytest.mark.parametrize(
+    ("status", "reply"),
+    [
+        (202, (True, "")),
+        (200, (True, "")),
+        (409, (False, "status 409")),
+        (412, (False, "status 412")),
+        (None, (False, "timed out")),
+    ],
+)
+def test_an_order_names_its_holder_and_the_incarnation(status, reply):
+    """Guards against orders that two instances give under one name."""
+    pool = EnginePool(status)
+    assert order(pool) == [reply]
+    assert msgspec.json.decode(pool.calls[0]["body"]) == {
+        "op": "stage",
+        "stage": "prefill",
+        "holder": "a",
+        "fencing-token": 3,
+    }
+    assert ("X-Expect-Instance", "i-1") in pool.calls[0]["headers"]
+
+
+def test_no_order_goes_out_once_the_lease_has_lapsed():
+    """Guards against an order after a pause of the process."""
+    pool = EnginePool(202)
+    assert order(pool, may_send=False) == [(False, "not sent")]
+    assert pool.calls == []
+
+
+def test_unreadable_lists_of_kept_parts_have_a_reason():
+    """Guards against a failure that leaves no trace."""
+    replies = []
+    for status, body in ((200, b"{"), (429, b""), (None, b"")):
+        EngineClient(pool=EnginePool(status, body), instance="a").read_kept(
+            make_record(), lambda *reply: replies.append(reply)
+        )
+    assert [parts for parts, _reason in replies] == [None, None, None]
+    assert all(reason for _parts, reason in replies)
+
+
+def test_kept_parts_are_read_with_their_tokens():
+    """Guards the meaning of an entry of the list."""
+    replies = []
+    body = msgspec.json.encode({"epoch": 1, "next": 2, "held": [["", "ab", 40, "m"]]})
+    EngineClient(pool=EnginePool(200, body), instance="a").read_kept(
+        make_record(), lambda *reply: replies.append(reply)
+    )
+    ((parts, reason),) = replies
+    assert [(part.part_id, part.tokens) for part in parts] == [("ab", 40)]
+    assert reason == ""
