--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "PREFILL",
     "EngineView",
     "Plan",
     "choose_generator",
--- a/wagtailfront/forwarding/tests/test_stages.py
+++ b/wagtailfront/forwarding/tests/test_stages.py
@@ -11,7 +11,13 @@
 from wagtailfront.forwarding.stage_keeper import SUCCESSION_SECONDS, StageKeeper
 from wagtailfront.forwarding.stage_plan import plan_stages
 from wagtailfront.forwarding.tests.builders import LogLines, make_record
-from wagtailfront.stores.interfaces import Committed, ConditionFailed, Found, Missing
+from wagtailfront.stores.interfaces import (
+    Committed,
+    ConditionFailed,
+    Found,
+    Missing,
+    Row,
+)
 
 
 def make_engines(prefill, decode, data_centres=3):
@@ -65,8 +71,6 @@
         reply(Missing() if self.row is None else Found(row=self.row))
 
     def transact(self, *, puts, token, reply, checks=()):
-        from wagtailfront.stores.interfaces import Row
-
         self.calls += 1
         if puts[0].expected != self.version:
             reply(ConditionFailed())
--- a/wagtailfront/platform/tests/test_store.py
+++ b/wagtailfront/platform/tests/test_store.py
@@ -69,14 +69,14 @@
     for name in ("i-1", "i-2", "i-3"):
         register(pool, name)
     registry, reads = make_registry(pool)
-    pool.request, request = None, pool.request
+    answer = pool.request
 
-    def fail_second(**call):
+    def fail_second_call(**call):
         if len(pool.calls) == 1:
             pool.failures.append(503)
-        request(**call)
+        answer(**call)
 
-    pool.request = fail_second
+    pool.request = fail_second_call
     registry.read(reads.append)
     assert [(read.is_known, read.records) for read in reads] == [(False, None)]
     assert reads[0].reason == "status 503"
