Share client sockets between both pools and calls within the adapter

Cause: reading the whole change again. EndpointPool repeated HttpPool's way to open a socket and to name its error; the adapter collected whole answers in four places and worded failures in eight. StoreWatcher had a clock that nothing read, and EndpointState.pending_before had lost its last caller.

Change: transport/client_socket.py and platform/calls.py hold one copy each; the two leftovers are gone. A test that used pending_before for priorities up to 9 sums all pending tokens, which is the same; no other test changed.

Ruled out: one loop for reading and flushing, as one pool tells spoiled answers apart by id and the other speaks TLS.

--- a/wagtailfront/forwarding/endpoint_health.py
+++ b/wagtailfront/forwarding/endpoint_health.py
@@ -30,12 +30,6 @@
         """Count prompt tokens that wait; negative once they are read."""
         self.pending[priority] = self.pending.get(priority, 0) + tokens
 
-    def pending_before(self, priority):
-        """Return the waiting tokens of requests at least as urgent."""
-        return sum(
-            tokens for urgency, tokens in self.pending.items() if urgency <= priority
-        )
-
     def note_read(self, *, expected, took):
         """Note how long a read took, both in seconds."""
         # The expected time holds the present slowness already.
--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -1,9 +1,7 @@
 """Connections to endpoints, one request at a time on each."""
 
-import errno
 import logging
 import re
-import socket
 import time
 from collections import defaultdict, deque
 from typing import Protocol
@@ -18,6 +16,11 @@
     ResponseReader,
     find_header,
 )
+from wagtailfront.transport.client_socket import (
+    IN_PROGRESS,
+    new_client_socket,
+    socket_error,
+)
 from wagtailfront.transport.ticker import Ticker
 
 __all__ = ["EndpointPool", "Exchange", "ExchangeSink"]
@@ -31,7 +34,6 @@
 DEFAULT_IDLE = 4.0  # seconds of idle time where the endpoint states none
 IDLE_MARGIN = 0.8  # seconds before the endpoint's own limit
 MAX_IDLE = 16  # idle connections kept per endpoint
-IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -179,10 +181,7 @@
         return None
 
     def _open(self, record):
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock = new_client_socket(USER_TIMEOUT_MS)
         connection = _Connection(sock=sock, record=record)
         self.connections[sock] = connection
         self.on_connect()
@@ -211,9 +210,9 @@
 
     def _finish_connect(self, connection):
         sock = connection.sock
-        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self._fail(connection, f"connect: {errno.errorcode.get(code, code)}")
+        error = socket_error(sock)
+        if error:
+            self._fail(connection, f"connect: {error}")
             return False
         connection.is_open = True
         self.poller.addReader(self, sock)
@@ -317,9 +316,8 @@
         connection = self.connections.get(sock)
         if connection is None:
             return
-        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         phase = "reset" if connection.is_open else "connect"
-        self._fail(connection, f"{phase}: {errno.errorcode.get(code, code)}")
+        self._fail(connection, f"{phase}: {socket_error(sock)}")
 
     @handler("sweep")
     def _on_sweep(self):
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -1,7 +1,5 @@
 """Keeps up with one table of the platform's store."""
 
-import time
-
 from circuits import BaseComponent, handler
 
 __all__ = ["StoreWatcher", "StoreVersions"]
@@ -78,7 +76,6 @@
     min_gap : float, optional
         Seconds between an answer and the next watch, in which changes that
         come close together gather.
-    clock : callable, optional
     """
 
     channel = "store_watcher"
@@ -94,7 +91,6 @@
         timers,
         log,
         min_gap=0.0,
-        clock=time.monotonic,
     ):
         super().__init__()
         self.table = table
@@ -105,7 +101,6 @@
         self.timers = timers
         self.log = log
         self.min_gap = min_gap
-        self.clock = clock
         self.cursor = None
         self.is_reachable = None
         self.call_number = 0
--- a/wagtailfront/forwarding/tests/test_relays.py
+++ b/wagtailfront/forwarding/tests/test_relays.py
@@ -219,5 +219,5 @@
             state.outstanding for state in states
         )
         assert receiver.pending_before(endpoint, 9, now=0.0) == sum(
-            state.pending_before(9) for state in states
+            sum(state.pending.values()) for state in states
         )
--- a/wagtailfront/platform/engine_client.py
+++ b/wagtailfront/platform/engine_client.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from wagtailfront.forwarding.interfaces import PromptPart
+from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.headers import EXPECTED_ID
-from wagtailfront.transport.http_client import WholeResponse
 
 __all__ = ["EngineClient"]
 
@@ -44,9 +44,9 @@
     def read_kept(self, record, reply):
         """Ask which prompt parts an engine keeps."""
 
-        def take(status, headers, body):
+        def take(status, body):
             if status != 200:
-                reply(None, f"status {status}" if status else str(headers))
+                reply(None, describe_failure(status, body))
                 return
             try:
                 held = msgspec.json.decode(body, type=_KeptList).held
@@ -56,22 +56,22 @@
             parts = [PromptPart(part_id, tokens) for _, part_id, tokens, _ in held]
             reply(parts, "")
 
-        sink = WholeResponse(take)
-        sink.exchange = self.pool.request(
+        call(
+            self.pool,
+            take,
             host=record.host,
             port=record.port,
             method="GET",
             path=KEPT_PATH,
-            sink=sink,
             timeout=CALL_TIMEOUT,
         )
 
     def order_stage(self, record, stage, grant, may_send, reply):
         """Order an engine to change its stage."""
 
-        def take(status, headers, body):
-            reason = f"status {status}" if status else str(headers)
-            reply(status in TAKEN, "" if status in TAKEN else reason)
+        def take(status, body):
+            is_taken = status in TAKEN
+            reply(is_taken, "" if is_taken else describe_failure(status, body))
 
         order = {
             "op": "stage",
@@ -79,8 +79,9 @@
             "holder": self.instance,
             "fencing-token": grant.fencing,
         }
-        sink = WholeResponse(take)
-        sink.exchange = self.pool.request(
+        call(
+            self.pool,
+            take,
             host=record.host,
             port=record.port,
             method="POST",
@@ -90,7 +91,6 @@
                 (EXPECTED_ID.decode(), record.endpoint_id),
             ),
             body=msgspec.json.encode(order),
-            sink=sink,
             timeout=CALL_TIMEOUT,
             may_send=may_send,
         )
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -6,13 +6,13 @@
 import msgspec
 
 from wagtailfront.forwarding.interfaces import InstanceRow, RegistryRead, RoutingRead
+from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.rows import (
     StoreRows,
     read_registry,
     read_routing,
     read_rows,
 )
-from wagtailfront.transport.http_client import WholeResponse
 
 __all__ = ["StoreClient", "StoreMembership", "StoreRegistry", "StoreRouting"]
 
@@ -42,17 +42,13 @@
 
     def get(self, path, reply, *, timeout=CALL_TIMEOUT):
         """Send a GET; `reply` gets the status, or None, and the body."""
-        sink = WholeResponse(
-            lambda status, headers, body: reply(
-                status, headers if status is None else body
-            )
-        )
-        sink.exchange = self.pool.request(
+        call(
+            self.pool,
+            reply,
             host=self.host,
             port=self.port,
             method="GET",
             path=path,
-            sink=sink,
             timeout=timeout,
         )
 
@@ -69,19 +65,15 @@
         expect = [] if expected_ver is None else [{**row, "ver": expected_ver}]
         value = base64.b64encode(value).decode()
         body = {"expect": expect, "put": [{**row, "value": value}], "remove": []}
-        sink = WholeResponse(
-            lambda status, headers, answer: reply(
-                status, headers if status is None else answer
-            )
-        )
-        sink.exchange = self.pool.request(
+        call(
+            self.pool,
+            reply,
             host=self.host,
             port=self.port,
             method="POST",
             path="/api/rows-tx",
             headers=(("Content-Type", "application/json"),),
             body=msgspec.json.encode(body),
-            sink=sink,
             timeout=CALL_TIMEOUT,
         )
 
@@ -134,7 +126,7 @@
 def _read_page(status, body):
     """Return the StoreRows of an answer, or None, and a reason."""
     if status != 200:
-        return None, f"status {status}" if status else str(body)
+        return None, describe_failure(status, body)
     try:
         return read_rows(body), ""
     except ValueError as error:
@@ -238,7 +230,7 @@
 
         def take(status, body):
             if status != 200:
-                reason = f"status {status}" if status else str(body)
+                reason = describe_failure(status, body)
                 self.log.decision("announcement", outcome="failed", reason=reason)
             reply(status == 200)
 
--- a/wagtailfront/platform/store_table.py
+++ b/wagtailfront/platform/store_table.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from wagtailfront.platform.calls import describe_failure
 from wagtailfront.platform.rows import read_rows
 from wagtailfront.stores.interfaces import (
     Committed,
@@ -59,7 +60,7 @@
 
         def take(status, body):
             if status != 200:
-                reply(Unavailable(reason=f"status {status}" if status else str(body)))
+                reply(Unavailable(reason=describe_failure(status, body)))
                 return
             try:
                 rows = [row for row in read_rows(body).rows if row.key == key.sort]
@@ -104,9 +105,9 @@
                 reply(ConditionFailed())
             elif status in REFUSED:
                 self.vers[put.key] = (version, ver)
-                reply(Unavailable(reason=f"status {status}"))
+                reply(Unavailable(reason=describe_failure(status, body)))
             else:
-                reply(Unknown(reason=f"status {status}" if status else str(body)))
+                reply(Unknown(reason=describe_failure(status, body)))
 
         value = msgspec.msgpack.encode(_Value(put.expected + 1, put.value))
         self.client.put(TABLE, put.key.sort, value, take, expected_ver=ver)
--- /dev/null
+++ b/wagtailfront/transport/client_socket.py
@@ -0,0 +1,31 @@
+"""Sockets that connect without blocking."""
+
+import errno
+import socket
+
+__all__ = ["IN_PROGRESS", "new_client_socket", "socket_error"]
+
+# Results of a connect that goes on in the background.
+IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
+
+
+def new_client_socket(user_timeout_ms=None):
+    """Return a TCP socket that does not block.
+
+    Parameters
+    ----------
+    user_timeout_ms : int, optional
+        Milliseconds for which sent bytes may stay unacknowledged.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if user_timeout_ms is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+    return sock
+
+
+def socket_error(sock):
+    """Return the name of a socket's pending error, 0 without one."""
+    code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    return errno.errorcode.get(code, code)
--- a/wagtailfront/transport/http_client.py
+++ b/wagtailfront/transport/http_client.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 client connections driven by the circuits poller."""
 
-import errno
 import socket
 import ssl
 import time
@@ -10,6 +9,11 @@
 from circuits.core.pollers import BasePoller
 from circuits.core.utils import findcmp
 
+from wagtailfront.transport.client_socket import (
+    IN_PROGRESS,
+    new_client_socket,
+    socket_error,
+)
 from wagtailfront.transport.http_exchange import (
     Exchange,
     ResponseSink,
@@ -27,8 +31,6 @@
 IDLE_LIFETIME = 20.0  # seconds; shorter than the usual server keep-alive
 SWEEP_INTERVAL = 0.25  # seconds between checks for timed-out exchanges
 
-IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK, errno.EALREADY)
-
 
 class sweep(Event):
     """Look for exchanges that have timed out and for old idle connections."""
@@ -160,12 +162,7 @@
         return False
 
     def _open(self, exchange):
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.user_timeout_ms is not None:
-            option = socket.TCP_USER_TIMEOUT
-            sock.setsockopt(socket.IPPROTO_TCP, option, self.user_timeout_ms)
+        sock = new_client_socket(self.user_timeout_ms)
         exchange.sock = sock
         exchange.connect_deadline = time.monotonic() + self.connect_timeout
         result = sock.connect_ex(exchange.address)
@@ -190,9 +187,9 @@
 
     def _finish_connect(self, exchange):
         sock = exchange.sock
-        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            exchange.fail(f"connect failed: {errno.errorcode.get(code, code)}")
+        error = socket_error(sock)
+        if error:
+            exchange.fail(f"connect failed: {error}")
             return False
         if exchange.secure and not isinstance(sock, ssl.SSLSocket):
             sock = self._start_tls(exchange)
@@ -293,8 +290,7 @@
         if exchange is None:
             self._drop_idle(sock)
         elif not exchange.connected:
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            exchange.fail(f"connect failed: {errno.errorcode.get(code, code)}")
+            exchange.fail(f"connect failed: {socket_error(sock)}")
         else:
             exchange.fail("connection reset")
 
