Log which repeats are charged, and to which service requests are sent

The log had every send but neither its service nor whether it was charged to the repeat budget, so sends that are not charged could not be told from a budget that is too large. 'sent' now names the service, 'repeat' says charged or denied with what is spent, and sends_total counts prefills and runs by service. No logic changed.

--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -224,10 +224,13 @@
             kv_source=self.kv_source,
             resume_after=self.stream.last_event_id,
         )
+        kind = "prefill" if attempt.is_prefill else "run"
+        self.context.metrics.count("sends_total", service=self.service.name, kind=kind)
         self.log_decision(
             "sent",
-            "prefill" if attempt.is_prefill else "run",
+            kind,
             endpoint=record.endpoint_id,
+            service=self.service.name,
             outstanding=attempt.health.outstanding,
             unread=uncached_tokens,
             expected=round(expected, 4),
@@ -370,7 +373,12 @@
         )
 
     def _spend_repeat(self):
-        return self.context.budgets[self.service.name].spend(now=self.context.clock())
+        budget = self.context.budgets[self.service.name]
+        is_allowed = budget.spend(now=self.context.clock())
+        self.log_decision(
+            "repeat", "charged" if is_allowed else "denied", spent=len(budget.repeats)
+        )
+        return is_allowed
 
     def _repeat(self, attempt):
         self.may_have_run = True
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -24,6 +24,7 @@
     (Counter, "peer_bytes_total", "Bytes between instances.", ("direction",)),
     (Counter, "store_requests_total", "Requests to a store.", ("store", "result")),
     (Counter, "forwarded_total", "Ended forwarded requests.", ("service", "outcome")),
+    (Counter, "sends_total", "Requests sent to endpoints.", ("service", "kind")),
     (Counter, "endpoint_connections_total", "Connections opened to endpoints.", ()),
     (Gauge, "requests_in_progress", "Accepted requests in progress.", ()),
     (Gauge, "config_version", "Applied configuration version.", ()),
