Charge every send beyond a request's first to the repeat budget

Cause: the charge stood in three of the branches that lead to a further send. Not charged were a prefill after a prefill that was cut off or silent, a run after a refused prefill, and the second of two sends (prefill and run) after a refused run. The class of fault: a limit kept at its callers in place of at the one place that sends.

Now each request has a credit for its first run and its first accepted prefill, and ForwardTask._send makes no send without credit; a second split plan needs credit for both sends or is run unsplit. A send that failed before its first byte keeps its credit, as it reached nobody.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -6,6 +6,7 @@
 __all__ = ["PrefillAttempt", "RunAttempt", "end_to_end_headers"]
 
 MAX_BODY = 16 * 1024 * 1024  # bytes of a response that is buffered
+OK = 200
 MISDIRECTED = 421
 EVENT_STREAM = b"text/event-stream"
 BODILESS_METHODS = (b"GET", b"HEAD")
@@ -95,6 +96,10 @@
         first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
         return encode_head(first_line, headers) + request.body
 
+    def record_arrival(self):
+        """Use up the credit of a send that has reached the endpoint."""
+        raise NotImplementedError
+
     # ExchangeSink
 
     def on_head(self, status, headers):
@@ -114,12 +119,14 @@
             self.fail("response body too large")
 
     def on_failure(self, reason, sent):
+        if sent:
+            self.record_arrival()
         self.task.handle_failure(self, reason, sent)
 
     def fail(self, reason):
-        """Fail the attempt because of the response's content."""
+        """Fail the attempt although its connection is open."""
         self.exchange.cancel()
-        self.task.handle_failure(self, reason, True)
+        self.on_failure(reason, self.exchange.is_sent)
 
     def _record_progress(self):
         self.health.last_response_at = self.context.clock()
@@ -130,7 +137,11 @@
 
     is_prefill = True
 
+    def record_arrival(self):
+        self.task.credit.record_prefill(is_accepted=self.status == OK)
+
     def on_end(self):
+        self.record_arrival()
         self.task.handle_prefill(self)
 
 
@@ -163,6 +174,9 @@
         self._untrack(self.context.evidence.cancel)
         super().drop()
 
+    def record_arrival(self):
+        self.task.credit.record_run()
+
     def record_success(self):
         """Clear the crash evidence against the request."""
         self._untrack(self.context.evidence.complete)
@@ -183,7 +197,7 @@
             return False
         content_type = find_header(headers, b"content-type") or b""
         is_stream = content_type.lower().startswith(EVENT_STREAM)
-        if status == 200 and is_stream and self.is_trusted:
+        if status == OK and is_stream and self.is_trusted:
             self.splitter = EventSplitter()
         return True
 
@@ -201,9 +215,11 @@
             self.task.stream.forward_events(self, events)
 
     def on_end(self):
+        self.record_arrival()
         if self.splitter is None:
             self.task.handle_answer(self)
         elif self.splitter.has_partial_event:
-            self.fail("stream ended in the middle of an event")
+            reason = "stream ended in the middle of an event"
+            self.task.handle_failure(self, reason, True)
         else:
             self.task.stream.finish(self)
--- a/wagtailfront/forwarding/attempt_budget.py
+++ b/wagtailfront/forwarding/attempt_budget.py
@@ -12,11 +12,11 @@
     ----------
     share : float
         Repeated attempts per request that the service tolerates.
-    slack : float
-        Repeated attempts beyond `share` that this instance may make in a
-        window.
     window : float
         Length of the sliding window in seconds.
+    slack : float, optional
+        Repeated attempts beyond `share` that this instance may make in a
+        window.
 
     Notes
     -----
@@ -35,7 +35,7 @@
     True
     """
 
-    def __init__(self, *, share, slack, window):
+    def __init__(self, *, share, window, slack=0):
         self.share = share
         self.slack = slack
         self.window = window
@@ -46,18 +46,26 @@
         """Count a caller's request."""
         self.requests.append(now)
 
-    def spend(self, *, now):
-        """Spend one repeated attempt if the budget allows it.
+    def allowed(self, *, now):
+        """Return the repeated attempts allowed in the window up to now."""
+        _drop_until(self.requests, now - self.window)
+        return self.share * len(self.requests) + self.slack
+
+    def spend(self, count=1, *, now):
+        """Spend repeated attempts if the budget allows all of them.
 
         Returns
         -------
         bool
-            Whether the attempt may be made.
+            Whether the attempts may be made.
         """
-        for times in (self.requests, self.repeats):
-            while times and times[0] <= now - self.window:
-                times.popleft()
-        if len(self.repeats) + 1 > self.share * len(self.requests) + self.slack:
+        _drop_until(self.repeats, now - self.window)
+        if len(self.repeats) + count > self.allowed(now=now):
             return False
-        self.repeats.append(now)
+        self.repeats.extend([now] * count)
         return True
+
+
+def _drop_until(times, limit):
+    while times and times[0] <= limit:
+        times.popleft()
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -8,6 +8,7 @@
 )
 from wagtailfront.forwarding.endpoint_choice import EndpointChoice
 from wagtailfront.forwarding.interfaces import SendOptions
+from wagtailfront.forwarding.send_credit import SendCredit
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
 
@@ -74,6 +75,9 @@
         if fields.time_left is not None:
             time_left = min(time_left, fields.time_left)
         self.deadline = self.received + time_left
+        self.credit = SendCredit(
+            budget=context.budgets[service.name], clock=context.clock
+        )
         self.choice = EndpointChoice(
             context=context, service=service, route=route, fields=fields
         )
@@ -88,7 +92,7 @@
     def begin(self):
         """Start the deadline and send the request to a first endpoint."""
         self.after(self.deadline - self.received + DEADLINE_GRACE, self._expire)
-        self.context.budgets[self.service.name].record_request(now=self.received)
+        self.credit.budget.record_request(now=self.received)
         placement = self.context.evidence.place(
             self.fingerprint, endpoints=(), live=(), now=self.received
         )
@@ -169,10 +173,13 @@
 
     def _dispatch_model(self, views):
         may_split = self.stream.last_event_id is None and not self.runs
-        self.plan = plan = self.choice.plan(views, may_split=may_split)
+        plan = self.choice.plan(views, may_split=may_split)
         if plan is None:
             self._give_up("no engine can decode", RETRY_AFTER)
             return
+        if plan.prefill and not self.credit.reserve(self.credit.cost(is_split=True)):
+            plan = self.choice.plan(views, may_split=False)
+        self.plan = plan
         prefill_engine = plan.prefill or plan.decode
         if self.sends == 0 and not self._admit(plan, prefill_engine):
             return
@@ -207,6 +214,9 @@
         self._send(RunAttempt, record)
 
     def _send(self, attempt_type, record, uncached_tokens=0, expected=0.0):
+        if not self._reserve_send():
+            self._give_up("the repeat budget is spent", RETRY_AFTER)
+            return
         self.sends += 1
         attempt = attempt_type(
             task=self,
@@ -302,7 +312,7 @@
             self.handle_failure(
                 attempt, "response is unsigned, encoded or names no request", True
             )
-        elif status >= 500 and self.may_repeat() and self._spend_repeat():
+        elif status >= 500 and self.may_repeat() and self._reserve_send():
             self.context.health.record_error(attempt.record)
             self.log_decision("error", str(status), endpoint=attempt.record.endpoint_id)
             self._repeat(attempt)
@@ -333,7 +343,7 @@
             self.tried.add(record.incarnation)
         self.kv_source = None
         self.log_decision("shed", str(attempt.status), endpoint=record.endpoint_id)
-        if self.sends < MAX_SENDS and self._spend_repeat():
+        if self.sends < MAX_SENDS and self._reserve_send():
             self._dispatch()
         else:
             self._give_up("every endpoint tried is full", RETRY_AFTER)
@@ -354,7 +364,7 @@
         if sent and not attempt.is_prefill:
             if attempt.status == 0:
                 attempt.record_crash()
-            if self.may_repeat() and self._spend_repeat():
+            if self.may_repeat() and self._reserve_send():
                 self._repeat(attempt)
             else:
                 self.may_have_run = True
@@ -372,12 +382,13 @@
             and self.sends < MAX_SENDS
         )
 
-    def _spend_repeat(self):
-        budget = self.context.budgets[self.service.name]
-        is_allowed = budget.spend(now=self.context.clock())
-        self.log_decision(
-            "repeat", "charged" if is_allowed else "denied", spent=len(budget.repeats)
-        )
+    def _reserve_send(self):
+        """Return whether one more send may be made, and pay for it."""
+        if self.credit.sends:
+            return True
+        is_allowed = self.credit.reserve(1)
+        spent = len(self.credit.budget.repeats)
+        self.log_decision("repeat", "charged" if is_allowed else "denied", spent=spent)
         return is_allowed
 
     def _repeat(self, attempt):
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -54,8 +54,7 @@
             remaining = max(MIN_RECHECK_DELAY, last_response_at + timeout - now)
             self._check_after(remaining, attempt, timeout)
         elif attempt.is_prefill or task.may_repeat():
-            attempt.exchange.cancel()
-            task.handle_failure(attempt, "silent", attempt.exchange.is_sent)
+            attempt.fail("silent")
         else:
             endpoint = attempt.record.endpoint_id
             task.context.health.record_failure(attempt.record, now=now)
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders and fakes for the tests of forwarding."""
 
 import random
+from bisect import bisect_right
 from types import SimpleNamespace
 
 from wagtailfront.decisions.crash_evidence import CrashEvidence
@@ -26,6 +27,7 @@
 from wagtailfront.platform.headers import PlatformDialect
 
 REQUEST_ID = "r1"
+REPEAT_SHARE, REPEAT_WINDOW = 0.2, 10.0
 SAFE, UNSAFE, STREAMING = RequestKind.SAFE, RequestKind.UNSAFE, RequestKind.STREAMING
 
 
@@ -108,12 +110,14 @@
         self.sink = sink
         self.is_sent = True
         self.is_cancelled = False
+        self.status = None
 
     def cancel(self):
         self.is_cancelled = True
 
     def respond(self, status, headers, body=b""):
         """Respond with a complete response."""
+        self.status = status
         if self.sink.on_head(status, headers) and body:
             self.sink.on_data(body)
         self.sink.on_end()
@@ -139,6 +143,45 @@
         return self.exchanges[-1]
 
 
+def repeat_times(exchanges):
+    """Return when endpoints got arrivals beyond the first of each request.
+
+    The first prefill of a request that an engine accepts is not an arrival.
+    """
+    arrived, prefilled, times = set(), set(), []
+    for exchange in exchanges:
+        task = exchange.sink.task
+        is_accepted = exchange.sink.is_prefill and exchange.status == 200
+        if is_accepted and task not in prefilled:
+            prefilled.add(task)
+        elif exchange.is_sent:
+            if task in arrived:
+                times.append(exchange.sink.started)
+            arrived.add(task)
+    return times
+
+
+def largest_repeat_excess(repeats, requests, *, share, window):
+    """Return by how much repeats exceed a share of requests, at the most.
+
+    Parameters
+    ----------
+    repeats, requests : list of float
+        Times in seconds, in order.
+    share : float
+    window : float
+        Seconds of a window that ends at a repeat.
+    """
+
+    def count(times, end):
+        return bisect_right(times, end) - bisect_right(times, end - window)
+
+    return max(
+        (count(repeats, end) - share * count(requests, end) for end in repeats),
+        default=0.0,
+    )
+
+
 class FakeReply:
     """Records the response that a caller would get."""
 
@@ -212,7 +255,9 @@
             health=health,
             pool=self.pool,
             timers=self.timers,
-            budgets=AttemptBudgets(share=0.2, slack=slack, window=10.0),
+            budgets=AttemptBudgets(
+                share=REPEAT_SHARE, slack=slack, window=REPEAT_WINDOW
+            ),
             evidence=CrashEvidence(lifetime=60.0),
             prefix_caches=prefix_caches,
             load=FleetLoad(incarnation="i", health=health),
@@ -223,6 +268,7 @@
             rng=random.Random(1),
         )
         self.done = []
+        self.request_times = []
 
     def start(self, route, request=None, request_id=REQUEST_ID, **fields):
         """Start a request; return its task and reply."""
@@ -236,9 +282,19 @@
             context=self.context,
             on_done=self.done.append,
         )
+        self.request_times.append(self.timers.now)
         task.begin()
         return task, reply
 
+    def repeat_excess(self):
+        """Return by how much repeats in a window exceeded their share."""
+        return largest_repeat_excess(
+            repeat_times(self.pool.exchanges),
+            self.request_times,
+            share=REPEAT_SHARE,
+            window=REPEAT_WINDOW,
+        )
+
 
 def make_parts(subject, shared_tokens, own_tokens):
     """Return a prompt of a shared part and one of its own."""
