Divide the slack of the repeat budget among the instances

The class of fault: a limit of the fleet as a constant of a process.

An instance uses its part of one half: a process and those that replace it within a window use it up to twice. It earns the part over its first window, and has none while it does not know the fleet. Instances that are out of touch count until they have not announced themselves for 50 s, so a partition does not enlarge the parts.

--- a/wagtailfront/forwarding/attempt_budget.py
+++ b/wagtailfront/forwarding/attempt_budget.py
@@ -2,7 +2,12 @@
 
 from collections import deque
 
-__all__ = ["AttemptBudget"]
+__all__ = ["SLACK_IN_USE", "AttemptBudget"]
+
+
+# Part of the slack that instances use. An instance and the processes that
+# replace it within one window use it up to twice.
+SLACK_IN_USE = 0.5
 
 
 class AttemptBudget:
@@ -15,30 +20,40 @@
     window : float
         Length of the sliding window in seconds.
     slack : float, optional
-        Repeated attempts beyond `share` that this instance may make in a
-        window.
+        Repeated attempts beyond `share` that all instances together may make
+        in a window.
+    started : float, optional
+        When this process started.
+    count_instances : callable, optional
+        Returns the number of instances, or 0 while it is unknown.
 
     Notes
     -----
     The limit holds for all instances together. Each instance spends only
-    what its own requests in the window allow, so the sum stays below the
-    limit without communication between instances.
+    what its own requests in the window and its part of the slack allow, so
+    the sum stays below the limit without an agreement. A process earns its
+    part of the slack over its first window, so that instances that restart
+    again and again use no more than others.
 
     Examples
     --------
-    >>> budget = AttemptBudget(share=0.5, slack=1, window=10.0)
+    >>> budget = AttemptBudget(share=0.5, slack=4, window=10.0, started=-10.0)
     >>> for _ in range(2):
     ...     budget.record_request(now=0.0)
-    >>> [budget.spend(now=1.0) for _ in range(3)]
-    [True, True, False]
+    >>> [budget.spend(now=1.0) for _ in range(4)]
+    [True, True, True, False]
     >>> budget.spend(now=11.5)
     True
     """
 
-    def __init__(self, *, share, window, slack=0):
+    def __init__(
+        self, *, share, window, slack=0.0, started=0.0, count_instances=lambda: 1
+    ):
         self.share = share
-        self.slack = slack
         self.window = window
+        self.slack = slack
+        self.started = started
+        self.count_instances = count_instances
         self.requests = deque()
         self.repeats = deque()
 
@@ -49,7 +64,14 @@
     def allowed(self, *, now):
         """Return the repeated attempts allowed in the window up to now."""
         _drop_until(self.requests, now - self.window)
-        return self.share * len(self.requests) + self.slack
+        return self.share * len(self.requests) + self._own_slack(now)
+
+    def _own_slack(self, now):
+        instances = self.count_instances()
+        if not instances:
+            return 0.0
+        earned = min(1.0, (now - self.started) / self.window)
+        return SLACK_IN_USE * self.slack * earned / instances
 
     def spend(self, count=1, *, now):
         """Spend repeated attempts if the budget allows all of them.
--- a/wagtailfront/forwarding/fleet_load.py
+++ b/wagtailfront/forwarding/fleet_load.py
@@ -35,6 +35,12 @@
         Names this start of the instance.
     health : EndpointHealth
 
+    Attributes
+    ----------
+    instances : int
+        Instances of the fleet, this one included, and for a while also those
+        that are not heard of any more; 0 until the fleet is known.
+
     Notes
     -----
     A digest contains the state of endpoints, not increments, so a digest
@@ -57,6 +63,7 @@
     def __init__(self, *, incarnation, health):
         self.incarnation = incarnation
         self.health = health
+        self.instances = 0
         self.peers = {}
         self.outstanding_totals = Counter()
         self.pending_totals = {}
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -14,10 +14,16 @@
 
 
 class AttemptBudgets(defaultdict):
-    """Budget of repeats by service, created on first use."""
+    """Budget of repeats by service, created on first use.
 
-    def __init__(self, *, share, slack, window):
-        super().__init__(lambda: AttemptBudget(share=share, slack=slack, window=window))
+    Parameters
+    ----------
+    **limits
+        As of an AttemptBudget.
+    """
+
+    def __init__(self, **limits):
+        super().__init__(lambda: AttemptBudget(**limits))
 
 
 class PrefixCachesByService(dict):
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -156,6 +156,7 @@
             for address, time in seen.items()
             if now - time < INSTANCE_LIFETIME
         }
+        self.load.instances = len(self.last_seen) + 1
         if self.addresses != before:
             self.targets = relay_targets(self.addresses, self.row.address)
             self.log.decision(
--- a/wagtailfront/forwarding/send_credit.py
+++ b/wagtailfront/forwarding/send_credit.py
@@ -44,7 +44,7 @@
         self.is_prefilled = False
 
     def cost(self, *, is_split):
-        """Return the sends of a plan, with a separate prefill if `is_split`."""
+        """Return the sends to pay for; `is_split` for a separate prefill."""
         return 2 if is_split and self.is_prefilled else 1
 
     def reserve(self, sends):
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -293,6 +293,23 @@
     assert exchange.addresses == ("10.0.0.3:1",)
 
 
+def test_instances_that_lost_touch_still_count_for_a_while():
+    """Guards against larger parts of the repeat slack during a partition."""
+    store, timers = FakeMembership(), VirtualTimers()
+    exchange = make_exchange(store, timers)
+    assert exchange.load.instances == 0
+    store.rows = [
+        InstanceRow(name, f"10.0.0.{number}:1", number)
+        for number, name in enumerate("abcd", start=1)
+    ]
+    exchange._on_started(None)
+    timers.advance(1.0)
+    assert exchange.load.instances == 4
+    store.is_up = False
+    timers.advance(4 * INSTANCE_LIFETIME)
+    assert exchange.load.instances == 4
+
+
 def test_an_instance_announces_itself_until_the_store_accepts_it():
     """Guards against an instance unknown to its peers after an outage."""
     store, timers = FakeMembership(), VirtualTimers()
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -5,7 +5,15 @@
 from wagtailfront.observe.decision_log import standard_output_log
 from wagtailfront.observe.log import start_logging
 from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
-from wagtailfront.programs.settings import Address, Count, Name, Seconds, Share, run
+from wagtailfront.programs.settings import (
+    Address,
+    Count,
+    Name,
+    Rate,
+    Seconds,
+    Share,
+    run,
+)
 from wagtailfront.transport.supervisor import make_root
 
 __all__ = ["main", "forward"]
@@ -24,7 +32,7 @@
     registry_gap: Seconds = 0.3,
     prefill_share: Share = 0.0,
     repeat_share: Share = 0.2,
-    repeat_slack: Count = 2,
+    repeat_slack: Rate = 50.0,
     repeat_window: Seconds = 10.0,
     max_descriptors: Count = 4096,
 ):
@@ -56,8 +64,9 @@
         the first request arrives; 0 leaves all stages unchanged.
     repeat_share : Share
         Repeated attempts per request that all instances together may make.
-    repeat_slack : Count
-        Repeated attempts that this instance may make beyond the share.
+    repeat_slack : Rate
+        Repeated attempts in `repeat_window` that all instances together may
+        make beyond the share.
     repeat_window : Seconds
         Seconds over which repeated attempts are counted.
     max_descriptors : Count
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -69,7 +69,7 @@
     registry_gap: float
     prefill_share: float
     repeat_share: float
-    repeat_slack: int
+    repeat_slack: float
     repeat_window: float
     max_descriptors: int
 
@@ -120,6 +120,7 @@
     def _make_context(self):
         settings = self.settings
         health = EndpointHealth()
+        load = FleetLoad(incarnation=new_id(), health=health)
         return ForwardContext(
             data_centre=settings.data_centre,
             dialect=PlatformDialect(),
@@ -131,10 +132,12 @@
                 share=settings.repeat_share,
                 slack=settings.repeat_slack,
                 window=settings.repeat_window,
+                started=time.monotonic(),
+                count_instances=lambda: load.instances,
             ),
             evidence=CrashEvidence(lifetime=EVIDENCE_LIFETIME),
             prefix_caches=PrefixCachesByService(),
-            load=FleetLoad(incarnation=new_id(), health=health),
+            load=load,
             limits=AdmissionLimits(),
             log=self.log,
             metrics=self.metrics,
