Earn the minimum of retries over time, also after a restart

The minimum now starts at zero and is earned from the start of the instance. An instance in its first 5 s repeats only what its own requests earn.

--- a/wagtailfront/callers/dispatcher.py
+++ b/wagtailfront/callers/dispatcher.py
@@ -80,7 +80,7 @@
         self.instances = 1
         self.limits = WorkspaceLimits()
         self.draining = False
-        retries = RetryAllowance()
+        retries = RetryAllowance(started=clock())
         self.services = RequestServices(
             scheduler=scheduler,
             pool=pool,
--- a/wagtailfront/decisions/retry_budget.py
+++ b/wagtailfront/decisions/retry_budget.py
@@ -80,23 +80,30 @@
         add 68 per second to 970 requests per second, which is 7%.
     floor_burst : int, optional
         Retries that the minimum rate allows at once.
+    started : float, optional
+        When the instance started; it earns the burst from then on, so that
+        a restart does not renew it.
 
     Examples
     --------
-    >>> allowance = RetryAllowance(floor_burst=1)
-    >>> allowance.record_request()
-    >>> [allowance.spend(now=0.0) for _ in range(2)]
-    [True, False]
-    >>> allowance.spend(now=5.0)
-    True
+    >>> allowance = RetryAllowance(floor_burst=1, started=0.0)
+    >>> [allowance.spend(now=now) for now in (1.0, 5.0, 5.0)]
+    [False, True, False]
     """
 
-    def __init__(self, *, budget=None, floor_rate=FLOOR_RATE, floor_burst=FLOOR_BURST):
+    def __init__(
+        self,
+        *,
+        budget=None,
+        floor_rate=FLOOR_RATE,
+        floor_burst=FLOOR_BURST,
+        started=0.0,
+    ):
         self.budget = budget or RetryBudget()
         self.floor_rate = floor_rate
         self.floor_burst = floor_burst
-        self.floor = float(floor_burst)
-        self.filled_at = None
+        self.floor = 0.0
+        self.filled_at = started
 
     def record_request(self):
         """Count the first attempt at a request."""
@@ -104,9 +111,8 @@
 
     def available(self, *, now):
         """Return whether one more retry may be made."""
-        if self.filled_at is not None:
-            grown = self.floor + (now - self.filled_at) * self.floor_rate
-            self.floor = min(float(self.floor_burst), grown)
+        grown = self.floor + (now - self.filled_at) * self.floor_rate
+        self.floor = min(float(self.floor_burst), grown)
         self.filled_at = now
         return self.budget.available() or self.floor >= 1.0
 
--- a/wagtailfront/decisions/tests/test_retry_budget.py
+++ b/wagtailfront/decisions/tests/test_retry_budget.py
@@ -2,9 +2,16 @@
 
 import random
 
+import pytest
 from hypothesis import given, strategies as st
 
-from wagtailfront.decisions.retry_budget import RetryBudget, retry_delay
+from wagtailfront.decisions.retry_budget import (
+    FLOOR_BURST,
+    FLOOR_RATE,
+    RetryAllowance,
+    RetryBudget,
+    retry_delay,
+)
 
 
 @given(
@@ -45,3 +52,15 @@
     for _ in range(100):
         budget.record_request()
     assert budget.spend()
+
+
+@pytest.mark.parametrize("lifetime", [0.5, 2.0, 7.0, 60.0])
+def test_restarts_do_not_renew_the_minimum_of_retries(lifetime):
+    """Guards an outage against instances that restart again and again."""
+    seconds, made = 60.0, 0
+    starts = [number * lifetime for number in range(int(seconds / lifetime))]
+    for started in starts:
+        allowance = RetryAllowance(started=started)
+        for step in range(int(lifetime * 10)):
+            made += allowance.spend(now=started + step / 10)
+    assert made <= FLOOR_RATE * seconds + FLOOR_BURST
