Move the log of one request's decisions out of ForwardTask

RequestLog holds what each line needs, so attempts, the relay and the silence watch use it directly. No line of the log changes.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -106,7 +106,12 @@
         fields = self.context.dialect.read_response(status, headers)
         own_id = self.task.fields.request_id
         if fields.request_id is not None and fields.request_id != own_id:
-            self.task.log_foreign_response(self, fields.request_id)
+            self.task.log.decision(
+                "foreign",
+                "dropped",
+                endpoint=self.record.endpoint_id,
+                other=fields.request_id,
+            )
             return False
         self.status, self.headers, self.fields = status, headers, fields
         self._record_progress()
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -8,6 +8,7 @@
 )
 from wagtailfront.forwarding.endpoint_choice import EndpointChoice
 from wagtailfront.forwarding.interfaces import SendOptions
+from wagtailfront.forwarding.request_log import RequestLog
 from wagtailfront.forwarding.send_credit import SendCredit
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
@@ -53,7 +54,6 @@
         on_done,
         config_version=0,
     ):
-        self.config_version = config_version
         self.request = request
         self.fields = fields
         self.route = route
@@ -75,6 +75,13 @@
         if fields.time_left is not None:
             time_left = min(time_left, fields.time_left)
         self.deadline = self.received + time_left
+        self.log = RequestLog(
+            context=context,
+            request_id=fields.request_id,
+            route=route,
+            config_version=config_version,
+            received=self.received,
+        )
         self.credit = SendCredit(
             budget=context.budgets[service.name], clock=context.clock
         )
@@ -104,7 +111,7 @@
     def cancel(self):
         """End the task because the caller closed its connection."""
         if not self.is_done:
-            self.log_decision("cancelled", "the caller closed its connection")
+            self.log.decision("cancelled", "the caller closed its connection")
             self.end("cancelled")
 
     def end(self, outcome):
@@ -133,15 +140,15 @@
         `status`; any other gets a refusal, which states that it did not run.
         """
         if self.stream.is_started:
-            self.log_decision("cut", reason)
+            self.log.decision("cut", reason)
             self.reply.abort()
             self.end("cut")
         elif self.may_have_run or self._has_unanswered_run():
-            self.log_decision("failed", reason, status=status)
+            self.log.decision("failed", reason, status=status)
             self.reply.answer(status, [], b"")
             self.end("failed")
         else:
-            self.log_decision("refused", reason, retry_after=retry_after)
+            self.log.decision("refused", reason, retry_after=retry_after)
             headers = self.context.dialect.refusal_headers(retry_after)
             self.reply.answer(UNAVAILABLE, headers, b"")
             self.end("refused")
@@ -169,7 +176,7 @@
         elif self.service.is_model:
             self._dispatch_model(views)
         else:
-            self._run(self.choice.least_loaded(views))
+            self._send(RunAttempt, self.choice.least_loaded(views))
 
     def _dispatch_model(self, views):
         may_split = self.stream.last_event_id is None and not self.runs
@@ -197,22 +204,19 @@
         time_left = self.deadline - self.context.clock()
         admission = self.choice.admit(plan, time_left=time_left)
         if not admission.is_admitted:
-            self.log_decision(
+            self.log.decision(
                 "not_admitted",
                 "its first event would be too late",
                 expected=round(plan.expected, 3),
                 endpoint=prefill_engine.endpoint_id,
                 unread=plan.uncached_tokens,
                 peers=len(self.context.load.peers),
-                **self._input_ages(),
+                **self.log.input_ages(),
             )
             reason = f"a first event is expected after {plan.expected:.2f} s"
             self._give_up(reason, admission.retry_after)
         return admission.is_admitted
 
-    def _run(self, record):
-        self._send(RunAttempt, record)
-
     def _send(self, attempt_type, record, uncached_tokens=0, expected=0.0):
         if not self._reserve_send():
             self._give_up("the repeat budget is spent", RETRY_AFTER)
@@ -236,7 +240,7 @@
         )
         kind = "prefill" if attempt.is_prefill else "run"
         self.context.metrics.count("sends_total", service=self.service.name, kind=kind)
-        self.log_decision(
+        self.log.decision(
             "sent",
             kind,
             endpoint=record.endpoint_id,
@@ -245,7 +249,7 @@
             unread=uncached_tokens,
             expected=round(expected, 4),
             attempt=self.sends,
-            **self._input_ages(),
+            **self.log.input_ages(),
         )
         attempt.launch(options)
         self.silence.watch(attempt)
@@ -265,12 +269,6 @@
 
     # Reports of attempts
 
-    def log_foreign_response(self, attempt, request_id):
-        """Log a response to another request, which is dropped."""
-        self.log_decision(
-            "foreign", "dropped", endpoint=attempt.record.endpoint_id, other=request_id
-        )
-
     def handle_prefill(self, attempt):
         """Run the request after its prefill has been answered."""
         now = self.context.clock()
@@ -281,20 +279,20 @@
         except ValueError as error:
             self.context.health.record_shed(record, now=now)
             self.tried.add(record.incarnation)
-            self.log_decision("prefill_failed", str(error), endpoint=record.endpoint_id)
+            self.log.decision("prefill_failed", str(error), endpoint=record.endpoint_id)
         else:
             latency = now - attempt.started
             attempt.health.record_prefill_time(expected=attempt.expected, took=latency)
             self.context.health.record_success(record, now=now)
             if self.context.directory.is_current(self.plan.decode):
                 self.choice.record_cached_prompt(self.plan.decode)
-                self._run(self.plan.decode)
+                self._send(RunAttempt, self.plan.decode)
                 return
         views = self.choice.views(without=self.tried, stages=DECODE_STAGES)
         if not views or self.sends >= MAX_SENDS:
             self._give_up("no engine can decode", RETRY_AFTER)
         else:
-            self._run(self.choice.least_loaded(views))
+            self._send(RunAttempt, self.choice.least_loaded(views))
 
     def _read_handle(self, attempt):
         if attempt.status != 200:
@@ -314,7 +312,7 @@
             )
         elif status >= 500 and self.may_repeat() and self._reserve_send():
             self.context.health.record_error(attempt.record)
-            self.log_decision("error", str(status), endpoint=attempt.record.endpoint_id)
+            self.log.decision("error", str(status), endpoint=attempt.record.endpoint_id)
             self._repeat(attempt)
         else:
             self._forward_answer(attempt)
@@ -326,7 +324,7 @@
         else:
             self.context.health.record_success(attempt.record, now=now)
             attempt.record_success()
-        self.log_decision(
+        self.log.decision(
             "answered", str(attempt.status), endpoint=attempt.record.endpoint_id
         )
         self.reply.answer(
@@ -342,7 +340,7 @@
         if self.kv_source is None:
             self.tried.add(record.incarnation)
         self.kv_source = None
-        self.log_decision("shed", str(attempt.status), endpoint=record.endpoint_id)
+        self.log.decision("shed", str(attempt.status), endpoint=record.endpoint_id)
         if self.sends < MAX_SENDS and self._reserve_send():
             self._dispatch()
         else:
@@ -354,7 +352,7 @@
             return
         record = attempt.record
         pause = self.context.health.record_failure(record, now=self.context.clock())
-        self.log_decision(
+        self.log.decision(
             "attempt_failed",
             reason,
             endpoint=record.endpoint_id,
@@ -388,7 +386,7 @@
             return True
         is_allowed = self.credit.reserve(1)
         spent = len(self.credit.budget.repeats)
-        self.log_decision("repeat", "charged" if is_allowed else "denied", spent=spent)
+        self.log.decision("repeat", "charged" if is_allowed else "denied", spent=spent)
         return is_allowed
 
     def _repeat(self, attempt):
@@ -398,22 +396,3 @@
         self.tried.add(attempt.record.incarnation)
         self._drop_attempt()
         self._dispatch()
-
-    # Log
-
-    def _input_ages(self):
-        """Return the configuration version and registry age, for the log."""
-        read_at = self.context.directory.read_at
-        age = None if read_at is None else round(self.context.clock() - read_at, 3)
-        return {"config": self.config_version, "registry_age": age}
-
-    def log_decision(self, kind, outcome, **inputs):
-        """Log a decision on this request with its inputs."""
-        self.context.log.decision(
-            kind,
-            request=self.fields.request_id,
-            outcome=outcome,
-            route=self.route.name,
-            age=round(self.context.clock() - self.received, 4),
-            **inputs,
-        )
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -58,4 +58,4 @@
         else:
             endpoint = attempt.record.endpoint_id
             task.context.health.record_failure(attempt.record, now=now)
-            task.log_decision("silent", "not repeatable", endpoint=endpoint)
+            task.log.decision("silent", "not repeatable", endpoint=endpoint)
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -39,7 +39,7 @@
         if not self.is_started:
             self._start(attempt)
         attempt.record_success()
-        self.task.log_decision(
+        self.task.log.decision(
             "answered", "stream", endpoint=attempt.record.endpoint_id
         )
         self.task.reply.finish()
@@ -58,7 +58,7 @@
         context.metrics.observe(
             "first_event_seconds", now - task.received, service=task.service.name
         )
-        task.log_decision(
+        task.log.decision(
             "first_event", "passed on", endpoint=attempt.record.endpoint_id
         )
         task.reply.start(attempt.status, end_to_end_headers(attempt.headers))
