Refuse requests with a prompt part that crashes engines

Cause: evidence of crashes was kept for whole requests only, and these are never alike. The class of fault: a breaker whose key is too narrow for the cause.

CrashingParts keeps crashes by shared part. A part is refused after three crashes in a row without an answer. Crashes at one moment count once; parts that were answered before are not suspected beside unknown ones; of parts in the same crashes the last is refused; an engine that responds after its presumed crash withdraws it, so crashes count after half a second. Instances exchange crashes, answers and withdrawals, and list refused parts each second, so instances that start or were out of touch have them within a second or two. Requests are refused at once, also between their prefill and their run.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -45,6 +45,7 @@
         self.started = self.context.clock()
         self.exchange = None
         self.is_dropped = False
+        self.is_connection_lost = False
         self.status = 0
         self.headers = []
         self.fields = None
@@ -66,6 +67,11 @@
         """Return whether the endpoint states that the request did not run."""
         return self.fields.is_not_run or self.status == MISDIRECTED
 
+    @property
+    def may_have_run(self):
+        """Return whether the endpoint may have begun to run the request."""
+        return not self.is_prefill and self.exchange.is_sent
+
     def launch(self, options):
         """Send the request with `options`, a SendOptions."""
         self.health.outstanding += 1
@@ -115,6 +121,9 @@
             return False
         self.status, self.headers, self.fields = status, headers, fields
         self._record_progress()
+        self.context.crashing_parts.record_response(
+            self.record.incarnation, sent=self.started, now=self.context.clock()
+        )
         return True
 
     def on_data(self, data):
@@ -124,14 +133,18 @@
             self.fail("response body too large")
 
     def on_failure(self, reason, sent):
-        if sent:
-            self.record_arrival()
-        self.task.handle_failure(self, reason, sent)
+        self.is_connection_lost = True
+        self._report_failure(reason, sent)
 
     def fail(self, reason):
         """Fail the attempt although its connection is open."""
         self.exchange.cancel()
-        self.on_failure(reason, self.exchange.is_sent)
+        self._report_failure(reason, self.exchange.is_sent)
+
+    def _report_failure(self, reason, sent):
+        if sent:
+            self.record_arrival()
+        self.task.handle_failure(self, reason, sent)
 
     def _record_progress(self):
         self.health.last_response_at = self.context.clock()
@@ -142,6 +155,18 @@
 
     is_prefill = True
 
+    def read_handle(self):
+        """Return the KV source in the response.
+
+        Raises
+        ------
+        ValueError
+            If the engine did not prefill the prompt.
+        """
+        if self.status != OK:
+            raise ValueError(f"status {self.status}")
+        return self.context.dialect.read_handle(self.record.address, self.body)
+
     def record_arrival(self):
         self.task.credit.record_prefill(is_accepted=self.status == OK)
 
@@ -157,6 +182,7 @@
         super().__init__(**options)
         self.splitter = None
         self.is_tracked = False
+        self.has_answered = False
 
     @property
     def is_trusted(self):
@@ -187,10 +213,22 @@
         self._untrack(self.context.evidence.complete)
 
     def record_crash(self):
-        """Record that the endpoint failed before it sent a response head."""
-        self.is_tracked = False
-        crash = self.record.incarnation
-        self.context.evidence.record_crash(self.label, crash, now=self.context.clock())
+        """Record that the endpoint failed before its answer began."""
+        now, incarnation = self.context.clock(), self.record.incarnation
+        if self.status == 0:
+            self.is_tracked = False
+            self.context.evidence.record_crash(self.label, incarnation, now=now)
+        if self.is_connection_lost and not self.has_answered:
+            self.context.crashing_parts.record_crash(
+                self.task.fields.shared_parts, incarnation, sent=self.started, now=now
+            )
+
+    def record_answer(self):
+        """Record that the endpoint has begun to answer the request."""
+        if not self.has_answered:
+            self.has_answered = True
+            parts = self.task.fields.shared_parts
+            self.context.crashing_parts.record_answer(parts, now=self.context.clock())
 
     def _untrack(self, end):
         if self.is_tracked:
@@ -217,6 +255,7 @@
             return
         self._record_progress()
         if events:
+            self.record_answer()
             self.task.stream.forward_events(self, events)
 
     def on_end(self):
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -16,6 +16,7 @@
     timers: Any
     budgets: Any
     evidence: Any
+    crashing_parts: Any
     prefix_caches: Any
     load: Any
     limits: Any
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -105,7 +105,7 @@
         )
         if placement.decision is Decision.REFUSE:
             self._give_up("it crashed endpoints that ran it", POISON_RETRY_AFTER)
-        else:
+        elif not self._give_up_on_crashing_part():
             self._dispatch()
 
     def cancel(self):
@@ -143,7 +143,7 @@
             self.log.decision("cut", reason)
             self.reply.abort()
             self.end("cut")
-        elif self.may_have_run or self._has_unanswered_run():
+        elif self.may_have_run or (self.attempt and self.attempt.may_have_run):
             self.log.decision("failed", reason, status=status)
             self.reply.answer(status, [], b"")
             self.end("failed")
@@ -153,13 +153,6 @@
             self.reply.answer(UNAVAILABLE, headers, b"")
             self.end("refused")
 
-    def _has_unanswered_run(self):
-        """Return whether a run was sent that the endpoint has not answered."""
-        attempt = self.attempt
-        return (
-            attempt is not None and not attempt.is_prefill and attempt.exchange.is_sent
-        )
-
     # Sending
 
     def _dispatch(self):
@@ -217,7 +210,19 @@
             self._give_up(reason, admission.retry_after)
         return admission.is_admitted
 
+    def _give_up_on_crashing_part(self):
+        """End the request if a part of its prompt crashes engines."""
+        part = self.context.crashing_parts.find_refused(
+            self.fields.shared_parts, now=self.context.clock()
+        )
+        if part is not None:
+            reason = f"part {part} of its prompt crashes engines"
+            self._give_up(reason, POISON_RETRY_AFTER)
+        return part is not None
+
     def _send(self, attempt_type, record, uncached_tokens=0, expected=0.0):
+        if self._give_up_on_crashing_part():
+            return
         if not self._reserve_send():
             self._give_up("the repeat budget is spent", RETRY_AFTER)
             return
@@ -275,7 +280,7 @@
         record = attempt.record
         self._drop_attempt()
         try:
-            self.kv_source = self._read_handle(attempt)
+            self.kv_source = attempt.read_handle()
         except ValueError as error:
             self.context.health.record_shed(record, now=now)
             self.tried.add(record.incarnation)
@@ -294,11 +299,6 @@
         else:
             self._send(RunAttempt, self.choice.least_loaded(views))
 
-    def _read_handle(self, attempt):
-        if attempt.status != 200:
-            raise ValueError(f"status {attempt.status}")
-        return self.context.dialect.read_handle(attempt.record.address, attempt.body)
-
     def handle_answer(self, attempt):
         """Handle a complete response that is not a stream."""
         status = attempt.status
@@ -360,8 +360,7 @@
             pause=pause,
         )
         if sent and not attempt.is_prefill:
-            if attempt.status == 0:
-                attempt.record_crash()
+            attempt.record_crash()
             if self.may_repeat() and self._reserve_send():
                 self._repeat(attempt)
             else:
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -53,6 +53,11 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
 
+    @property
+    def shared_parts(self):
+        """Return the ids of the parts that other requests may share."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
 
 class SendOptions(NamedTuple):
     """Properties that an instance adds to a request to an endpoint.
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -10,6 +10,7 @@
 from wagtailfront.membership.messages import (
     CrashReport,
     PlacementDigest,
+    PromptPartReport,
     RelayedReports,
 )
 from wagtailfront.membership.peer_bus import peer_broadcast, peers_changed
@@ -51,6 +52,7 @@
     load : FleetLoad
     prefix_caches : PrefixCachesByService
     evidence : CrashEvidence
+    crashing_parts : CrashingParts
     versions : StoreVersions
     pace : FleetPace
     find_service : callable
@@ -76,6 +78,7 @@
         load,
         prefix_caches,
         evidence,
+        crashing_parts,
         versions,
         pace,
         find_service,
@@ -89,6 +92,7 @@
         self.load = load
         self.prefix_caches = prefix_caches
         self.evidence = evidence
+        self.crashing_parts = crashing_parts
         self.versions = versions
         self.pace = pace
         self.find_service = find_service
@@ -177,6 +181,7 @@
             return
         is_relayed = bool(self.targets.others)
         self.send_due = now + (RELAYED_SEND_INTERVAL if is_relayed else SEND_INTERVAL)
+        self._update_crashing_parts(now)
         reports = self._own_reports(now)
         for report in reports:
             self._send(self.targets.group, report)
@@ -203,8 +208,22 @@
         items = self._own_evidence(now, repeat=full)
         if items:
             reports.append(CrashReport(incarnation=self.load.incarnation, items=items))
+        part_report = self.crashing_parts.make_report(now=now, full=full)
+        if part_report is not None:
+            reports.append(
+                PromptPartReport(incarnation=self.load.incarnation, report=part_report)
+            )
         return reports
 
+    def _update_crashing_parts(self, now):
+        for change in self.crashing_parts.update(now=now):
+            self.log.decision(
+                "prompt_part",
+                outcome="refused" if change.is_refused else "allowed",
+                part=change.part,
+                crashes=change.crashes,
+            )
+
     def _own_evidence(self, now, *, repeat):
         """Return evidence found by this instance that is still to be sent."""
         items = {_evidence_key(item): item for item in self.evidence.report(now=now)}
@@ -231,7 +250,7 @@
         if isinstance(message, RelayedReports):
             for report in message.reports:
                 self._handle_report(report, now)
-        elif isinstance(message, PlacementDigest | CrashReport):
+        elif isinstance(message, PlacementDigest | CrashReport | PromptPartReport):
             self._handle_report(message, now)
             if self.targets.others:
                 self.to_relay.append(message)
@@ -244,6 +263,9 @@
             for item in report.items:
                 self.evidence_sends[_evidence_key(item)] = EVIDENCE_SENDS
             return
+        if isinstance(report, PromptPartReport):
+            self.crashing_parts.merge(report.incarnation, report.report, now=now)
+            return
         self.load.merge(report, now=now)
         self.versions.handle_peer_versions(report.versions)
         for prompt in report.prompts:
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from wagtailfront.decisions.crash_evidence import CrashEvidence
+from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.admission import AdmissionLimits
 from wagtailfront.forwarding.attempt_budget import SLACK_IN_USE
 from wagtailfront.forwarding.endpoint_directory import (
@@ -241,9 +242,10 @@
     is_model : bool, optional
     slack : float, optional
         Repeated attempts that the instance may make beyond the share.
+    crashing_parts : CrashingParts, optional
     """
 
-    def __init__(self, records, *, is_model=False, slack=2):
+    def __init__(self, records, *, is_model=False, slack=2, crashing_parts=None):
         self.timers = VirtualTimers()
         self.pool = FakePool()
         self.log = LogLines()
@@ -266,6 +268,7 @@
                 window=REPEAT_WINDOW,
             ),
             evidence=CrashEvidence(lifetime=60.0),
+            crashing_parts=crashing_parts or CrashingParts(source="i"),
             prefix_caches=prefix_caches,
             load=FleetLoad(incarnation="i", health=health),
             limits=AdmissionLimits(),
--- /dev/null
+++ b/wagtailfront/forwarding/tests/test_crashing_parts.py
@@ -0,0 +1,110 @@
+"""Tests of requests with a prompt part that crashes engines."""
+
+import pytest
+
+from wagtailfront.decisions.crashing_parts import CrashingParts
+from wagtailfront.forwarding.interfaces import PromptPart
+from wagtailfront.forwarding.tests.builders import (
+    STREAMING,
+    Scene,
+    make_record,
+    make_request,
+    make_route,
+)
+from wagtailfront.platform.tests.wire import EVENT_STREAM, HANDLE
+
+ENGINES = [make_record(f"d{number}", stage="decode") for number in range(8)]
+SPLIT = [make_record("p0", stage="prefill"), make_record("d0", stage="decode")]
+ROUTE = make_route(STREAMING)
+
+
+def start(scene, number, *shared):
+    """Start a request with these shared parts that is like no other."""
+    own = PromptPart(f"own-{number}", 100 + number)
+    return scene.start(
+        ROUTE,
+        make_request(body=b"%d" % number),
+        prompt_tokens=2000,
+        parts=(*(PromptPart(part, 1000) for part in shared), own),
+    )
+
+
+def crash_engines(scene, count, *shared):
+    """Let engines crash that run requests with these shared parts."""
+    for number in range(count):
+        start(scene, number, *shared)
+        scene.timers.advance(0.1)
+        scene.pool.last.fail("closed by the endpoint")
+    scene.timers.advance(1.0)
+    scene.context.crashing_parts.update(now=scene.timers.now)
+
+
+def taint(parts, part, *, now):
+    """Record crashes in a row of requests with a part."""
+    for number in range(3):
+        sent = now - 6.0 + 2 * number
+        parts.record_crash((part,), f"e{number}", sent=sent, now=sent + 0.5)
+    parts.update(now=now)
+
+
+def refuse_part(part):
+    """Return evidence by which a part is refused."""
+    parts = CrashingParts(source="i")
+    taint(parts, part, now=90.0)
+    return parts
+
+
+def test_requests_with_a_part_that_crashed_three_engines_reach_no_other():
+    """Guards engines against requests that share only one part."""
+    scene = Scene(ENGINES, is_model=True)
+    crash_engines(scene, 3, "sound", "deadly")
+    _task, reply = start(scene, 9, "sound", "deadly")
+    assert len(scene.pool.exchanges) == 3
+    assert reply.status == 503
+    assert float(reply.header(b"Retry-After")) > 0
+
+
+def test_a_sound_request_with_the_same_first_part_is_sent_at_once():
+    """Guards requests that share all but the crashing part."""
+    scene = Scene(ENGINES, is_model=True)
+    crash_engines(scene, 3, "sound", "deadly")
+    _task, reply = start(scene, 9, "sound")
+    run = scene.pool.last
+    run.respond(200, EVENT_STREAM, b"id: 1\ndata: x\n\n")
+    assert len(scene.pool.exchanges) == 4
+    assert reply.is_complete
+
+
+def test_a_request_is_not_run_if_its_part_is_refused_during_prefill():
+    """Guards the engine that would decode."""
+    scene = Scene(SPLIT, is_model=True)
+    parts = scene.context.crashing_parts
+    _task, reply = scene.start(
+        ROUTE,
+        prompt_tokens=20_000,
+        parts=(PromptPart("deadly", 19_000), PromptPart("own", 1000)),
+    )
+    taint(parts, "deadly", now=scene.timers.now)
+    scene.pool.last.respond(200, [], HANDLE)
+    assert len(scene.pool.exchanges) == 1
+    assert reply.status == 503
+
+
+@pytest.mark.parametrize("answer", [b"id: 1\ndata: x\n\n", b""])
+def test_an_engine_that_crashes_later_in_an_answer_is_no_evidence(answer):
+    """Guards parts of streams that had begun when their engine crashed."""
+    scene = Scene(ENGINES, is_model=True)
+    start(scene, 0, "part")
+    run = scene.pool.last
+    run.sink.on_head(200, EVENT_STREAM)
+    if answer:
+        run.sink.on_data(answer)
+    run.fail("closed by the endpoint")
+    assert scene.context.crashing_parts.count_crashes("part") == (0 if answer else 1)
+
+
+def test_the_last_part_of_a_prompt_is_no_evidence():
+    """Guards a request's own part, which no other request has."""
+    scene = Scene(ENGINES, is_model=True, crashing_parts=refuse_part("own-1"))
+    start(scene, 1, "sound")
+    assert len(scene.pool.exchanges) == 1
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -7,6 +7,7 @@
 from hypothesis import given, strategies as st
 
 from wagtailfront.decisions.crash_evidence import CrashEvidence
+from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
@@ -266,6 +267,7 @@
         load=FleetLoad(incarnation="a", health=EndpointHealth()),
         prefix_caches=PrefixCachesByService(),
         evidence=CrashEvidence(),
+        crashing_parts=CrashingParts(source="a"),
         versions=make_versions(),
         pace=make_pace(),
         find_service=lambda endpoint: None,
--- a/wagtailfront/forwarding/tests/test_relays.py
+++ b/wagtailfront/forwarding/tests/test_relays.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings, strategies as st
 
 from wagtailfront.decisions.crash_evidence import CrashEvidence
+from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.fleet_pace import FleetPace
@@ -62,6 +63,7 @@
             load=load,
             prefix_caches=PrefixCachesByService(),
             evidence=CrashEvidence(),
+            crashing_parts=CrashingParts(source=name),
             versions=StoreVersions(tables=("routing",)),
             pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
             find_service=lambda endpoint: None,
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -6,6 +6,7 @@
 
 from wagtailfront.authority.config_log import LogEntry
 from wagtailfront.decisions.crash_evidence import ReportItem
+from wagtailfront.decisions.crashing_parts import PartReport
 from wagtailfront.exception import ProtocolError
 
 __all__ = [
@@ -16,6 +17,7 @@
     "ConfigFetch",
     "ConfigCopy",
     "CrashReport",
+    "PromptPartReport",
     "SlowHint",
     "EngineLoad",
     "LoadDigest",
@@ -116,6 +118,13 @@
     items: Annotated[tuple[ReportItem, ...], msgspec.Meta(max_length=512)]
 
 
+class PromptPartReport(MessageBase):
+    """The sender's evidence on parts that may crash engines."""
+
+    incarnation: Text
+    report: PartReport
+
+
 class SlowHint(MessageBase):
     """Endpoints that were slow for the sender's own requests."""
 
@@ -191,7 +200,8 @@
     """Reports of several instances, relayed by one that received them."""
 
     reports: Annotated[
-        tuple[PlacementDigest | CrashReport, ...], msgspec.Meta(max_length=128)
+        tuple[PlacementDigest | CrashReport | PromptPartReport, ...],
+        msgspec.Meta(max_length=128),
     ]
 
 
@@ -209,6 +219,7 @@
     | ConfigFetch
     | ConfigCopy
     | CrashReport
+    | PromptPartReport
     | SlowHint
     | LoadDigest
     | PlacementDigest
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from wagtailfront.decisions.crash_evidence import CrashEvidence
+from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.admission import AdmissionLimits
 from wagtailfront.forwarding.cache_inquiry import CacheInquiry
 from wagtailfront.forwarding.caller_server import ForwardServer
@@ -136,6 +137,7 @@
                 count_instances=lambda: load.instances,
             ),
             evidence=CrashEvidence(lifetime=EVIDENCE_LIFETIME),
+            crashing_parts=CrashingParts(source=load.incarnation),
             prefix_caches=PrefixCachesByService(),
             load=load,
             limits=AdmissionLimits(),
@@ -202,6 +204,7 @@
             load=context.load,
             prefix_caches=context.prefix_caches,
             evidence=context.evidence,
+            crashing_parts=context.crashing_parts,
             versions=self.versions,
             pace=self.pace,
             find_service=self.directory.find_service,
