Refuse a part that no engine ever answered after four engines

A part that was never answered is now also refused once four engines crashed with it, at whatever time. Ruled out: a shorter confirmation, as resets then refuse sound parts.

--- a/wagtailfront/decisions/crashing_parts.py
+++ b/wagtailfront/decisions/crashing_parts.py
@@ -16,6 +16,9 @@
 # Crashes in a row, each of a request sent after the one before, from which a
 # part is refused. Engines that crash at the same moment count once.
 MIN_CRASHES = 3
+# Engines from which a part that was never answered is refused, even if they
+# crashed at the same moment.
+MIN_ENGINES = 4
 LIFETIME = 600.0  # seconds for which a crash counts and a part is refused
 # Seconds by which reports of another instance may arrive late.
 REPORT_DELAY = 0.3
@@ -110,7 +113,9 @@
     not the cause. A part is refused after `MIN_CRASHES` crashes in a row
     without an answer to any request with it. Attempts that were sent before
     the crash that was counted last do not count, since many engines may
-    crash at the same moment for another reason.
+    crash at the same moment for another reason. A part that was never
+    answered is refused after crashes of `MIN_ENGINES` engines, in a row or
+    not: few sound parts are on as many engines before their first answer.
 
     A prompt with a crashing part usually begins with parts that are sound.
     Parts that were answered before are suspected only if all parts of a
@@ -244,11 +249,16 @@
         """Refuse a part with enough crashes."""
         confirmed_at = now - CONFIRMATION_DELAY
         crashes = [c for c in self._crashes_of(part) if c.at <= confirmed_at]
-        count = self._count_in_a_row(crashes)
-        if part in self.refused or count < MIN_CRASHES:
+        if part in self.refused or not self._is_enough(part, crashes):
             return
         if not self._is_explained(part, crashes):
-            self._refuse(part, now, count)
+            self._refuse(part, now, len(crashes))
+
+    def _is_enough(self, part, crashes):
+        if self._count_in_a_row(crashes) >= MIN_CRASHES:
+            return True
+        engines = {crash.engine for crash in crashes}
+        return part not in self.answered and len(engines) >= MIN_ENGINES
 
     def _refuse(self, part, since, count):
         self.refused[part] = since
--- a/wagtailfront/decisions/tests/test_crashing_parts.py
+++ b/wagtailfront/decisions/tests/test_crashing_parts.py
@@ -114,6 +114,18 @@
     assert parts.find_refused(("third",), now=5.0) == "third"
 
 
+@pytest.mark.parametrize("was_answered", [False, True])
+def test_a_part_that_crashes_all_engines_at_once_is_refused(was_answered):
+    """Guards engines that are back at the same moment after such crashes."""
+    parts = CrashingParts(source="a")
+    if was_answered:
+        parts.record_answer(("p",), now=0.0)
+    for number in range(5):
+        parts.record_crash(("p",), f"e{number}", sent=1.0, now=1.5)
+    parts.update(now=2.5)
+    assert parts.find_refused(("p",), now=2.5) == (None if was_answered else "p")
+
+
 def test_a_refusal_expires():
     """Guards against refusing a part forever."""
     parts = CrashingParts(source="a", lifetime=60.0)
