Limit the bytes of a response that are not its body

An endpoint that sends a status line, headers, interim responses, a chunk extension or trailers without end was read until the request's deadline, and the parser kept all of it. The reader of callers' requests had such a limit, the one of responses had none. The count begins anew with each part of a body, so long streams do not add up.

--- a/wagtailfront/forwarding/framing.py
+++ b/wagtailfront/forwarding/framing.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "Request",
+    "MAX_FRAMING",
     "RequestReader",
     "ResponseReader",
     "ResponseHead",
@@ -39,6 +40,9 @@
 )
 LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Bytes of a response that may be heads, chunk lines or trailers, from one part
+# of its body to the next.
+MAX_FRAMING = 128 * 1024
 HEAD_OVERHEAD = 4  # bytes: ": " and CRLF
 BODILESS = (204, 304)
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -241,6 +245,7 @@
         self.is_close_delimited = False
         self.is_open = False
         self.parts = []
+        self.framing_bytes = 0
         self.failure = None
 
     def feed(self, data):
@@ -251,6 +256,9 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
             self.failure = FramingError(502, f"not an HTTP response: {error}")
+        self.framing_bytes += len(data)
+        if self.framing_bytes > MAX_FRAMING and self.failure is None:
+            self.failure = FramingError(502, "response head or trailer too large")
         parts, self.parts = self.parts, []
         return parts
 
@@ -280,12 +288,15 @@
         self.parts.append(ResponseHead(self.status, self.headers))
 
     def on_body(self, data):
+        # Counts the bytes that follow in the same read as framing.
+        self.framing_bytes = -len(data)
         self.parts.append(ResponseData(data))
 
     def on_message_complete(self):
         if self.status < 200:
             return
         self.is_open = False
+        self.framing_bytes = 0
         keep_alive = self.parser.should_keep_alive() and not self.is_close_delimited
         self.parts.append(ResponseEnd(keep_alive=keep_alive))
 
--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -3,6 +3,7 @@
 import pytest
 
 from wagtailfront.forwarding.framing import (
+    MAX_FRAMING,
     RequestReader,
     ResponseData,
     ResponseEnd,
@@ -17,6 +18,7 @@
     + CHUNKED
     + b"2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n"
 )
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 RESPONSES = {
     "length": b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
     "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -128,6 +130,41 @@
     assert read_response([data], ends=False) == ([200], b"hello", True)
 
 
+ENDLESS = {
+    "status line": (b"HTTP/1.1 200 ", b"a" * 1000),
+    "header": (b"HTTP/1.1 200 OK\r\nX: ", b"a" * 1000),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-Own: abcdefgh\r\n" * 60),
+    "interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 40),
+    "chunk extension": (CHUNKED_HEAD + b"3;a=", b"b" * 1000),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"X-Own: abcdefgh\r\n" * 60),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+def test_bytes_without_end_that_are_no_body_fail(name):
+    """Guards memory against an endpoint that never ends a head."""
+    start, more = ENDLESS[name]
+    reader = ResponseReader()
+    parts = reader.feed(start)
+    fed = 0
+    while reader.failure is None and fed < 100 * MAX_FRAMING:
+        parts += reader.feed(more)
+        fed += len(more)
+    assert reader.failure is not None
+    assert fed <= MAX_FRAMING + len(start) + len(more)
+    assert not any(isinstance(part, ResponseEnd) for part in parts)
+
+
+def test_many_small_chunks_are_no_endless_head():
+    """Guards long streams, whose chunk lines add up."""
+    reader = ResponseReader()
+    reader.feed(CHUNKED_HEAD)
+    chunk = b"2;extension=%b\r\nab\r\n" % (b"e" * 200)
+    for _ in range(2 * MAX_FRAMING // len(chunk)):
+        assert reader.feed(chunk) == [ResponseData(b"ab")]
+    assert reader.failure is None
+
+
 def test_bytes_that_are_not_http_fail():
     """Guards against an endpoint that does not speak HTTP."""
     reader = ResponseReader()
