Limit the memory of all buffered responses together

One response was limited to 16 MiB, but an endpoint in trouble may send bodies without end to many requests at once, and a small instance has 300 MB in all.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -5,7 +5,6 @@
 
 __all__ = ["PrefillAttempt", "RunAttempt", "end_to_end_headers"]
 
-MAX_BODY = 16 * 1024 * 1024  # bytes of a response that is buffered
 OK = 200
 MISDIRECTED = 421
 EVENT_STREAM = b"text/event-stream"
@@ -85,6 +84,7 @@
             self.is_dropped = True
             self.exchange.cancel()
             self.health.outstanding -= 1
+            self.context.body_memory.release(self.size)
             self.clear_pending()
 
     def clear_pending(self):
@@ -127,10 +127,11 @@
         return True
 
     def on_data(self, data):
+        if not self.context.body_memory.reserve(self.size, len(data)):
+            self.fail("response body too large")
+            return
         self.size += len(data)
         self.chunks.append(data)
-        if self.size > MAX_BODY:
-            self.fail("response body too large")
 
     def on_failure(self, reason, sent):
         self.is_connection_lost = True
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -13,6 +13,7 @@
     directory: Any
     health: Any
     pool: Any
+    body_memory: Any
     timers: Any
     budgets: Any
     evidence: Any
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -8,6 +8,7 @@
 from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.admission import AdmissionLimits
 from wagtailfront.forwarding.attempt_budget import SLACK_IN_USE
+from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.endpoint_directory import (
     EndpointDirectory,
     EndpointRecord,
@@ -261,6 +262,7 @@
             directory=self.directory,
             health=health,
             pool=self.pool,
+            body_memory=BodyMemory(),
             timers=self.timers,
             budgets=AttemptBudgets(
                 share=REPEAT_SHARE,
--- a/wagtailfront/forwarding/tests/test_forward_task.py
+++ b/wagtailfront/forwarding/tests/test_forward_task.py
@@ -265,6 +265,23 @@
     assert reply.is_aborted
 
 
+def test_responses_without_end_share_one_limit_of_memory():
+    """Guards an instance's memory against an endpoint in trouble."""
+    scene = Scene([make_record("e1")], slack=0)
+    starts = [scene.start(make_route(UNSAFE)) for _ in range(20)]
+    memory = scene.context.body_memory
+    for exchange in scene.pool.exchanges:
+        exchange.sink.on_head(200, SIGNED)
+    part = b"x" * 65536
+    for _ in range(2 * memory.max_body // len(part)):
+        for exchange in scene.pool.exchanges:
+            if not exchange.is_cancelled:
+                exchange.sink.on_data(part)
+        assert memory.total <= memory.max_total
+    assert [reply.status for _task, reply in starts] == [502] * 20
+    assert memory.total == 0
+
+
 def test_silent_engine_loses_a_request_that_may_repeat():
     """Guards against waiting for an engine that stopped responding."""
     scene = Scene(ENGINES, is_model=True)
--- a/wagtailfront/forwarding/tests/test_sockets.py
+++ b/wagtailfront/forwarding/tests/test_sockets.py
@@ -1,6 +1,7 @@
 """Tests of forwarding over real sockets on the loopback interface."""
 
 import socket
+import struct
 import threading
 import time
 
@@ -10,9 +11,11 @@
 from wagtailfront.forwarding.caller_server import ForwardServer
 from wagtailfront.forwarding.endpoint_pool import EndpointPool
 from wagtailfront.forwarding.forwarder import Forwarder
+from wagtailfront.forwarding.framing import LAST_CHUNK
 from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
 from wagtailfront.forwarding.tests.builders import (
     SAFE,
+    STREAMING,
     Scene,
     make_record,
     make_route,
@@ -30,6 +33,19 @@
 )
 
 
+ENDLESS_BYTES = 200 * 1024 * 1024
+
+
+def make_config(route, *, version=1):
+    """Return a configuration with one route."""
+    return RoutingConfig(
+        version=version,
+        routes=(route,),
+        services={"s": make_service()},
+        limits=CallerLimits(idle_timeout=1.0, head_timeout=0.3),
+    )
+
+
 class Instance:
     """Forwarding instance with one scripted endpoint."""
 
@@ -43,14 +59,7 @@
             pool=self.pool, timers=self.timers, clock=time.monotonic
         )
         self.forwarder = Forwarder(context=context)
-        self.forwarder.apply_config(
-            RoutingConfig(
-                version=1,
-                routes=(make_route(SAFE, timeout=3.0),),
-                services={"s": make_service()},
-                limits=CallerLimits(idle_timeout=1.0, head_timeout=0.3),
-            )
-        )
+        self.forwarder.apply_config(make_config(make_route(SAFE, timeout=3.0)))
         self.server = ForwardServer(
             bind=("127.0.0.1", 0), forwarder=self.forwarder, max_connections=50
         )
@@ -200,6 +209,103 @@
         assert b"early" in read_until(connection, [b"early"])
 
 
+def respond_without_length(connection, request_id, body, *, extra=b""):
+    """Send a signed response whose body ends with its connection."""
+    head = answer(request_id, b"").replace(b"Content-Length: 0\r\n", extra)
+    connection.sendall(head + body)
+
+
+def send_without_end(connection, part):
+    """Send bytes until the receiver closes; return how many were sent."""
+    sent = 0
+    while sent < ENDLESS_BYTES:
+        try:
+            connection.sendall(part)
+        except OSError:
+            break
+        sent += len(part)
+    return sent
+
+
+@pytest.mark.parametrize(
+    "start_of_response",
+    [b"HTTP/1.1 200 OK\r\nX-Own: ", b"HTTP/1.1 200 OK\r\n\r\n", b""],
+    ids=["head", "body", "no response"],
+)
+def test_bytes_without_end_get_a_failure_and_are_not_read_on(start, start_of_response):
+    """Guards memory, and the caller's time, against an endpoint in trouble."""
+    sent, is_closed = [], threading.Event()
+
+    def endless(connection, request_id, request):
+        connection.sendall(start_of_response)
+        sent.append(send_without_end(connection, b"x" * 65536))
+        is_closed.set()
+        return False
+
+    instance = start(endless)
+    with instance.connect() as connection:
+        connection.sendall(GET % b"r1")
+        data = read_until(connection, [b"\r\n\r\n"])
+    assert data.startswith(b"HTTP/1.1 502 ")
+    assert is_closed.wait(TIMEOUT)
+    assert max(sent) < ENDLESS_BYTES
+    assert instance.forwarder.context.body_memory.total == 0
+
+
+def test_an_answer_that_ends_with_its_connection_is_whole(start):
+    """Guards answers with neither a length nor chunks."""
+
+    def close(connection, request_id, request):
+        respond_without_length(connection, request_id, b"whole answer")
+        return False
+
+    instance = start(close)
+    with instance.connect() as connection:
+        connection.sendall(GET % b"r1")
+        data = read_until(connection, [b"whole answer"])
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert b"Content-Length: 12" in data
+
+
+def test_an_answer_without_length_that_is_reset_is_not_whole(start):
+    """Guards against a reset that is taken for the end of an answer."""
+
+    def reset(connection, request_id, request):
+        respond_without_length(connection, request_id, b"first part")
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        return False
+
+    instance = start(reset)
+    with instance.connect() as connection:
+        connection.sendall(GET % b"r1")
+        data = read_until(connection, [b"\r\n\r\n"])
+    assert data.startswith(b"HTTP/1.1 502 ")
+
+
+@pytest.mark.parametrize(
+    ("end", "is_whole"),
+    [(b"", True), (b"id: 3\ndata: c", False), (b"id: 3\ndata: c\n", False)],
+)
+def test_a_stream_that_ends_inside_an_event_is_broken_off(start, end, is_whole):
+    """Guards streams with neither a length nor chunks."""
+
+    def stream(connection, request_id, request):
+        events = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+        content_type = b"Content-Type: text/event-stream\r\n"
+        respond_without_length(connection, request_id, events + end, extra=content_type)
+        return False
+
+    instance = start(stream)
+    instance.forwarder.apply_config(make_config(make_route(STREAMING), version=2))
+    with instance.connect() as connection:
+        connection.sendall(GET % b"r1")
+        data = read_until(connection, [LAST_CHUNK])
+    assert b"data: b" in data
+    assert b"data: c" not in data
+    assert (LAST_CHUNK in data) is is_whole
+
+
 def test_slow_and_idle_callers_are_disconnected(start):
     """Guards against callers that hold descriptors without a request."""
     instance = start(echo)
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -7,6 +7,7 @@
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.admission import AdmissionLimits
+from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.cache_inquiry import CacheInquiry
 from wagtailfront.forwarding.caller_server import ForwardServer
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
@@ -128,6 +129,7 @@
             directory=self.directory,
             health=health,
             pool=self.pool,
+            body_memory=BodyMemory(),
             timers=self.timers,
             budgets=AttemptBudgets(
                 share=settings.repeat_share,
