Limit heads and trailers in the client for stores and services too

The same cause in the other path: HttpPool, which the product's own interface, the stores and the calls to engines use, kept a first line, headers or a chunk line without end until the request's deadline. Both clients now share MAX_FRAMING.

--- a/wagtailfront/forwarding/framing.py
+++ b/wagtailfront/forwarding/framing.py
@@ -5,9 +5,10 @@
 
 import httptools
 
+from wagtailfront.transport.http_exchange import MAX_FRAMING
+
 __all__ = [
     "Request",
-    "MAX_FRAMING",
     "RequestReader",
     "ResponseReader",
     "ResponseHead",
@@ -40,9 +41,6 @@
 )
 LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# Bytes of a response that may be heads, chunk lines or trailers, from one part
-# of its body to the next.
-MAX_FRAMING = 128 * 1024
 HEAD_OVERHEAD = 4  # bytes: ": " and CRLF
 BODILESS = (204, 304)
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -3,13 +3,13 @@
 import pytest
 
 from wagtailfront.forwarding.framing import (
-    MAX_FRAMING,
     RequestReader,
     ResponseData,
     ResponseEnd,
     ResponseHead,
     ResponseReader,
 )
+from wagtailfront.transport.http_exchange import MAX_FRAMING
 
 CHUNKED = b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 REQUESTS = (
--- a/wagtailfront/transport/http_exchange.py
+++ b/wagtailfront/transport/http_exchange.py
@@ -9,6 +9,7 @@
 from wagtailfront.transport.first_line import FirstLineBuffer
 
 __all__ = [
+    "MAX_FRAMING",
     "ResponseSink",
     "WholeResponse",
     "Exchange",
@@ -17,6 +18,9 @@
 ]
 
 MAX_WHOLE_BODY = 16 * 1024 * 1024  # bytes
+# Bytes of a response that may be heads, chunk lines or trailers, from one part
+# of its body to the next.
+MAX_FRAMING = 128 * 1024
 
 
 class ResponseSink(Protocol):
@@ -97,6 +101,7 @@
         self.sock = None
         self.first_line = FirstLineBuffer()
         self.parser = HttpParser(1, False)
+        self.framing_bytes = 0
         self.last_progress = time.monotonic()
 
     def cancel(self):
@@ -115,6 +120,9 @@
     def receive(self, data):
         """Parse bytes of the response and pass them to the sink."""
         self.last_progress = time.monotonic()
+        self.framing_bytes += len(data)
+        if self.framing_bytes > MAX_FRAMING:
+            return self.fail("response head or trailer too large")
         data = self.first_line.feed(data)
         if not data:
             return None
@@ -131,6 +139,7 @@
         if self.parser.is_partial_body():
             body = self.parser.recv_body()
             if body:
+                self.framing_bytes = 0
                 self.sink.on_data(body)
         if not self.done and self.head_received and self._is_complete():
             self.finish()
--- a/wagtailfront/transport/tests/test_split_reads.py
+++ b/wagtailfront/transport/tests/test_split_reads.py
@@ -1,5 +1,6 @@
 """Tests of HTTP messages that arrive in several reads."""
 
+import itertools
 import socket
 
 import pytest
@@ -7,6 +8,7 @@
 from hypothesis import given, strategies as st
 
 from wagtailfront.transport.http_client import Exchange, WholeResponse
+from wagtailfront.transport.http_exchange import MAX_FRAMING
 from wagtailfront.transport.http_server import HttpServer
 from wagtailfront.transport.tests.event_loop import EventLoop
 
@@ -46,6 +48,7 @@
         sink=WholeResponse(lambda *answer: answers.append(answer)),
         deadline=None,
     )
+    exchange.sent = True
     for part in parts:
         if not exchange.done:
             exchange.receive(part)
@@ -68,6 +71,26 @@
     assert receive(parts) == [(200, BODY)]
 
 
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "more"),
+    [
+        (b"HTTP/1.1 200 ", b"a" * 1000),
+        (b"HTTP/1.1 200 OK\r\nX: ", b"a" * 1000),
+        (b"HTTP/1.1 200 OK\r\n", b"X-Own: abcdefgh\r\n" * 60),
+        (b"", b"\r\n" * 500),
+        (CHUNKED_HEAD + b"3;a=", b"b" * 1000),
+    ],
+    ids=["status line", "header", "headers", "empty lines", "chunk extension"],
+)
+def test_bytes_without_end_that_are_no_body_fail(start, more):
+    """Guards memory against a peer that never ends a head."""
+    fed = itertools.chain([start], itertools.repeat(more, 3 * MAX_FRAMING // len(more)))
+    assert receive(fed) == [(None, True)]
+
+
 class Echo(BaseComponent):
     """Answers with the request's body."""
 
