Send evidence of crashing requests to instances that join

The same cause for whole requests: an instance sent each item of evidence twice, so one that started later, or was out of touch, learned anew which request crashes endpoints, at the cost of two endpoints each.

When an instance is heard for the first time, or again after three seconds of silence, peers send it the evidence on requests that are refused: all peers in a small fleet, the two members before it in a group that relays, so that links of small instances do not fill. test_an_instance_that_joins_refuses_requests_ that_crashed_endpoints failed before with 6 and 84 instances: the new instance sent the request. Parts need no such message, refused ones are in the report of each second (test_all_instances_refuse_a_part_that_crashed_engines_of_some).

--- a/wagtailfront/decisions/crash_evidence.py
+++ b/wagtailfront/decisions/crash_evidence.py
@@ -178,6 +178,17 @@
             for crash, suspicion in crashes.items()
         )
 
+    def refused_report(self, *, now):
+        """Return the part of the report on fingerprints that are rejected.
+
+        For an instance that was not there when they crashed endpoints.
+        """
+        return tuple(
+            item
+            for item in self.report(now=now)
+            if len(self._active(item.fingerprint, now)) >= self.max_crashes
+        )
+
     def merge(self, peer, items, *, now):
         """Merge a peer's report into the evidence of this instance.
 
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -6,7 +6,11 @@
 from circuits import BaseComponent, Event, handler
 
 from wagtailfront.forwarding.interfaces import PromptPart
-from wagtailfront.forwarding.relay_groups import RelayTargets, relay_targets
+from wagtailfront.forwarding.relay_groups import (
+    RelayTargets,
+    newcomer_targets,
+    relay_targets,
+)
 from wagtailfront.membership.messages import (
     CrashReport,
     PlacementDigest,
@@ -238,6 +242,13 @@
         self.evidence_sends = sends
         return tuple(items[key] for key in due)
 
+    def _send_refused(self, address, now):
+        """Send evidence to an instance that starts or is in touch again."""
+        items = self.evidence.refused_report(now=now)[-MAX_EVIDENCE:]
+        if items and address in newcomer_targets(self.targets, self.row.address):
+            report = CrashReport(incarnation=self.load.incarnation, items=items)
+            self._send((address,), report)
+
     def _send(self, addresses, message):
         if addresses:
             self.fire(peer_broadcast(addresses, message), "peer_bus")
@@ -266,6 +277,7 @@
         if isinstance(report, PromptPartReport):
             self.crashing_parts.merge(report.incarnation, report.report, now=now)
             return
+        is_newcomer = report.incarnation not in self.load.peers
         self.load.merge(report, now=now)
         self.versions.handle_peer_versions(report.versions)
         for prompt in report.prompts:
@@ -274,6 +286,8 @@
             self.last_seen[report.address] = now
         elif report.address and report.address != self.row.address:
             self._update_last_seen({**self.last_seen, report.address: now}, now)
+        if is_newcomer:
+            self._send_refused(report.address, now)
 
     def _record_prompt(self, prompt):
         prefix_cache = self.prefix_caches.get(self.find_service(prompt.endpoint))
--- a/wagtailfront/forwarding/relay_groups.py
+++ b/wagtailfront/forwarding/relay_groups.py
@@ -2,13 +2,23 @@
 
 from typing import NamedTuple
 
-__all__ = ["MAX_DIRECT_INSTANCES", "RelayTargets", "relay_targets"]
+__all__ = [
+    "MAX_DIRECT_INSTANCES",
+    "RelayTargets",
+    "newcomer_targets",
+    "relay_targets",
+]
 
 # Fleets up to this size do not relay: a relay would add delay and save few
 # messages.
 MAX_DIRECT_INSTANCES = 12
 
 
+# Members of a group that send what was before to a member that starts; more
+# than one, as they may start at the same time.
+SENDERS_TO_NEWCOMERS = 2
+
+
 class RelayTargets(NamedTuple):
     """Peers of one instance, as addresses.
 
@@ -74,3 +84,22 @@
             if number % len(group) == position
         ),
     )
+
+
+def newcomer_targets(targets, own):
+    """Return the peers to which `own` sends what they missed.
+
+    In a group that relays, these are the members directly before it.
+
+    Examples
+    --------
+    >>> targets = RelayTargets(group=("a", "c", "d"), others=("e",))
+    >>> newcomer_targets(targets, "b")
+    ('a', 'd')
+    """
+    if not targets.others:
+        return targets.group
+    members = sorted({*targets.group, own})
+    position = members.index(own)
+    senders = min(SENDERS_TO_NEWCOMERS, len(targets.group))
+    return tuple(members[position - step] for step in range(1, senders + 1))
--- a/wagtailfront/forwarding/tests/test_relays.py
+++ b/wagtailfront/forwarding/tests/test_relays.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wagtailfront.decisions.crash_evidence import CrashEvidence
+from wagtailfront.decisions.crash_evidence import CrashEvidence, Decision
 from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
@@ -192,6 +192,50 @@
     assert max(fleet.bytes.values()) < 4 * count * (size - 1) * item_bytes
 
 
+@pytest.mark.parametrize("size", [6, 84])
+def test_all_instances_refuse_a_part_that_crashed_engines_of_some(size):
+    """Guards against evidence that each instance has to collect itself."""
+    fleet = Fleet(size)
+    fleet.discover_peers()
+    for number, exchange in enumerate(list(fleet.instances.values())[:3]):
+        fleet.run(1.0)
+        sent = fleet.timers.now - 0.3
+        exchange.crashing_parts.record_crash(
+            ("sound", "deadly"), f"e{number}", sent=sent, now=fleet.timers.now
+        )
+    fleet.run(1.5)
+    joined = fleet.add("i900")
+    joined._handle_rows(fleet.rows)
+    fleet.run(2.0)
+    refused = {
+        exchange.crashing_parts.find_refused(("sound", "deadly"), now=fleet.timers.now)
+        for exchange in fleet.instances.values()
+    }
+    assert refused == {"deadly"}
+
+
+@pytest.mark.parametrize("size", [6, 84])
+def test_an_instance_that_joins_refuses_requests_that_crashed_endpoints(size):
+    """Guards against evidence that only instances of that time have."""
+    fleet = Fleet(size)
+    fleet.discover_peers()
+    first = fleet.instances[fleet.rows[0].address]
+    for crash in ("e1/1", "e2/1"):
+        first.evidence.start("f" * 32, crash)
+        first.evidence.record_crash(crash, crash, now=fleet.timers.now)
+    fleet.run(5.0)
+    joined = fleet.add("i900")
+    joined._handle_rows(fleet.rows)
+    fleet.run(2.0)
+    decisions = {
+        exchange.evidence.place(
+            "f" * 32, endpoints=(), live=(), now=fleet.timers.now
+        ).decision
+        for exchange in fleet.instances.values()
+    }
+    assert decisions == {Decision.REFUSE}
+
+
 @settings(deadline=None)
 @given(
     steps=st.lists(
