Keep refused parts in the platform's store

Refused parts were known to instances only, so all of them learned the part anew.

An instance that saw one of the crashes writes the part to a table; instances read it when they start, and remove a part that they allow again. The store is called once a start and once a refused part. test_a_part_is_refused_after_all_ instances_restart shows it, with a store that is down at first.

--- a/wagtailfront/decisions/crashing_parts.py
+++ b/wagtailfront/decisions/crashing_parts.py
@@ -80,11 +80,22 @@
 
 
 class PartChange(NamedTuple):
-    """A part that is refused from now on, or no longer."""
+    """A part that is refused from now on, or no longer.
+
+    Attributes
+    ----------
+    part : str
+    is_refused : bool
+    crashes : int
+        Crashes from which this instance concluded it; 0 if another one did.
+    is_own : bool
+        Whether this instance observed one of them.
+    """
 
     part: str
     is_refused: bool
-    crashes: int
+    crashes: int = 0
+    is_own: bool = False
 
 
 class _Crash(NamedTuple):
@@ -203,6 +214,15 @@
                 count, last = count + 1, crash
         return count
 
+    def restore(self, parts, *, now):
+        """Refuse parts that were refused before this instance started."""
+        for part in set(parts) - self.refused.keys() - self.answered.keys():
+            self._refuse(part, now)
+
+    def needs_update(self):
+        """Return whether `update` may have something to do."""
+        return bool(self.unconfirmed or self.refused or self.changes)
+
     def update(self, *, now):
         """Refuse the parts whose crashes are confirmed by now.
 
@@ -252,7 +272,8 @@
         if part in self.refused or not self._is_enough(part, crashes):
             return
         if not self._is_explained(part, crashes):
-            self._refuse(part, now, len(crashes))
+            is_own = any(crash.source == self.source for crash in crashes)
+            self._refuse(part, now, crashes=len(crashes), is_own=is_own)
 
     def _is_enough(self, part, crashes):
         if self._count_in_a_row(crashes) >= MIN_CRASHES:
@@ -260,13 +281,13 @@
         engines = {crash.engine for crash in crashes}
         return part not in self.answered and len(engines) >= MIN_ENGINES
 
-    def _refuse(self, part, since, count):
+    def _refuse(self, part, since, **evidence):
         self.refused[part] = since
-        self.changes.append(PartChange(part, True, count))
+        self.changes.append(PartChange(part, True, **evidence))
 
     def _allow(self, part):
         del self.refused[part]
-        self.changes.append(PartChange(part, False, 0))
+        self.changes.append(PartChange(part, False))
 
     def _set_answered(self, part, at):
         self.answered.pop(part, None)
@@ -359,7 +380,7 @@
             if since <= answered + REPORT_DELAY:
                 self._announce("answered", entry.name, answered)
             elif entry.name not in self.refused:
-                self._refuse(entry.name, since, 0)
+                self._refuse(entry.name, since)
         suspects = {part for item in report.crashes for part in item.parts}
         for part in suspects & self.answered.keys():
             # Other instances may not know that the part is sound.
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -15,6 +15,7 @@
     "MembershipStore",
     "EngineInquiry",
     "StageOrders",
+    "RefusedPartStore",
     "RoutingSource",
     "RoutingRead",
 ]
@@ -247,6 +248,19 @@
         """
 
 
+class RefusedPartStore(Protocol):
+    """Store of the prompt parts that are refused."""
+
+    def read(self, reply) -> None:
+        """Read the parts; `reply` gets their ids, or None after a failure."""
+
+    def record(self, part: str, reply) -> None:
+        """Add a part; `reply` gets whether it was written."""
+
+    def remove(self, part: str, reply) -> None:
+        """Remove a part; `reply` gets whether it was removed."""
+
+
 class EngineInquiry(Protocol):
     """Queries to engines outside of callers' requests."""
 
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -185,7 +185,6 @@
             return
         is_relayed = bool(self.targets.others)
         self.send_due = now + (RELAYED_SEND_INTERVAL if is_relayed else SEND_INTERVAL)
-        self._update_crashing_parts(now)
         reports = self._own_reports(now)
         for report in reports:
             self._send(self.targets.group, report)
@@ -219,15 +218,6 @@
             )
         return reports
 
-    def _update_crashing_parts(self, now):
-        for change in self.crashing_parts.update(now=now):
-            self.log.decision(
-                "prompt_part",
-                outcome="refused" if change.is_refused else "allowed",
-                part=change.part,
-                crashes=change.crashes,
-            )
-
     def _own_evidence(self, now, *, repeat):
         """Return evidence found by this instance that is still to be sent."""
         items = {_evidence_key(item): item for item in self.evidence.report(now=now)}
--- a/wagtailfront/forwarding/tests/test_crashing_parts.py
+++ b/wagtailfront/forwarding/tests/test_crashing_parts.py
@@ -4,9 +4,12 @@
 
 from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.interfaces import PromptPart
+from wagtailfront.forwarding.refused_parts import RefusedParts
 from wagtailfront.forwarding.tests.builders import (
     STREAMING,
+    LogLines,
     Scene,
+    VirtualTimers,
     make_record,
     make_request,
     make_route,
@@ -44,13 +47,13 @@
     for number in range(3):
         sent = now - 6.0 + 2 * number
         parts.record_crash((part,), f"e{number}", sent=sent, now=sent + 0.5)
-    parts.update(now=now)
 
 
 def refuse_part(part):
     """Return evidence by which a part is refused."""
     parts = CrashingParts(source="i")
     taint(parts, part, now=90.0)
+    parts.update(now=90.0)
     return parts
 
 
@@ -85,6 +88,7 @@
         parts=(PromptPart("deadly", 19_000), PromptPart("own", 1000)),
     )
     taint(parts, "deadly", now=scene.timers.now)
+    parts.update(now=scene.timers.now)
     scene.pool.last.respond(200, [], HANDLE)
     assert len(scene.pool.exchanges) == 1
     assert reply.status == 503
@@ -103,6 +107,69 @@
     assert scene.context.crashing_parts.count_crashes("part") == (0 if answer else 1)
 
 
+class FakePartStore:
+    """Store of refused parts that can be down."""
+
+    def __init__(self):
+        self.parts = set()
+        self.is_up = True
+
+    def read(self, reply):
+        reply(sorted(self.parts) if self.is_up else None)
+
+    def record(self, part, reply):
+        self._write(self.parts.add, part, reply)
+
+    def remove(self, part, reply):
+        self._write(self.parts.discard, part, reply)
+
+    def _write(self, change, part, reply):
+        if self.is_up:
+            change(part)
+        reply(self.is_up)
+
+
+def start_instance(store, timers):
+    """Return the refused parts of a process that has just started."""
+    refused_parts = RefusedParts(
+        crashing_parts=CrashingParts(source="i"),
+        store=store,
+        timers=timers,
+        log=LogLines(),
+        clock=timers.clock,
+    )
+    refused_parts._on_started(None)
+    return refused_parts
+
+
+def test_a_part_is_refused_after_all_instances_restart():
+    """Guards engines while no instance remembers a crashing part."""
+    store, timers = FakePartStore(), VirtualTimers()
+    first = start_instance(store, timers)
+    taint(first.crashing_parts, "deadly", now=timers.now)
+    store.is_up = False
+    first._on_check_parts()
+    restarted = start_instance(store, timers)
+    store.is_up = True
+    timers.advance(2.5)
+    assert store.parts == {"deadly"}
+    later = start_instance(store, timers)
+    for instance in (later, restarted):
+        assert instance.crashing_parts.find_refused(("deadly",), now=timers.now)
+
+
+def test_a_part_that_is_allowed_again_is_removed_from_the_store():
+    """Guards against refusing a sound part after each restart."""
+    store, timers = FakePartStore(), VirtualTimers()
+    first = start_instance(store, timers)
+    taint(first.crashing_parts, "part", now=timers.now)
+    first._on_check_parts()
+    assert store.parts == {"part"}
+    first.crashing_parts.record_answer(("part",), now=timers.now + 0.1)
+    first._on_check_parts()
+    assert store.parts == set()
+
+
 def test_the_last_part_of_a_prompt_is_no_evidence():
     """Guards a request's own part, which no other request has."""
     scene = Scene(ENGINES, is_model=True, crashing_parts=refuse_part("own-1"))
--- a/wagtailfront/forwarding/tests/test_relays.py
+++ b/wagtailfront/forwarding/tests/test_relays.py
@@ -97,6 +97,7 @@
         for _ in range(round(seconds / 0.08)):
             self.timers.advance(0.08)
             for exchange in self.instances.values():
+                exchange.crashing_parts.update(now=self.timers.now)
                 exchange._on_send_digest()
 
     def outstanding(self, exchange, endpoint="e1/1"):
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -68,7 +68,14 @@
         row = {"table": table, "part": "", "key": key}
         expect = [] if expected_ver is None else [{**row, "ver": expected_ver}]
         value = base64.b64encode(value).decode()
-        body = {"expect": expect, "put": [{**row, "value": value}], "remove": []}
+        self._transact(reply, expect=expect, put=[{**row, "value": value}])
+
+    def remove(self, table, key, reply):
+        """Remove a row; `reply` as for `get`."""
+        self._transact(reply, remove=[{"table": table, "part": "", "key": key}])
+
+    def _transact(self, reply, *, expect=(), put=(), remove=()):
+        body = {"expect": expect, "put": put, "remove": remove}
         call(
             self.pool,
             reply,
--- a/wagtailfront/platform/tests/store_pool.py
+++ b/wagtailfront/platform/tests/store_pool.py
@@ -75,4 +75,6 @@
                 return 412, {}
         for row in body["put"]:
             self.write(row["table"], row["key"], row["value"])
+        for row in body["remove"]:
+            self.write(row["table"], row["key"], None)
         return 200, {}
--- a/wagtailfront/platform/tests/test_store.py
+++ b/wagtailfront/platform/tests/test_store.py
@@ -6,6 +6,7 @@
 from wagtailfront.authority.step_component import StepComponent
 from wagtailfront.forwarding.interfaces import InstanceRow
 from wagtailfront.forwarding.tests.builders import LogLines
+from wagtailfront.platform.part_store import StoreRefusedParts
 from wagtailfront.platform.store_client import (
     REGISTRY_TABLE,
     StoreClient,
@@ -140,6 +141,18 @@
     assert [(row.instance, row.address) for row in rows[0]] == [("a", "10.0.0.2:7")]
 
 
+def test_refused_parts_are_kept_until_they_are_removed():
+    """Guards the parts that an instance reads when it starts."""
+    parts = StoreRefusedParts(client=make_client(StorePool()), log=LogLines())
+    written, read = [], []
+    for part in ("5c1e07a2", "91bd3f06"):
+        parts.record(part, written.append)
+    parts.remove("5c1e07a2", written.append)
+    parts.read(read.append)
+    assert written == [True] * 3
+    assert read == [["91bd3f06"]]
+
+
 def make_table(pool):
     """Return functions that read and write the lease row of a new table."""
     table = StoreTable(client=make_client(pool))
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -23,6 +23,7 @@
 )
 from wagtailfront.forwarding.interfaces import InstanceRow
 from wagtailfront.forwarding.load_exchange import LoadExchange
+from wagtailfront.forwarding.refused_parts import RefusedParts
 from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.shutdown import Shutdown
 from wagtailfront.forwarding.stage_manager import StageManager
@@ -33,6 +34,7 @@
 from wagtailfront.observe.metrics import Metrics
 from wagtailfront.platform.engine_client import EngineClient
 from wagtailfront.platform.headers import PlatformDialect
+from wagtailfront.platform.part_store import StoreRefusedParts
 from wagtailfront.platform.paths import READY_PATH
 from wagtailfront.platform.store_client import (
     StoreClient,
@@ -161,6 +163,7 @@
                 address=str(self.settings.peers), heartbeat=PEER_HEARTBEAT
             ),
             "load_exchange": self._make_load_exchange,
+            "refused_parts": self._make_refused_parts,
             "stages": self._make_stage_manager,
             "status": self._make_status_server,
             "callers": self._make_callers,
@@ -214,6 +217,14 @@
             log=self.log,
         )
 
+    def _make_refused_parts(self):
+        return RefusedParts(
+            crashing_parts=self.forwarder.context.crashing_parts,
+            store=StoreRefusedParts(client=self.store, log=self.log),
+            timers=self.timers,
+            log=self.log,
+        )
+
     def _make_stage_manager(self):
         load = self.forwarder.context.load
         return StageManager(
