Do not refuse parts of requests beside the crashing one

Crashes of engines that had a refused part now count for no other part, and the part on most crashed engines is judged first; of several the last one of a prompt. A refusal that a peer reports is ignored if a refused part explains all crashes known of it. test_parts_on_the_same_engines_as_the_crashing_one_are_ not_refused covers it; on the code before, first and other are refused too. Data types of the reports move to part_reports.

--- a/wagtailfront/decisions/crashing_parts.py
+++ b/wagtailfront/decisions/crashing_parts.py
@@ -5,13 +5,9 @@
 
 import msgspec
 
-__all__ = [
-    "CrashingParts",
-    "PartChange",
-    "PartCrash",
-    "PartReport",
-    "PartTime",
-]
+from wagtailfront.decisions.part_reports import PartCrash, PartReport, PartTime
+
+__all__ = ["CrashingParts", "PartChange"]
 
 # Crashes in a row, each of a request sent after the one before, from which a
 # part is refused. Engines that crash at the same moment count once.
@@ -33,52 +29,6 @@
 MAX_REPORTED = 32  # entries of one kind in a report
 
 
-class PartCrash(msgspec.Struct, frozen=True, array_like=True):
-    """An attempt whose engine crashed before the answer began.
-
-    Attributes
-    ----------
-    parts : tuple of str
-        Parts of the prompt that may be the cause, in order.
-    engine : str
-        Incarnation of the engine.
-    sent_age, age : float
-        Seconds since the attempt was sent, and since the crash.
-    """
-
-    parts: tuple[str, ...]
-    engine: str
-    sent_age: float
-    age: float
-
-
-class PartTime(msgspec.Struct, frozen=True, array_like=True):
-    """A part or an engine, and the seconds since something was true of it."""
-
-    name: str
-    age: float
-
-
-class PartReport(msgspec.Struct, frozen=True, array_like=True):
-    """What an instance has to say about parts.
-
-    Attributes
-    ----------
-    crashes : tuple of PartCrash
-    answered : tuple of PartTime
-        Suspected parts that engines have answered.
-    alive : tuple of PartTime
-        Engines that answered after they were taken for crashed.
-    refused : tuple of PartTime
-        Parts that are refused.
-    """
-
-    crashes: tuple[PartCrash, ...] = ()
-    answered: tuple[PartTime, ...] = ()
-    alive: tuple[PartTime, ...] = ()
-    refused: tuple[PartTime, ...] = ()
-
-
 class PartChange(NamedTuple):
     """A part that is refused from now on, or no longer.
 
@@ -130,8 +80,10 @@
 
     A prompt with a crashing part usually begins with parts that are sound.
     Parts that were answered before are suspected only if all parts of a
-    request were. Of parts that were in the same crashes, the last one is
-    refused, as it is the most specific. An engine that answers a request
+    request were. Crashes of engines that had a part that is refused do not
+    count for other parts. The part that was on most crashed engines is
+    judged first, and of several the last one of a prompt, as it is the most
+    specific. An engine that answers a request
     sent after its presumed crash did not crash, for example if only the
     connection was reset; its crash is then withdrawn. So a crash counts only
     after a delay, and `update` is to be called several times a second.
@@ -231,9 +183,12 @@
         list of PartChange
             The changes since the last call.
         """
+        due = set()
         while self.unconfirmed and self.unconfirmed[0][0] <= now:
-            for part in self.unconfirmed.popleft()[1]:
-                self._refuse_if_due(part, now)
+            due.update(self.unconfirmed.popleft()[1])
+        # The likeliest cause first: its crashes do not count for other parts.
+        for part in sorted(due, key=self._rank, reverse=True):
+            self._refuse_if_due(part, now)
         for part in [p for p in self.refused if not self._is_refused(p, now)]:
             self._allow(part)
         changes, self.changes = self.changes, []
@@ -250,28 +205,37 @@
     def _crashes_of(self, part):
         """Return the crashes that a part may have caused."""
         answered = self.answered.get(part, float("-inf"))
+        explained = self._explained_engines(part)
         return [
             crash
             for crash in self.crashes
             if part in crash.parts
             and crash.at > answered
+            and crash.engine not in explained
             and (part not in self.answered or self.answered.keys() >= {*crash.parts})
         ]
 
-    def _is_explained(self, part, crashes):
-        """Return whether a later part was in all crashes of a part."""
-        later = set.intersection(
-            *(set(crash.parts[crash.parts.index(part) + 1 :]) for crash in crashes)
-        )
-        return not later <= self.answered.keys()
+    def _explained_engines(self, part):
+        """Return the engines that crashed with another refused part."""
+        others = self.refused.keys() - {part}
+        return {c.engine for c in self.crashes if not others.isdisjoint(c.parts)}
+
+    def _is_explained(self, part):
+        """Return whether another part explains all crashes with a part."""
+        engines = {crash.engine for crash in self.crashes if part in crash.parts}
+        return bool(engines) and engines <= self._explained_engines(part)
+
+    def _rank(self, part):
+        """Return how likely a part is the cause: its engines, then depth."""
+        crashes = [crash for crash in self.crashes if part in crash.parts]
+        depth = max((crash.parts.index(part) for crash in crashes), default=0)
+        return len({crash.engine for crash in crashes}), depth
 
     def _refuse_if_due(self, part, now):
         """Refuse a part with enough crashes."""
         confirmed_at = now - CONFIRMATION_DELAY
         crashes = [c for c in self._crashes_of(part) if c.at <= confirmed_at]
-        if part in self.refused or not self._is_enough(part, crashes):
-            return
-        if not self._is_explained(part, crashes):
+        if part not in self.refused and self._is_enough(part, crashes):
             is_own = any(crash.source == self.source for crash in crashes)
             self._refuse(part, now, crashes=len(crashes), is_own=is_own)
 
@@ -379,7 +343,7 @@
             answered = self.answered.get(entry.name, float("-inf"))
             if since <= answered + REPORT_DELAY:
                 self._announce("answered", entry.name, answered)
-            elif entry.name not in self.refused:
+            elif entry.name not in self.refused and not self._is_explained(entry.name):
                 self._refuse(entry.name, since)
         suspects = {part for item in report.crashes for part in item.parts}
         for part in suspects & self.answered.keys():
--- a/wagtailfront/decisions/tests/test_crashing_parts.py
+++ b/wagtailfront/decisions/tests/test_crashing_parts.py
@@ -114,6 +114,18 @@
     assert parts.find_refused(("third",), now=5.0) == "third"
 
 
+def test_parts_on_the_same_engines_as_the_crashing_one_are_not_refused():
+    """Guards a first part that had no answer yet, and other requests."""
+    parts = CrashingParts(source="a")
+    for number in range(5):
+        engine, times = f"e{number}", {"sent": number, "now": number + 0.5}
+        parts.record_crash(("first", "deadly"), engine, **times)
+        parts.record_crash(("first",), engine, **times)
+        parts.record_crash(("other",), engine, **times)
+    parts.update(now=6.0)
+    assert set(parts.refused) == {"deadly"}
+
+
 @pytest.mark.parametrize("was_answered", [False, True])
 def test_a_part_that_crashes_all_engines_at_once_is_refused(was_answered):
     """Guards engines that are back at the same moment after such crashes."""
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -6,7 +6,7 @@
 
 from wagtailfront.authority.config_log import LogEntry
 from wagtailfront.decisions.crash_evidence import ReportItem
-from wagtailfront.decisions.crashing_parts import PartReport
+from wagtailfront.decisions.part_reports import PartReport
 from wagtailfront.exception import ProtocolError
 
 __all__ = [
