Take a stream that ends before its first event for broken off

A stream with neither a length nor chunks ends with its connection, and an engine that crashes closes it too. One that ended before its first event was passed on as a complete, empty answer, and one that ended inside its first event was no evidence against the parts of its prompt. Both count as broken off now. A resumed stream may still end without a further event. Found by reading the change; two new cases of test_crashing_parts.py failed before.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -44,7 +44,7 @@
         self.started = self.context.clock()
         self.exchange = None
         self.is_dropped = False
-        self.is_connection_lost = False
+        self.is_broken_off = False
         self.status = 0
         self.headers = []
         self.fields = None
@@ -134,7 +134,7 @@
         self.chunks.append(data)
 
     def on_failure(self, reason, sent):
-        self.is_connection_lost = True
+        self.is_broken_off = True
         self._report_failure(reason, sent)
 
     def fail(self, reason):
@@ -219,7 +219,7 @@
         if self.status == 0:
             self.is_tracked = False
             self.context.evidence.record_crash(self.label, incarnation, now=now)
-        if self.is_connection_lost and not self.has_answered:
+        if self.is_broken_off and not self.has_answered:
             self.context.crashing_parts.record_crash(
                 self.task.fields.shared_parts, incarnation, sent=self.started, now=now
             )
@@ -264,7 +264,17 @@
         if self.splitter is None:
             self.task.handle_answer(self)
         elif self.splitter.has_partial_event:
-            reason = "stream ended in the middle of an event"
-            self.task.handle_failure(self, reason, True)
+            self._break_off("stream ended in the middle of an event")
+        elif not self.task.stream.is_started:
+            self._break_off("stream ended before its first event")
         else:
             self.task.stream.finish(self)
+
+    def _break_off(self, reason):
+        """Fail the attempt as its stream ended too early.
+
+        The end of a stream without a length or chunks is that of its
+        connection, which a crashed engine closes too.
+        """
+        self.is_broken_off = True
+        self.task.handle_failure(self, reason, True)
--- a/wagtailfront/forwarding/tests/test_crashing_parts.py
+++ b/wagtailfront/forwarding/tests/test_crashing_parts.py
@@ -107,6 +107,20 @@
     assert scene.context.crashing_parts.count_crashes("part") == (0 if answer else 1)
 
 
+@pytest.mark.parametrize("answer", [b"id: 1\nda", b""])
+def test_a_stream_that_ends_before_its_first_event_is_evidence(answer):
+    """Guards engines whose streams have neither a length nor chunks."""
+    scene = Scene(ENGINES, is_model=True)
+    _task, reply = start(scene, 0, "part")
+    run = scene.pool.last
+    run.sink.on_head(200, EVENT_STREAM)
+    if answer:
+        run.sink.on_data(answer)
+    run.sink.on_end()
+    assert scene.context.crashing_parts.count_crashes("part") == 1
+    assert reply.status == 502
+
+
 class FakePartStore:
     """Store of refused parts that can be down."""
 
