Bound reports on parts, and log each charge for a split plan

Callers choose the ids of parts, so a long one could have made a report too large to be sent, with everything else in it. Crashes of prompts with more than 256 characters of ids are not evidence, and a report lists 16 entries a kind. The charge for a second prefill with its run was the only one without a log line.

--- a/wagtailfront/decisions/crashing_parts.py
+++ b/wagtailfront/decisions/crashing_parts.py
@@ -26,7 +26,9 @@
 MAX_WITHDRAWAL = 1.5
 MAX_CRASHES = 256
 MAX_ANSWERED = 4096  # parts
-MAX_REPORTED = 32  # entries of one kind in a report
+MAX_REPORTED = 16  # entries of one kind in a report
+# Characters of a prompt's part ids, which callers choose.
+MAX_PART_CHARACTERS = 256
 
 
 class PartChange(NamedTuple):
@@ -83,10 +85,12 @@
     request were. Crashes of engines that had a part that is refused do not
     count for other parts. The part that was on most crashed engines is
     judged first, and of several the last one of a prompt, as it is the most
-    specific. An engine that answers a request
-    sent after its presumed crash did not crash, for example if only the
-    connection was reset; its crash is then withdrawn. So a crash counts only
-    after a delay, and `update` is to be called several times a second.
+    specific.
+
+    An engine that answers a request sent after its presumed crash did not
+    crash, for example if only the connection was reset; its crash is then
+    withdrawn. So a crash counts only after a delay, and `update` is to be
+    called several times a second.
 
     Examples
     --------
@@ -123,7 +127,7 @@
             When the attempt was sent.
         now : float
         """
-        if not parts:
+        if not parts or sum(map(len, parts)) > MAX_PART_CHARACTERS:
             return
         crash = _Crash(tuple(parts), engine, self.source, sent, now)
         self._add(crash, now)
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -177,7 +177,7 @@
         if plan is None:
             self._give_up("no engine can decode", RETRY_AFTER)
             return
-        if plan.prefill and not self.credit.reserve(self.credit.cost(is_split=True)):
+        if plan.prefill and not self._reserve(self.credit.cost(is_split=True)):
             plan = self.choice.plan(views, may_split=False)
         self.plan = plan
         prefill_engine = plan.prefill or plan.decode
@@ -223,7 +223,7 @@
     def _send(self, attempt_type, record, uncached_tokens=0, expected=0.0):
         if self._give_up_on_crashing_part():
             return
-        if not self._reserve_send():
+        if not self._reserve(1):
             self._give_up("the repeat budget is spent", RETRY_AFTER)
             return
         self.sends += 1
@@ -310,7 +310,7 @@
             self.handle_failure(
                 attempt, "response is unsigned, encoded or names no request", True
             )
-        elif status >= 500 and self.may_repeat() and self._reserve_send():
+        elif status >= 500 and self.may_repeat() and self._reserve(1):
             self.context.health.record_error(attempt.record)
             self.log.decision("error", str(status), endpoint=attempt.record.endpoint_id)
             self._repeat(attempt)
@@ -341,7 +341,7 @@
             self.tried.add(record.incarnation)
         self.kv_source = None
         self.log.decision("shed", str(attempt.status), endpoint=record.endpoint_id)
-        if self.sends < MAX_SENDS and self._reserve_send():
+        if self.sends < MAX_SENDS and self._reserve(1):
             self._dispatch()
         else:
             self._give_up("every endpoint tried is full", RETRY_AFTER)
@@ -361,7 +361,7 @@
         )
         if sent and not attempt.is_prefill:
             attempt.record_crash()
-            if self.may_repeat() and self._reserve_send():
+            if self.may_repeat() and self._reserve(1):
                 self._repeat(attempt)
             else:
                 self.may_have_run = True
@@ -379,11 +379,11 @@
             and self.sends < MAX_SENDS
         )
 
-    def _reserve_send(self):
-        """Return whether one more send may be made, and pay for it."""
-        if self.credit.sends:
+    def _reserve(self, sends):
+        """Return whether so many sends may be made, and pay for them."""
+        if self.credit.sends >= sends:
             return True
-        is_allowed = self.credit.reserve(1)
+        is_allowed = self.credit.reserve(sends)
         spent = len(self.credit.budget.repeats)
         self.log.decision("repeat", "charged" if is_allowed else "denied", spent=spent)
         return is_allowed
