Give the broadcast of the heartbeats an event name of its own

Streams of entry instances were cut when their membership was restarted: 127 times 'peer_bus raised TypeError' in two minutes of a fleet of six. circuits finds handlers by the name of an event, and peer_broadcast was the name of two events with other arguments, one of the heartbeats on all channels and one of the peer bus; each reached the other's handler.

--- a/wagtailfront/authority/config_manager.py
+++ b/wagtailfront/authority/config_manager.py
@@ -9,7 +9,7 @@
 from wagtailfront.identifiers import new_id
 from wagtailfront.membership.heartbeats import (
     config_applied,
-    peer_broadcast,
+    member_broadcast,
     ping_pace,
 )
 from wagtailfront.membership.messages import (
@@ -222,7 +222,7 @@
         self.fire(peer_reply(effect.source, effect.message), "peer_bus")
 
     def _broadcast(self, effect):
-        self.fire(peer_broadcast(effect.message), "*")
+        self.fire(member_broadcast(effect.message), "*")
 
     def _applied(self, effect):
         logger.info("[config] version %d applied", effect.config.version)
--- a/wagtailfront/callers/slow_hints.py
+++ b/wagtailfront/callers/slow_hints.py
@@ -4,7 +4,7 @@
 
 from circuits import BaseComponent, Event, handler
 
-from wagtailfront.membership.heartbeats import peer_broadcast
+from wagtailfront.membership.heartbeats import member_broadcast
 from wagtailfront.membership.messages import SlowHint
 from wagtailfront.transport.ticker import Ticker
 
@@ -44,7 +44,7 @@
         names = tuple(sorted(self.scheduler.slow_hints))
         if names:
             hint = SlowHint(incarnation=self.incarnation, endpoints=names)
-            self.fire(peer_broadcast(hint), "*")
+            self.fire(member_broadcast(hint), "*")
 
     @handler("peer_message", channel="peer_bus")
     def _on_peer_message(self, message, source):
--- a/wagtailfront/endpoints/endpoint_guard.py
+++ b/wagtailfront/endpoints/endpoint_guard.py
@@ -9,7 +9,7 @@
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.silence import EndpointSilence
 from wagtailfront.identifiers import new_id
-from wagtailfront.membership.heartbeats import peer_broadcast
+from wagtailfront.membership.heartbeats import member_broadcast
 from wagtailfront.membership.messages import CrashReport
 from wagtailfront.transport.http_client import WholeResponse
 from wagtailfront.transport.http_exchange import split_address
@@ -213,7 +213,7 @@
         items = self.evidence.report(now=self.clock())[:MAX_REPORT_ITEMS]
         if items:
             message = CrashReport(incarnation=self.incarnation, items=items)
-            self.fire(peer_broadcast(message), "*")
+            self.fire(member_broadcast(message), "*")
 
     @handler("repeat_report")
     def _on_repeat_report(self):
--- a/wagtailfront/membership/heartbeats.py
+++ b/wagtailfront/membership/heartbeats.py
@@ -22,7 +22,7 @@
     "config_requested",
     "ping_pace",
     "instances_listed",
-    "peer_broadcast",
+    "member_broadcast",
     "start_leaving",
     "peer_report",
     "members_changed",
@@ -65,7 +65,7 @@
     """The platform's list was read: `instances` of `ListedInstance`."""
 
 
-class peer_broadcast(Event):
+class member_broadcast(Event):
     """Send `message` to all peers, then ping them for their versions."""
 
 
@@ -254,7 +254,7 @@
         self.members.handle_list(self.clock(), instances)
         self._update_peers()
 
-    @handler("peer_broadcast", channel="*")
+    @handler("member_broadcast", channel="*")
     def _on_peer_broadcast(self, message):
         self._send((address, message) for address in self.peers)
         self._send(
--- a/wagtailfront/programs/entry_tree.py
+++ b/wagtailfront/programs/entry_tree.py
@@ -19,7 +19,7 @@
 from wagtailfront.endpoints.engine_port import EnginePort
 from wagtailfront.endpoints.load_reporter import LoadReporter
 from wagtailfront.identifiers import new_id
-from wagtailfront.membership.heartbeats import Heartbeats, peer_broadcast
+from wagtailfront.membership.heartbeats import Heartbeats, member_broadcast
 from wagtailfront.membership.member_list_poller import MemberListPoller
 from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
@@ -266,7 +266,7 @@
         )
 
     def _broadcast(self, message):
-        self.components["load_reporter"].fire(peer_broadcast(message), "*")
+        self.components["load_reporter"].fire(member_broadcast(message), "*")
 
     def _make_claims(self):
         return ClaimManager(table=self.proxy("table"), objects=self.proxy("objects"))
