Log and count the rate limits that endpoints name

An engine in need names the requests per second that it takes from all instances. The header is decoded in the adapter; a line rate_limit tells when a limit is named or ended, and a gauge counts the endpoints that name one. Nothing depends on it yet.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -121,9 +121,14 @@
             return False
         self.status, self.headers, self.fields = status, headers, fields
         self._record_progress()
+        now, incarnation = self.context.clock(), self.record.incarnation
         self.context.crashing_parts.record_response(
-            self.record.incarnation, sent=self.started, now=self.context.clock()
+            incarnation, sent=self.started, now=now
         )
+        if status != MISDIRECTED:
+            self.context.rate_limits.record_answer(
+                incarnation, fields.rate_limit, sent=self.started, now=now
+            )
         return True
 
     def on_data(self, data):
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -12,6 +12,7 @@
     dialect: Any
     directory: Any
     health: Any
+    rate_limits: Any
     pool: Any
     body_memory: Any
     timers: Any
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -101,12 +101,16 @@
         Whether the endpoint states that it did not run the request.
     is_encoded : bool
         Whether its body has a content coding, which no caller asked for.
+    rate_limit : float or None
+        Requests per second that the endpoint takes from all instances
+        together; None if it names no limit.
     """
 
     request_id: str | None
     is_signed: bool
     is_not_run: bool
     is_encoded: bool
+    rate_limit: float | None = None
 
 
 class Dialect(Protocol):
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -20,6 +20,7 @@
 from wagtailfront.forwarding.forwarder import AttemptBudgets, PrefixCachesByService
 from wagtailfront.forwarding.framing import Request
 from wagtailfront.forwarding.interfaces import PromptPart, RequestFields
+from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.routes import (
     RequestKind,
     Route,
@@ -261,6 +262,7 @@
             dialect=PlatformDialect(),
             directory=self.directory,
             health=health,
+            rate_limits=RateLimits(log=self.log),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -27,6 +27,7 @@
     (Counter, "sends_total", "Requests sent to endpoints.", ("service", "kind")),
     (Counter, "endpoint_connections_total", "Connections opened to endpoints.", ()),
     (Gauge, "requests_in_progress", "Accepted requests in progress.", ()),
+    (Gauge, "rate_limited_endpoints", "Endpoints that name a rate limit.", ()),
     (Gauge, "config_version", "Applied configuration version.", ()),
     (Gauge, "config_confirmed", "1 while new work may be dispatched.", ()),
     (Gauge, "leases_held", "Leases that this instance holds.", ()),
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -1,5 +1,8 @@
 """Headers towards callers and endpoints on the users' platform."""
 
+import logging
+import math
+
 import msgspec
 
 from wagtailfront.forwarding.framing import find_header
@@ -11,6 +14,8 @@
 
 __all__ = ["PlatformDialect"]
 
+logger = logging.getLogger(__name__)
+
 REQUEST_ID = b"X-Request-Id"
 DEADLINE = b"X-Deadline-Ms"  # remaining time, not a point in time
 MODEL = b"X-Model"
@@ -19,6 +24,7 @@
 LAST_EVENT = b"Last-Event-Id"
 SIGNATURE = b"X-Response-Stamp"  # proof that an engine produced the response
 NOT_RUN = b"X-Not-Executed"
+RATE_LIMIT = b"Server-Limit"  # requests per second of all instances together
 EXPECTED_ID = b"X-Expect-Instance"  # an endpoint's incarnation
 PRIORITY = b"X-Request-Priority"
 STAGE = b"X-Stage"
@@ -103,6 +109,7 @@
             is_signed=find_header(headers, SIGNATURE.lower()) is not None,
             is_not_run=find_header(headers, NOT_RUN.lower()) is not None,
             is_encoded=find_header(headers, b"content-encoding") is not None,
+            rate_limit=_read_rate(find_header(headers, RATE_LIMIT.lower())),
         )
 
     def read_handle(self, address, body):
@@ -126,6 +133,20 @@
         return [(RETRY_AFTER, b"%.3f" % retry_after)]
 
 
+def _read_rate(value):
+    """Return a rate limit, or None if none is named."""
+    if value is None:
+        return None
+    try:
+        rate = float(value)
+    except ValueError:
+        rate = math.nan
+    if not 0 <= rate < math.inf:
+        logger.warning("[endpoint] unreadable rate limit %.40r", value)
+        return None
+    return rate
+
+
 def _read_tokens(text):
     prompt, _comma, output = text.partition(",")
     return int(prompt or 0), int(output or 0)
--- a/wagtailfront/platform/tests/test_headers.py
+++ b/wagtailfront/platform/tests/test_headers.py
@@ -74,6 +74,22 @@
     assert not fields.is_encoded
 
 
+@pytest.mark.parametrize(
+    "value, rate",
+    [
+        (b"4", 4.0),
+        (b"3.9", 3.9),
+        (b"0", 0.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"", None),
+    ],
+)
+def test_rate_limit_of_an_endpoint_is_decoded(value, rate):
+    """Guards the limit that an endpoint names for all instances."""
+    assert DIALECT.read_response(200, [(b"server-limit", value)]).rate_limit == rate
+
+
 def test_kv_source_contains_the_engines_address():
     """Guards the source from which a prompt's KV cache is fetched."""
     assert DIALECT.read_handle("10.0.0.1:80", b'{"handle":"k"}') == "10.0.0.1:80/k"
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -23,6 +23,7 @@
 )
 from wagtailfront.forwarding.interfaces import InstanceRow
 from wagtailfront.forwarding.load_exchange import LoadExchange
+from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.refused_parts import RefusedParts
 from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.shutdown import Shutdown
@@ -130,6 +131,7 @@
             dialect=PlatformDialect(),
             directory=self.directory,
             health=health,
+            rate_limits=RateLimits(log=self.log),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
@@ -286,6 +288,7 @@
             self.pool.drop_idle(record)
         for record in change.gone:
             self.forwarder.context.health.forget(record)
+            self.forwarder.context.rate_limits.forget(record)
             self.forwarder.context.prefix_caches.forget(record)
 
     def _count_connection(self):
@@ -304,4 +307,7 @@
     def render_metrics(self):
         """Return the metrics page."""
         self.metrics.set("requests_in_progress", len(self.forwarder.tasks))
+        self.metrics.set(
+            "rate_limited_endpoints", self.forwarder.context.rate_limits.count_limited()
+        )
         return 200, "text/plain; version=0.0.4", self.metrics.render()
