--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -1,5 +1,7 @@
 """Builders and fakes for the tests of forwarding."""
 
+import heapq
+import itertools
 import random
 from bisect import bisect_right
 from types import SimpleNamespace
@@ -84,23 +86,24 @@
     def __init__(self):
         self.now = 100.0
         self.waiting = []
+        self.numbers = itertools.count()
 
     def clock(self):
         return self.now
 
     def after(self, delay, callback):
-        timer = SimpleNamespace(due=self.now + delay, callback=callback)
-        self.waiting.append(timer)
-        timer.cancel = lambda: timer in self.waiting and self.waiting.remove(timer)
+        timer = SimpleNamespace(callback=callback)
+        timer.cancel = lambda: setattr(timer, "callback", lambda: None)
+        entry = (self.now + delay, next(self.numbers), timer)
+        heapq.heappush(self.waiting, entry)
         return timer
 
     def advance(self, seconds):
         """Advance the clock and call timers that come due, in order."""
         end = self.now + seconds
-        while due := [t for t in self.waiting if t.due <= end]:
-            timer = min(due, key=lambda t: t.due)
-            self.waiting.remove(timer)
-            self.now = max(self.now, timer.due)
+        while self.waiting and self.waiting[0][0] <= end:
+            due, _number, timer = heapq.heappop(self.waiting)
+            self.now = max(self.now, due)
             timer.callback()
         self.now = end
 
@@ -245,11 +248,24 @@
     slack : float, optional
         Repeated attempts that the instance may make beyond the share.
     crashing_parts : CrashingParts, optional
+    timers, pool : optional
+        Those that the instance shares with others.
+    incarnation : str, optional
     """
 
-    def __init__(self, records, *, is_model=False, slack=2, crashing_parts=None):
-        self.timers = VirtualTimers()
-        self.pool = FakePool()
+    def __init__(
+        self,
+        records,
+        *,
+        is_model=False,
+        slack=2,
+        crashing_parts=None,
+        timers=None,
+        pool=None,
+        incarnation="i",
+    ):
+        self.timers = timers or VirtualTimers()
+        self.pool = pool or FakePool()
         self.log = LogLines()
         self.service = make_service(is_model=is_model)
         self.directory = EndpointDirectory()
@@ -274,7 +290,7 @@
             evidence=CrashEvidence(lifetime=60.0),
             crashing_parts=crashing_parts or CrashingParts(source="i"),
             prefix_caches=prefix_caches,
-            load=FleetLoad(incarnation="i", health=health),
+            load=FleetLoad(incarnation=incarnation, health=health),
             limits=AdmissionLimits(),
             log=self.log,
             metrics=Metrics(),
--- a/wagtailfront/forwarding/tests/test_relays.py
+++ b/wagtailfront/forwarding/tests/test_relays.py
@@ -1,23 +1,15 @@
 """Tests of reports and relays between instances without a network."""
 
-import random
 from collections import Counter
 
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wagtailfront.decisions.crash_evidence import CrashEvidence, Decision
-from wagtailfront.decisions.crashing_parts import CrashingParts
+from wagtailfront.decisions.crash_evidence import Decision
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
-from wagtailfront.forwarding.fleet_pace import FleetPace
-from wagtailfront.forwarding.forwarder import PrefixCachesByService
-from wagtailfront.forwarding.interfaces import InstanceRow
-from wagtailfront.forwarding.load_exchange import LoadExchange
 from wagtailfront.forwarding.relay_groups import relay_targets
-from wagtailfront.forwarding.store_watcher import StoreVersions
-from wagtailfront.forwarding.tests.builders import LogLines, VirtualTimers
-from wagtailfront.membership.messages import decode_message, encode_message
+from wagtailfront.forwarding.tests.fleet import Fleet
 
 
 @given(size=st.integers(1, 350))
@@ -40,71 +32,6 @@
     assert most <= 3 * size**0.5
 
 
-class Fleet:
-    """Instances whose messages arrive at once, in virtual time."""
-
-    def __init__(self, size):
-        self.timers = VirtualTimers()
-        self.rows = []
-        self.sent = Counter()
-        self.bytes = Counter()
-        self.lost = set()
-        self.instances = {}
-        for number in range(size):
-            self.add(f"i{number:03}")
-
-    def add(self, name):
-        """Start an instance."""
-        load = FleetLoad(incarnation=name, health=EndpointHealth())
-        row = InstanceRow(name, f"{name}:7", len(self.rows) + 1)
-        exchange = LoadExchange(
-            row=row,
-            store=None,
-            load=load,
-            prefix_caches=PrefixCachesByService(),
-            evidence=CrashEvidence(),
-            crashing_parts=CrashingParts(source=name),
-            versions=StoreVersions(tables=("routing",)),
-            pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
-            find_service=lambda endpoint: None,
-            timers=self.timers,
-            log=LogLines(),
-            clock=self.timers.clock,
-        )
-        exchange.fire = lambda event, *channels: self._deliver(row.address, event)
-        self.instances[row.address] = exchange
-        self.rows.append(row)
-        return exchange
-
-    def discover_peers(self):
-        """Give all instances the rows of all."""
-        for exchange in self.instances.values():
-            exchange._handle_rows(self.rows)
-
-    def _deliver(self, sender, event):
-        if event.name != "peer_broadcast" or sender in self.lost:
-            return
-        addresses, message = event.args
-        self.sent[sender] += len(addresses)
-        data = encode_message(message)
-        self.bytes[sender] += len(addresses) * len(data)
-        for address in addresses:
-            if address not in self.lost:
-                self.instances[address]._on_peer_message(decode_message(data), None)
-
-    def run(self, seconds):
-        """Let the instances exchange digests for some seconds."""
-        for _ in range(round(seconds / 0.08)):
-            self.timers.advance(0.08)
-            for exchange in self.instances.values():
-                exchange.crashing_parts.update(now=self.timers.now)
-                exchange._on_send_digest()
-
-    def outstanding(self, exchange, endpoint="e1/1"):
-        """Return an endpoint's load as known to an instance."""
-        return exchange.load.outstanding(endpoint, now=self.timers.now)
-
-
 @pytest.mark.parametrize("size", [2, 6, 12, 13, 40, 84])
 def test_all_instances_know_the_load_of_all(size):
     """Simulates requests of all instances at one endpoint."""
--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -31,6 +31,11 @@
     return b"Last-Event-Id: %d" % event_id
 
 
+def rate_limit_header(rate):
+    """Return the header by which an endpoint names its rate limit."""
+    return (b"Server-Limit", b"%g" % rate)
+
+
 def signed_response(request_id, body, *, extra=b""):
     """Return the bytes of a signed response with a length, and `extra`."""
     head = b"HTTP/1.1 200 OK\r\n%b: %b\r\n%b: s\r\nContent-Length: %d\r\n\r\n"
