Keep the rate limits that engines name, for all instances together

Engines in need got up to twice what they had named; callers saw slow first events from them.

Now the latest answer of an engine, wherever it arrived, sets or ends its limit; digests carry it. Rendezvous hashing names a few senders among the instances in touch; each earns an equal share, and every send of a request (run, prefill, repeat, resume) reserves its place in RequestSender. Placement and admission count the wait. The sum holds while instances restart, join, freeze or are cut off, as few of them send and a part of a divided fleet scales its share down.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -1,5 +1,7 @@
 """Choice of endpoints for one request."""
 
+import math
+
 from wagtailfront.forwarding.admission import admit
 from wagtailfront.forwarding.placement import (
     EngineView,
@@ -33,6 +35,8 @@
     def views(self, *, without=(), stages=None):
         """Return views of the endpoints that may be chosen.
 
+        Endpoints whose rate limit leaves them to other instances are not.
+
         Parameters
         ----------
         without : collection of str, optional
@@ -43,7 +47,8 @@
         records = [
             record
             for record in self.context.directory.find(self.service.name)
-            if stages is None or record.stage in stages
+            if (stages is None or record.stage in stages)
+            and self.wait(record) < math.inf
         ]
         others = [r for r in records if r.incarnation not in without]
         usable = self.context.health.usable(others or records, now=self.context.clock())
@@ -54,8 +59,9 @@
         incarnation, urgency = record.incarnation, self.route.priority
         outstanding = load.outstanding(incarnation, now=now)
         is_remote = record.data_centre != self.context.data_centre
+        wait = self.wait(record)
         if not self.service.is_model:
-            return EngineView(record, outstanding, is_remote=is_remote)
+            return EngineView(record, outstanding, is_remote=is_remote, wait=wait)
         prefix_cache = self.context.prefix_caches[self.service.name]
         waiting = load.pending_before(incarnation, urgency, now=now)
         return EngineView(
@@ -67,6 +73,13 @@
             slowness=self.context.health.state(incarnation).slowness,
             blocking_tokens=load.blocking_tokens(incarnation, MOST_URGENT, now=now),
             is_remote=is_remote,
+            wait=wait,
+        )
+
+    def wait(self, record):
+        """Return the seconds until an endpoint's rate limit permits a send."""
+        return self.context.rate_limits.wait(
+            record.incarnation, now=self.context.clock()
         )
 
     def least_loaded(self, views):
@@ -87,7 +100,7 @@
     def admit(self, plan, *, time_left):
         """Return the Admission of a model request with this plan."""
         return admit(
-            expected=plan.expected,
+            expected=plan.wait + plan.expected,
             route=self.route,
             time_left=time_left,
             limits=self.context.limits,
--- a/wagtailfront/forwarding/fleet_load.py
+++ b/wagtailfront/forwarding/fleet_load.py
@@ -23,6 +23,7 @@
 
     def __init__(self):
         self.loads = {}
+        self.address = ""
         self.received_at = 0.0
 
 
@@ -33,6 +34,8 @@
     ----------
     incarnation : str
         Names this start of the instance.
+    address : str
+        Where this instance listens for its peers.
     health : EndpointHealth
 
     Attributes
@@ -53,15 +56,16 @@
     >>> from wagtailfront.forwarding.endpoint_health import EndpointHealth
     >>> health, other = EndpointHealth(), EndpointHealth()
     >>> other.state("e1/1").outstanding = 3
-    >>> sender = FleetLoad(incarnation="b", health=other)
-    >>> receiver = FleetLoad(incarnation="a", health=health)
+    >>> sender = FleetLoad(incarnation="b", address="b:7", health=other)
+    >>> receiver = FleetLoad(incarnation="a", address="a:7", health=health)
     >>> receiver.merge(sender.make_digest(full=True), now=0.0)
     >>> [receiver.outstanding("e1/1", now=now) for now in (1.0, 9.0)]
     [3, 0]
     """
 
-    def __init__(self, *, incarnation, health):
+    def __init__(self, *, incarnation, address, health):
         self.incarnation = incarnation
+        self.address = address
         self.health = health
         self.instances = 0
         self.peers = {}
@@ -121,6 +125,7 @@
         if digest.incarnation == self.incarnation:
             return
         peer = self.peers.setdefault(digest.incarnation, _Peer())
+        peer.address = digest.address or peer.address
         peer.received_at = now
         if digest.loads or digest.prompts:
             self.has_peer_requests = True
@@ -162,6 +167,15 @@
             for load in self.peers.pop(incarnation).loads.values():
                 self._add(load, -1)
 
+    def live_addresses(self, *, now):
+        """Return the addresses of the instances in touch, its own included.
+
+        An instance that starts again keeps its address.
+        """
+        self._expire(now)
+        addresses = {peer.address for peer in self.peers.values() if peer.address}
+        return addresses | {self.address}
+
     def outstanding(self, endpoint, *, now):
         """Return the requests of all instances in progress at an endpoint."""
         self._expire(now)
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -1,5 +1,7 @@
 """One caller's request, from its arrival to the single response."""
 
+import math
+
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
 from wagtailfront.forwarding.attempt import (
     PrefillAttempt,
@@ -7,8 +9,8 @@
     end_to_end_headers,
 )
 from wagtailfront.forwarding.endpoint_choice import EndpointChoice
-from wagtailfront.forwarding.interfaces import SendOptions
 from wagtailfront.forwarding.request_log import RequestLog
+from wagtailfront.forwarding.request_sender import MIN_TIME_LEFT, RequestSender
 from wagtailfront.forwarding.send_credit import SendCredit
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
@@ -16,11 +18,10 @@
 __all__ = ["ForwardTask"]
 
 MAX_SENDS = 4  # sends of one request, including those that did not run it
-MIN_TIME_LEFT = 0.02  # seconds below which no endpoint can answer in time
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
 RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
 POISON_RETRY_AFTER = 5.0  # seconds; for requests that crash endpoints
-PREFILLED_PRIORITY = 0
+RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
 DECODE_STAGES = ("decode", "")  # stages of engines that decode
 TOO_MANY, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 429, 502, 503, 504
 
@@ -88,6 +89,7 @@
         self.choice = EndpointChoice(
             context=context, service=service, route=route, fields=fields
         )
+        self.sender = RequestSender(task=self)
         self.silence = SilenceWatch(task=self)
         self.stream = StreamRelay(task=self)
         self.fingerprint = request_fingerprint(
@@ -106,7 +108,7 @@
         if placement.decision is Decision.REFUSE:
             self._give_up("it crashed endpoints that ran it", POISON_RETRY_AFTER)
         elif not self._give_up_on_crashing_part():
-            self._dispatch()
+            self.dispatch()
 
     def cancel(self):
         """End the task because the caller closed its connection."""
@@ -155,7 +157,8 @@
 
     # Sending
 
-    def _dispatch(self):
+    def dispatch(self):
+        """Send the request to the best endpoint, or give it up."""
         now = self.context.clock()
         if self.deadline - now < MIN_TIME_LEFT:
             self._give_up("no time left to send it", None, GATEWAY_TIMEOUT)
@@ -165,7 +168,9 @@
             return
         views = self.choice.views(without=self.tried)
         if not views:
-            self._give_up("no endpoint is registered", RETRY_AFTER)
+            is_registered = self.context.directory.find(self.service.name)
+            reason = RATE_LIMITED if is_registered else "no endpoint is registered"
+            self._give_up(reason, RETRY_AFTER)
         elif self.service.is_model:
             self._dispatch_model(views)
         else:
@@ -226,46 +231,11 @@
         if not self._reserve(1):
             self._give_up("the repeat budget is spent", RETRY_AFTER)
             return
-        self.sends += 1
-        attempt = attempt_type(
-            task=self,
-            record=record,
-            number=self.sends,
-            uncached_tokens=uncached_tokens,
-            expected=expected,
-        )
-        self.attempt = attempt
-        options = SendOptions(
-            endpoint_id=record.endpoint_id,
-            time_left=self.deadline - attempt.started,
-            priority=self._engine_priority() if self.service.is_model else None,
-            prefill_only=attempt.is_prefill,
-            kv_source=self.kv_source,
-            resume_after=self.stream.last_event_id,
-        )
-        kind = "prefill" if attempt.is_prefill else "run"
-        self.context.metrics.count("sends_total", service=self.service.name, kind=kind)
-        self.log.decision(
-            "sent",
-            kind,
-            endpoint=record.endpoint_id,
-            service=self.service.name,
-            outstanding=attempt.health.outstanding,
-            unread=uncached_tokens,
-            expected=round(expected, 4),
-            attempt=self.sends,
-            **self.log.input_ages(),
+        wait = self.sender.send(
+            attempt_type, record, uncached_tokens=uncached_tokens, expected=expected
         )
-        attempt.launch(options)
-        self.silence.watch(attempt)
-
-    def _engine_priority(self):
-        """Return the priority at an engine, 0 for the most urgent.
-
-        A prompt prefilled elsewhere needs only a batch slot, so it does not
-        queue behind prompts that still have to be prefilled.
-        """
-        return PREFILLED_PRIORITY if self.kv_source else self.route.priority + 1
+        if wait == math.inf:
+            self._give_up(RATE_LIMITED, RETRY_AFTER)
 
     def _drop_attempt(self):
         attempt, self.attempt = self.attempt, None
@@ -289,7 +259,9 @@
             latency = now - attempt.started
             attempt.health.record_prefill_time(expected=attempt.expected, took=latency)
             self.context.health.record_success(record, now=now)
-            if self.context.directory.is_current(self.plan.decode):
+            if self.context.directory.is_current(
+                self.plan.decode
+            ) and not self.choice.wait(self.plan.decode):
                 self.choice.record_cached_prompt(self.plan.decode)
                 self._send(RunAttempt, self.plan.decode)
                 return
@@ -342,7 +314,7 @@
         self.kv_source = None
         self.log.decision("shed", str(attempt.status), endpoint=record.endpoint_id)
         if self.sends < MAX_SENDS and self._reserve(1):
-            self._dispatch()
+            self.dispatch()
         else:
             self._give_up("every endpoint tried is full", RETRY_AFTER)
 
@@ -369,7 +341,7 @@
             return
         self._drop_attempt()
         self.tried.add(record.incarnation)
-        self._dispatch()
+        self.dispatch()
 
     def may_repeat(self):
         """Return whether one more run is allowed after the current one."""
@@ -394,4 +366,4 @@
         self.kv_source = None
         self.tried.add(attempt.record.incarnation)
         self._drop_attempt()
-        self._dispatch()
+        self.dispatch()
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -54,6 +54,7 @@
         Row by which this instance announces itself.
     store : MembershipStore
     load : FleetLoad
+    rate_limits : RateLimits
     prefix_caches : PrefixCachesByService
     evidence : CrashEvidence
     crashing_parts : CrashingParts
@@ -80,6 +81,7 @@
         row,
         store,
         load,
+        rate_limits,
         prefix_caches,
         evidence,
         crashing_parts,
@@ -94,6 +96,7 @@
         self.row = row
         self.store = store
         self.load = load
+        self.rate_limits = rate_limits
         self.prefix_caches = prefix_caches
         self.evidence = evidence
         self.crashing_parts = crashing_parts
@@ -200,12 +203,15 @@
         if full:
             self.full_digest_due = now + FULL_DIGEST_INTERVAL
         known = self.versions.known
-        digest = self.load.make_digest(full=full or known != self.sent_versions)
+        rates = self.rate_limits.make_report(now=now, full=full)
+        digest = self.load.make_digest(
+            full=full or bool(rates) or known != self.sent_versions
+        )
         if digest is not None:
             self.sent_versions = known
             reports.append(
                 msgspec.structs.replace(
-                    digest, address=self.row.address, versions=known
+                    digest, address=self.row.address, versions=known, rates=rates
                 )
             )
         items = self._own_evidence(now, repeat=full)
@@ -269,6 +275,7 @@
             return
         is_newcomer = report.incarnation not in self.load.peers
         self.load.merge(report, now=now)
+        self.rate_limits.merge(report.rates, now=now)
         self.versions.handle_peer_versions(report.versions)
         for prompt in report.prompts:
             self._record_prompt(prompt)
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -59,6 +59,8 @@
         Tokens left of prompts in progress, whatever their urgency.
     is_remote : bool
         Whether it is in a data centre other than the instance's.
+    wait : float
+        Seconds until its rate limit lets this instance send a request.
     """
 
     record: object
@@ -68,6 +70,7 @@
     slowness: float = 1.0
     blocking_tokens: int = 0
     is_remote: bool = False
+    wait: float = 0.0
 
 
 class Plan(NamedTuple):
@@ -81,25 +84,29 @@
     uncached_tokens : int
         Prompt tokens that have to be prefilled.
     expected : float
-        Seconds until the prompt has been prefilled.
+        Seconds from sending it until the prompt has been prefilled.
+    wait : float
+        Seconds until the first engine's rate limit lets it be sent.
     """
 
     prefill: object
     decode: object
     uncached_tokens: int
     expected: float
+    wait: float = 0.0
 
 
 def choose_least_loaded(views, *, rng):
     """Return the view with the fewest requests in progress per slot.
 
-    Ties go to an endpoint in the own data centre, then to a random one, so
-    that instances with outdated loads of each other do not all choose the
-    same endpoint.
+    Endpoints whose rate limit makes a request wait come last. Ties go to an
+    endpoint in the own data centre, then to a random one, so that instances
+    with outdated loads of each other do not all choose the same endpoint.
     """
     return min(
         views,
         key=lambda view: (
+            view.wait,
             view.slowness * view.outstanding / max(1, view.record.slots),
             view.is_remote,
             rng.random(),
@@ -141,7 +148,7 @@
         blocked = view.blocking_tokens / DECODE_ENGINE_PREFILL_RATE
         busy = view.slowness * (blocked + view.outstanding * STREAM_SECONDS)
         is_near = view.record.data_centre == data_centre
-        return busy + (0.0 if is_near else REMOTE_CACHE_SECONDS)
+        return busy + view.wait + (0.0 if is_near else REMOTE_CACHE_SECONDS)
 
     return min(views, key=lambda view: (seconds_to_first_token(view), rng.random()))
 
@@ -195,7 +202,8 @@
     def cost(view):
         recompute_seconds = (most_cached - view.cached_tokens) / PREFILL_RATE
         seconds = expected_prefill_seconds(view, prompt_tokens) + _remote_seconds(view)
-        return seconds + RECOMPUTE_WEIGHT * recompute_seconds, rng.random()
+        seconds += view.wait + RECOMPUTE_WEIGHT * recompute_seconds
+        return seconds, rng.random()
 
     candidates = decode_views
     if may_split:
@@ -213,5 +221,5 @@
         decode = choose_decode_engine(
             decode_views, rng=rng, data_centre=data_centre
         ).record
-        return Plan(best.record, decode, uncached_tokens, expected)
-    return Plan(None, best.record, uncached_tokens, expected)
+        return Plan(best.record, decode, uncached_tokens, expected, best.wait)
+    return Plan(None, best.record, uncached_tokens, expected, best.wait)
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -250,7 +250,7 @@
     crashing_parts : CrashingParts, optional
     timers, pool : optional
         Those that the instance shares with others.
-    incarnation : str, optional
+    incarnation, address : str, optional
     """
 
     def __init__(
@@ -263,6 +263,7 @@
         timers=None,
         pool=None,
         incarnation="i",
+        address="i:7",
     ):
         self.timers = timers or VirtualTimers()
         self.pool = pool or FakePool()
@@ -271,6 +272,7 @@
         self.directory = EndpointDirectory()
         self.directory.replace(records, now=self.timers.now)
         health = EndpointHealth()
+        load = FleetLoad(incarnation=incarnation, address=address, health=health)
         prefix_caches = PrefixCachesByService()
         prefix_caches.add_services({"s": self.service})
         self.context = ForwardContext(
@@ -278,7 +280,7 @@
             dialect=PlatformDialect(),
             directory=self.directory,
             health=health,
-            rate_limits=RateLimits(log=self.log),
+            rate_limits=RateLimits(fleet=load, log=self.log),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
@@ -290,7 +292,7 @@
             evidence=CrashEvidence(lifetime=60.0),
             crashing_parts=crashing_parts or CrashingParts(source="i"),
             prefix_caches=prefix_caches,
-            load=FleetLoad(incarnation=incarnation, health=health),
+            load=load,
             limits=AdmissionLimits(),
             log=self.log,
             metrics=Metrics(),
--- a/wagtailfront/forwarding/tests/fleet.py
+++ b/wagtailfront/forwarding/tests/fleet.py
@@ -11,6 +11,7 @@
 from wagtailfront.forwarding.forwarder import PrefixCachesByService
 from wagtailfront.forwarding.interfaces import InstanceRow
 from wagtailfront.forwarding.load_exchange import LoadExchange
+from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.store_watcher import StoreVersions
 from wagtailfront.forwarding.tests.builders import LogLines, VirtualTimers
 from wagtailfront.membership.messages import decode_message, encode_message
@@ -34,11 +35,12 @@
         """Start an instance, also again."""
         self.starts += 1
         row = InstanceRow(name, f"{name}:7", self.starts)
-        load = self._make_load(name, f"{name}#{self.starts}")
+        load, rate_limits = self._make_state(row, f"{name}#{self.starts}")
         exchange = LoadExchange(
             row=row,
             store=None,
             load=load,
+            rate_limits=rate_limits,
             prefix_caches=PrefixCachesByService(),
             evidence=CrashEvidence(),
             crashing_parts=CrashingParts(source=load.incarnation),
@@ -55,8 +57,12 @@
         self.rows.append(row)
         return exchange
 
-    def _make_load(self, name, incarnation):
-        return FleetLoad(incarnation=incarnation, health=EndpointHealth())
+    def _make_state(self, row, incarnation):
+        """Return the loads and the rate limits of an instance."""
+        load = FleetLoad(
+            incarnation=incarnation, address=row.address, health=EndpointHealth()
+        )
+        return load, RateLimits(fleet=load, log=LogLines())
 
     def discover_peers(self):
         """Give all instances the rows of all."""
--- a/wagtailfront/forwarding/tests/limited_fleet.py
+++ b/wagtailfront/forwarding/tests/limited_fleet.py
@@ -139,7 +139,8 @@
         super().__init__(size)
         self.discover_peers()
 
-    def _make_load(self, name, incarnation):
+    def _make_state(self, row, incarnation):
+        name = row.instance
         scene = Scene(
             [engine.record for engine in self.engines.values()],
             is_model=self.is_model,
@@ -147,10 +148,11 @@
             timers=self.timers,
             pool=_Pool(fleet=self, name=name),
             incarnation=incarnation,
+            address=row.address,
         )
         scene.context.rng.seed(incarnation)
         self.scenes[name] = scene
-        return scene.context.load
+        return scene.context.load, scene.context.rate_limits
 
     def serve(self, seconds):
         """Let callers send requests for some seconds."""
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -15,6 +15,7 @@
 from wagtailfront.forwarding.forwarder import Forwarder, PrefixCachesByService
 from wagtailfront.forwarding.interfaces import InstanceRow, RegistryRead, RoutingRead
 from wagtailfront.forwarding.load_exchange import INSTANCE_LIFETIME, LoadExchange
+from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
 from wagtailfront.forwarding.shutdown import BALANCER_DELAY, Shutdown
@@ -261,10 +262,12 @@
 
 def make_exchange(store, timers):
     """Return the load exchange of instance "a"."""
+    load = FleetLoad(incarnation="a", address="10.0.0.1:1", health=EndpointHealth())
     return LoadExchange(
         row=InstanceRow("a", "10.0.0.1:1"),
         store=store,
-        load=FleetLoad(incarnation="a", health=EndpointHealth()),
+        load=load,
+        rate_limits=RateLimits(fleet=load, log=LogLines()),
         prefix_caches=PrefixCachesByService(),
         evidence=CrashEvidence(),
         crashing_parts=CrashingParts(source="a"),
--- a/wagtailfront/forwarding/tests/test_policies.py
+++ b/wagtailfront/forwarding/tests/test_policies.py
@@ -118,7 +118,10 @@
 def test_fleet_load_spreads_requests_that_instances_place_independently():
     """Guards against all instances choosing the same endpoint."""
     records = [make_record(f"e{i}") for i in range(4)]
-    loads = [FleetLoad(incarnation=str(i), health=EndpointHealth()) for i in range(6)]
+    loads = [
+        FleetLoad(incarnation=name, address=name, health=EndpointHealth())
+        for name in "abcdef"
+    ]
     rng = random.Random(3)
     for step in range(48):
         load = loads[step % 6]
@@ -136,8 +139,8 @@
 
 def test_a_duplicated_or_late_digest_is_harmless():
     """Guards against loads that add up from repeated digests."""
-    sender = FleetLoad(incarnation="b", health=EndpointHealth())
-    receiver = FleetLoad(incarnation="a", health=EndpointHealth())
+    sender = FleetLoad(incarnation="b", address="b", health=EndpointHealth())
+    receiver = FleetLoad(incarnation="a", address="a", health=EndpointHealth())
     sender.health.state("e1/1").outstanding = 2
     digest = sender.make_digest(full=True)
     for _ in range(3):
--- a/wagtailfront/forwarding/tests/test_rate_limits.py
+++ b/wagtailfront/forwarding/tests/test_rate_limits.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from wagtailfront.forwarding.tests.builders import Scene
 from wagtailfront.forwarding.tests.limited_fleet import LimitedFleet, make_engines
+from wagtailfront.membership.messages import EndpointRate
 
 LIMIT = 4.0
 
@@ -75,3 +77,66 @@
     disrupt(fleet, sorted(fleet.scenes))
     engines = [engine for engine in fleet.engines.values() if engine.limit]
     assert max(engine.excess(LIMIT) for engine in engines) <= 0
+
+
+@pytest.mark.parametrize("size", [6, 84])
+def test_engines_that_name_a_limit_are_used_up_to_it(size):
+    """Guards against shares so thin, or so few, that they remain unused."""
+    fleet = make_fleet(size, limited=100)
+    start = fleet.timers.now + 4.0
+    fleet.serve(16.0)
+    engines = [engine for engine in fleet.engines.values() if engine.limit]
+    rates = [engine.rate(start, fleet.timers.now) for engine in engines]
+    assert min(rates) > 0.8 * LIMIT
+    assert max(engine.excess(LIMIT) for engine in engines) <= 0
+
+
+@pytest.mark.parametrize("size", [6, 84])
+def test_a_limit_that_is_no_longer_named_ends(size):
+    """Guards against instances that keep a limit which has ended."""
+    fleet = make_fleet(size, limited=2)
+    fleet.serve(5.0)
+    for engine in fleet.engines.values():
+        engine.limit = None
+    fleet.serve(3.0)
+    limited = [s.context.rate_limits.count_limited() for s in fleet.scenes.values()]
+    assert sum(limited) == 0
+
+
+@pytest.mark.parametrize("is_model", [True, False])
+@pytest.mark.parametrize("refuses", [False, True])
+def test_requests_beyond_the_limits_of_all_endpoints_are_refused(is_model, refuses):
+    """Guards against repeats and against waits without a prospect."""
+    engines = make_engines(0, 3, limited=3, limit=LIMIT)
+    for engine in engines:
+        engine.refuses = refuses
+    fleet = LimitedFleet(6, engines=engines, requests=60, seed=2, is_model=is_model)
+    fleet.serve(20.0)
+    assert max(engine.excess(LIMIT) for engine in engines) <= 0
+    overdue = fleet.timers.now - fleet.route.timeout - 0.1
+    replies = [reply for at, reply in fleet.replies if at < overdue]
+    assert all(reply.status in (200, 503) for reply in replies)
+    if not refuses:
+        served = sum(reply.status == 200 for at, reply in fleet.replies if at > 108.0)
+        assert served / (fleet.timers.now - 108.0) > 0.8 * LIMIT * len(engines)
+
+
+def test_an_answer_to_an_earlier_request_does_not_end_a_limit():
+    """Guards against answers on other connections that come later."""
+    scene = Scene([])
+    limits = scene.context.rate_limits
+    limits.record_answer("e1/1", LIMIT, sent=1.0, now=2.0)
+    limits.record_answer("e1/1", None, sent=1.9, now=2.1)
+    assert limits.limit("e1/1") == LIMIT
+    limits.record_answer("e1/1", None, sent=2.05, now=2.2)
+    assert limits.limit("e1/1") is None
+
+
+def test_the_latest_answer_counts_wherever_it_arrived():
+    """Guards against reports that arrive after newer ones."""
+    limits = Scene([]).context.rate_limits
+    limits.merge((EndpointRate("e1/1", LIMIT, 1.0),), now=10.0)
+    limits.merge((EndpointRate("e1/1", None, 3.0),), now=10.1)
+    assert limits.limit("e1/1") == LIMIT
+    limits.merge((EndpointRate("e1/1", None, 0.2),), now=10.2)
+    assert limits.limit("e1/1") is None
--- a/wagtailfront/forwarding/tests/test_relays.py
+++ b/wagtailfront/forwarding/tests/test_relays.py
@@ -173,9 +173,9 @@
 )
 def test_sums_equal_the_last_reports_of_peers(steps, lost):
     """Guards the running sums against lost digests."""
-    receiver = FleetLoad(incarnation="r", health=EndpointHealth())
+    receiver = FleetLoad(incarnation="r", address="r", health=EndpointHealth())
     senders = [
-        FleetLoad(incarnation=str(number), health=EndpointHealth())
+        FleetLoad(incarnation=str(number), address=str(number), health=EndpointHealth())
         for number in range(4)
     ]
     for number, (sender, endpoint, load) in enumerate(steps):
--- a/wagtailfront/forwarding/tests/test_stages.py
+++ b/wagtailfront/forwarding/tests/test_stages.py
@@ -107,7 +107,7 @@
     def add(self, name):
         """Start an instance."""
         orders = FakeOrders()
-        load = FleetLoad(incarnation=name, health=EndpointHealth())
+        load = FleetLoad(incarnation=name, address=name, health=EndpointHealth())
         self.managers[name] = manager = StageManager(
             incarnation=name,
             directory=self.directory,
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -23,6 +23,7 @@
     "LoadDigest",
     "EndpointPending",
     "PlacedPrompt",
+    "EndpointRate",
     "PlacementDigest",
     "RelayedReports",
     "Leaving",
@@ -179,13 +180,32 @@
     parts: Annotated[tuple[tuple[Text, Number], ...], msgspec.Meta(max_length=16)]
 
 
+class EndpointRate(msgspec.Struct, frozen=True, array_like=True):
+    """Rate limit that an endpoint named to the sender.
+
+    Attributes
+    ----------
+    endpoint : str
+        Incarnation of the endpoint.
+    rate : float or None
+        Requests per second of all instances; None if it names no limit any
+        more.
+    age : float
+        Seconds since it said so.
+    """
+
+    endpoint: Text
+    rate: Count | None
+    age: Age
+
+
 class PlacementDigest(MessageBase):
     """Endpoints whose load by the sender changed, and prompts it placed.
 
     If `is_whole`, it names all endpoints that have load by the sender.
     `address` is where the sender listens, and `versions` holds the store's
     version of the latest change that it knows, for each table that instances
-    follow.
+    follow. `rates` holds what endpoints said of their rate limits.
     """
 
     incarnation: Text
@@ -194,6 +214,7 @@
     is_whole: bool = False
     address: Text = ""
     versions: Annotated[tuple[Number, ...], msgspec.Meta(max_length=8)] = ()
+    rates: Annotated[tuple[EndpointRate, ...], msgspec.Meta(max_length=512)] = ()
 
 
 class RelayedReports(MessageBase):
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -125,13 +125,15 @@
     def _make_context(self):
         settings = self.settings
         health = EndpointHealth()
-        load = FleetLoad(incarnation=new_id(), health=health)
+        load = FleetLoad(
+            incarnation=new_id(), address=str(settings.peers), health=health
+        )
         return ForwardContext(
             data_centre=settings.data_centre,
             dialect=PlatformDialect(),
             directory=self.directory,
             health=health,
-            rate_limits=RateLimits(log=self.log),
+            rate_limits=RateLimits(fleet=load, log=self.log),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
@@ -209,6 +211,7 @@
             row=InstanceRow(self.settings.instance, str(self.settings.peers)),
             store=StoreMembership(client=self.store, log=self.log),
             load=context.load,
+            rate_limits=context.rate_limits,
             prefix_caches=context.prefix_caches,
             evidence=context.evidence,
             crashing_parts=context.crashing_parts,
