Keep engines' rate limits in queries of their caches as well

A query to a limited engine now needs a place in its share, and all answers are read for a limit. Orders go out before the first request only and are not held back. Two tests; both fail before.

--- a/wagtailfront/forwarding/cache_inquiry.py
+++ b/wagtailfront/forwarding/cache_inquiry.py
@@ -1,5 +1,7 @@
 """Inquiry of engines' caches when an instance starts."""
 
+import time
+
 __all__ = ["CacheInquiry"]
 
 # Engines that one instance queries. A query takes an engine's time, and in a
@@ -18,15 +20,21 @@
     ----------
     client : EngineInquiry
     prefix_caches : PrefixCachesByService
+    rate_limits : RateLimits
     log : DecisionLog
     rng : random.Random
+    clock : callable, optional
     """
 
-    def __init__(self, *, client, prefix_caches, log, rng):
+    def __init__(
+        self, *, client, prefix_caches, rate_limits, log, rng, clock=time.monotonic
+    ):
         self.client = client
         self.prefix_caches = prefix_caches
+        self.rate_limits = rate_limits
         self.log = log
         self.rng = rng
+        self.clock = clock
         self.is_done = False
 
     def ask(self, records):
@@ -35,7 +43,12 @@
         if self.is_done or not engines:
             return
         self.is_done = True
+        now = self.clock()
         for record in self.rng.sample(engines, min(len(engines), MAX_INQUIRIES)):
+            if self.rate_limits.wait(record.incarnation, now=now):
+                self._on_reply(record, None, "its rate limit permits no query")
+                continue
+            self.rate_limits.reserve(record.incarnation, now=now)
             self.client.read_cached_parts(
                 record, lambda parts, reason, r=record: self._on_reply(r, parts, reason)
             )
--- a/wagtailfront/forwarding/tests/test_cache_inquiry.py
+++ b/wagtailfront/forwarding/tests/test_cache_inquiry.py
@@ -6,6 +6,7 @@
 from wagtailfront.forwarding.forwarder import PrefixCachesByService
 from wagtailfront.forwarding.tests.builders import (
     LogLines,
+    Scene,
     make_parts,
     make_record,
     make_service,
@@ -29,7 +30,11 @@
     prefix_caches = PrefixCachesByService()
     prefix_caches.add_services({"s": make_service(is_model=True)})
     inquiry = CacheInquiry(
-        client=client, prefix_caches=prefix_caches, log=LogLines(), rng=random.Random(1)
+        client=client,
+        prefix_caches=prefix_caches,
+        rate_limits=Scene([]).context.rate_limits,
+        log=LogLines(),
+        rng=random.Random(1),
     )
     return inquiry, prefix_caches["s"]
 
@@ -56,6 +61,15 @@
     assert len(client.asked) == MAX_INQUIRIES
 
 
+def test_an_engine_at_its_rate_limit_is_not_asked():
+    """Guards against queries that come on top of an engine's limit."""
+    client = FakeClient([])
+    inquiry, _prefix_cache = make_inquiry(client)
+    inquiry.rate_limits.record_answer("e0/1", 2.0, sent=0.0, now=0.0)
+    inquiry.ask([make_record(f"e{i}", stage="decode") for i in range(3)])
+    assert sorted(record.endpoint_id for record in client.asked) == ["e1", "e2"]
+
+
 def test_an_engine_that_does_not_answer_is_logged():
     """Guards against a failed inquiry that is not logged."""
     inquiry, _prefix_cache = make_inquiry(FakeClient(None))
--- a/wagtailfront/platform/calls.py
+++ b/wagtailfront/platform/calls.py
@@ -5,7 +5,7 @@
 __all__ = ["call", "describe_failure"]
 
 
-def call(pool, reply, **request):
+def call(pool, reply, *, on_headers=None, **request):
     """Send a request over `pool`.
 
     Parameters
@@ -13,12 +13,21 @@
     pool : HttpPool
     reply : callable
         Gets the status and the body, or None and the reason of the failure.
+    on_headers : callable, optional
+        Gets the headers of a response, by name in any case, before `reply`.
     request
         Further arguments of `HttpPool.request`.
     """
-    sink = WholeResponse(
-        lambda status, headers, body: reply(status, headers if status is None else body)
-    )
+
+    def on_done(status, headers, body):
+        if status is None:
+            reply(None, headers)  # the reason of the failure
+            return
+        if on_headers is not None:
+            on_headers(headers)
+        reply(status, body)
+
+    sink = WholeResponse(on_done)
     sink.exchange = pool.request(sink=sink, **request)
 
 
--- a/wagtailfront/platform/engine_client.py
+++ b/wagtailfront/platform/engine_client.py
@@ -1,10 +1,12 @@
 """Calls to engines outside of callers' requests."""
 
+import time
+
 import msgspec
 
 from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.platform.calls import call, describe_failure
-from wagtailfront.platform.headers import EXPECTED_ID
+from wagtailfront.platform.headers import EXPECTED_ID, RATE_LIMIT, read_rate_limit
 
 __all__ = ["EngineClient"]
 
@@ -35,11 +37,16 @@
     pool : HttpPool
     instance : str
         Name of this instance, sent as the holder of its orders.
+    record_rate : callable, optional
+        Called as the `record_answer` of RateLimits for each answer.
+    clock : callable, optional
     """
 
-    def __init__(self, *, pool, instance):
+    def __init__(self, *, pool, instance, record_rate=None, clock=time.monotonic):
         self.pool = pool
         self.instance = instance
+        self.record_rate = record_rate or (lambda incarnation, rate, **times: None)
+        self.clock = clock
 
     def read_cached_parts(self, record, reply):
         """Read which prompt parts an engine has in its cache."""
@@ -56,15 +63,7 @@
             parts = [PromptPart(part_id, tokens) for _, part_id, tokens, _ in entries]
             reply(parts, "")
 
-        call(
-            self.pool,
-            on_response,
-            host=record.host,
-            port=record.port,
-            method="GET",
-            path=CACHED_PARTS_PATH,
-            timeout=CALL_TIMEOUT,
-        )
+        self._call(record, on_response, method="GET", path=CACHED_PARTS_PATH)
 
     def order_stage(self, record, stage, grant, may_send, reply):
         """Order an engine to change to `stage`."""
@@ -79,11 +78,9 @@
             "holder": self.instance,
             "fencing-token": grant.fencing,
         }
-        call(
-            self.pool,
+        self._call(
+            record,
             on_response,
-            host=record.host,
-            port=record.port,
             method="POST",
             path=ORDER_PATH,
             headers=(
@@ -91,6 +88,22 @@
                 (EXPECTED_ID.decode(), record.endpoint_id),
             ),
             body=msgspec.json.encode(order),
-            timeout=CALL_TIMEOUT,
             may_send=may_send,
         )
+
+    def _call(self, record, on_response, **request):
+        sent = self.clock()
+
+        def on_headers(headers):
+            rate = read_rate_limit(headers.get(RATE_LIMIT.decode()))
+            self.record_rate(record.incarnation, rate, sent=sent, now=self.clock())
+
+        call(
+            self.pool,
+            on_response,
+            on_headers=on_headers,
+            host=record.host,
+            port=record.port,
+            timeout=CALL_TIMEOUT,
+            **request,
+        )
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -12,7 +12,7 @@
     ResponseFields,
 )
 
-__all__ = ["PlatformDialect"]
+__all__ = ["EXPECTED_ID", "RATE_LIMIT", "PlatformDialect", "read_rate_limit"]
 
 logger = logging.getLogger(__name__)
 
@@ -109,7 +109,7 @@
             is_signed=find_header(headers, SIGNATURE.lower()) is not None,
             is_not_run=find_header(headers, NOT_RUN.lower()) is not None,
             is_encoded=find_header(headers, b"content-encoding") is not None,
-            rate_limit=_read_rate(find_header(headers, RATE_LIMIT.lower())),
+            rate_limit=read_rate_limit(find_header(headers, RATE_LIMIT.lower())),
         )
 
     def read_handle(self, address, body):
@@ -133,8 +133,8 @@
         return [(RETRY_AFTER, b"%.3f" % retry_after)]
 
 
-def _read_rate(value):
-    """Return a rate limit, or None if none is named."""
+def read_rate_limit(value):
+    """Return a header's rate limit in requests per second, or None."""
     if value is None:
         return None
     try:
--- a/wagtailfront/platform/tests/test_engine_client.py
+++ b/wagtailfront/platform/tests/test_engine_client.py
@@ -12,8 +12,9 @@
 class EnginePool:
     """Responds to each request with the same status and body."""
 
-    def __init__(self, status, body=b""):
+    def __init__(self, status, body=b"", headers=()):
         self.status = status
+        self.headers = dict(headers)
         self.body = body
         self.calls = []
 
@@ -25,7 +26,7 @@
         if self.status is None:
             sink.on_failure("timed out", True)
             return
-        sink.on_head(self.status, [])
+        sink.on_head(self.status, self.headers)
         sink.on_data(self.body)
         sink.on_end()
 
@@ -98,3 +99,18 @@
     ((parts, reason),) = replies
     assert [(part.part_id, part.tokens) for part in parts] == [("ab", 40)]
     assert reason == ""
+
+
+@pytest.mark.parametrize("headers, rate", [({"Server-Limit": "2.5"}, 2.5), ({}, None)])
+def test_answers_to_other_calls_tell_the_rate_limit_too(headers, rate):
+    """Guards against limits that only callers' requests find."""
+    rates = []
+    client = EngineClient(
+        pool=EnginePool(200, b'{"held":[]}', headers),
+        instance="a",
+        record_rate=lambda incarnation, rate, **times: rates.append(
+            (incarnation, rate)
+        ),
+    )
+    client.read_cached_parts(make_record("i-1"), lambda parts, reason: None)
+    assert rates == [("i-1/1", rate)]
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -103,10 +103,15 @@
         )
         self.forwarder = Forwarder(context=self._make_context())
         context = self.forwarder.context
-        self.engines = EngineClient(pool=self.store_pool, instance=settings.instance)
+        self.engines = EngineClient(
+            pool=self.store_pool,
+            instance=settings.instance,
+            record_rate=context.rate_limits.record_answer,
+        )
         self.inquiry = CacheInquiry(
             client=self.engines,
             prefix_caches=context.prefix_caches,
+            rate_limits=context.rate_limits,
             log=log,
             rng=context.rng,
         )
