Divide the idle connections to an endpoint among the instances

Found by looking for other limits of the fleet that are constants of a process: each instance kept up to 16 idle connections to an endpoint, so 84 instances may hold 1,344 where the endpoint accepts 560 from all callers together and resets further ones. Each now keeps its part of half of the limit that the configuration states, and at least one.

Looked at and left: the retry budget and a workspace's rate are divided by the number of instances already; reads that failed are repeated every 0.25 s by each instance, 672 a second by 84 of them while the store is away, of 6,000 that it allows.

--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -23,7 +23,7 @@
 )
 from wagtailfront.transport.ticker import Ticker
 
-__all__ = ["EndpointPool", "Exchange", "ExchangeSink"]
+__all__ = ["EndpointPool", "Exchange", "ExchangeSink", "max_idle_connections"]
 
 logger = logging.getLogger(__name__)
 
@@ -33,10 +33,33 @@
 SWEEP_INTERVAL = 1.0  # seconds between checks of idle connections
 DEFAULT_IDLE_LIMIT = 4.0  # seconds, if the endpoint sends no Keep-Alive
 IDLE_MARGIN = 0.8  # seconds; close before the endpoint does
-MAX_IDLE_CONNECTIONS = 16  # per endpoint
+MAX_IDLE_CONNECTIONS = 16  # of one instance, per endpoint
+# Part of an endpoint's connections that all instances together keep idle.
+IDLE_SHARE = 0.5
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
+def max_idle_connections(max_connections, instances):
+    """Return how many idle connections an instance keeps to an endpoint.
+
+    Parameters
+    ----------
+    max_connections : int
+        Connections that the endpoint accepts from all instances together;
+        0 if it is not known.
+    instances : int
+
+    Examples
+    --------
+    >>> [max_idle_connections(560, instances) for instances in (0, 6, 84, 340)]
+    [16, 16, 3, 1]
+    """
+    if not max_connections or not instances:
+        return MAX_IDLE_CONNECTIONS
+    share = int(IDLE_SHARE * max_connections / instances)
+    return min(MAX_IDLE_CONNECTIONS, max(1, share))
+
+
 class ExchangeSink(Protocol):
     """Receiver of the response to one request."""
 
@@ -115,6 +138,8 @@
     clock : callable, optional
     on_connect : callable, optional
         Called for each new connection, for the metrics.
+    max_idle : callable, optional
+        Returns how many idle connections to keep to an EndpointRecord.
 
     Notes
     -----
@@ -129,8 +154,10 @@
         channel="endpoints",
         clock=time.monotonic,
         on_connect=None,
+        max_idle=lambda record: MAX_IDLE_CONNECTIONS,
     ):
         super().__init__(channel=channel)
+        self.max_idle = max_idle
         self.timers = timers
         self.clock = clock
         self.on_connect = on_connect or (lambda: None)
@@ -302,7 +329,7 @@
 
     def _release(self, connection):
         idle = self.idle[connection.record.incarnation]
-        if not connection.keep_alive or len(idle) >= MAX_IDLE_CONNECTIONS:
+        if not connection.keep_alive or len(idle) >= self.max_idle(connection.record):
             self.close(connection)
             return
         connection.idle_since = self.clock()
--- a/wagtailfront/forwarding/tests/test_policies.py
+++ b/wagtailfront/forwarding/tests/test_policies.py
@@ -1,19 +1,22 @@
 """Tests of directory, budget, health and fleet load without a network."""
 
 import random
+import socket
+from types import SimpleNamespace
 
 from hypothesis import given, strategies as st
 
 from wagtailfront.forwarding.attempt_budget import AttemptBudget
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.endpoint_pool import EndpointPool, max_idle_connections
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.placement import (
     EngineView,
     choose_decode_engine,
     choose_least_loaded,
 )
-from wagtailfront.forwarding.tests.builders import make_record
+from wagtailfront.forwarding.tests.builders import VirtualTimers, make_record
 
 
 def test_a_leaving_endpoint_gets_no_new_work():
@@ -184,3 +187,29 @@
     assert {choose_least_loaded(views, rng=rng).record for _ in range(20)} == {near}
     busy = [EngineView(far, 1, is_remote=True), EngineView(near, 2)]
     assert choose_least_loaded(busy, rng=rng).record is far
+
+
+@given(max_connections=st.integers(1, 5000), instances=st.integers(1, 500))
+def test_idle_connections_of_all_instances_leave_room_for_requests(
+    max_connections, instances
+):
+    """Guards against idle connections that fill an endpoint's limit."""
+    idle = instances * max_idle_connections(max_connections, instances)
+    assert idle <= max(max_connections / 2, instances)
+
+
+def test_an_instance_keeps_no_more_idle_connections_than_its_part():
+    """Guards against a limit that is computed and not used."""
+    pool = EndpointPool(timers=VirtualTimers(), max_idle=lambda record: 1)
+    pool.poller = SimpleNamespace(discard=lambda sock: None)
+    connections = [
+        SimpleNamespace(
+            sock=socket.socket(), record=make_record(), keep_alive=True, exchange=None
+        )
+        for _ in range(3)
+    ]
+    for connection in connections:
+        pool.connections[connection.sock] = connection
+        pool._release(connection)
+    connections[0].sock.close()
+    assert len(pool.idle[make_record().incarnation]) == 1
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -12,7 +12,7 @@
 from wagtailfront.forwarding.caller_server import ForwardServer
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
-from wagtailfront.forwarding.endpoint_pool import EndpointPool
+from wagtailfront.forwarding.endpoint_pool import EndpointPool, max_idle_connections
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.fleet_pace import FleetPace
 from wagtailfront.forwarding.forward_context import ForwardContext
@@ -94,7 +94,11 @@
         self.metrics = Metrics()
         self.directory = EndpointDirectory()
         self.timers = Timers()
-        self.pool = EndpointPool(timers=self.timers, on_connect=self._count_connection)
+        self.pool = EndpointPool(
+            timers=self.timers,
+            on_connect=self._count_connection,
+            max_idle=self._max_idle,
+        )
         self.store_pool = HttpPool(
             channel="store", connect_timeout=STORE_CONNECT_TIMEOUT
         )
@@ -299,6 +303,13 @@
             self.forwarder.context.rate_limits.forget(record)
             self.forwarder.context.prefix_caches.forget(record)
 
+    def _max_idle(self, record):
+        service = self.forwarder.config.services.get(record.service)
+        return max_idle_connections(
+            service.max_connections if service else 0,
+            self.forwarder.context.load.instances,
+        )
+
     def _count_connection(self):
         self.metrics.count("endpoint_connections_total")
 
