Wait for the task's end before a test counts its buffered bytes

test_bytes_without_end_get_a_failure_and_are_not_read_on[body] failed once in 21 runs beside other tests, at its last assertion. The answer is written before the attempt is dropped, so the caller's thread may look in between. The test now waits until the task has ended, within its time limit, and asserts the same.

--- a/wagtailfront/forwarding/tests/test_sockets.py
+++ b/wagtailfront/forwarding/tests/test_sockets.py
@@ -249,6 +249,10 @@
     assert data.startswith(b"HTTP/1.1 502 ")
     assert is_closed.wait(TIMEOUT)
     assert max(sent) < ENDLESS_BYTES
+    # The caller may read its answer before the task has ended in its thread.
+    deadline = time.monotonic() + TIMEOUT
+    while instance.forwarder.tasks and time.monotonic() < deadline:
+        time.sleep(0.01)
     assert instance.forwarder.context.body_memory.total == 0
 
 
