--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -1,6 +1,7 @@
 """Clients of the platform's store."""
 
 import base64
+import logging
 from urllib.parse import quote
 
 import msgspec
@@ -16,8 +17,11 @@
 
 __all__ = ["StoreClient", "StoreMembership", "StoreRegistry", "StoreRouting"]
 
+logger = logging.getLogger(__name__)
+
 CALL_TIMEOUT = 1.0  # seconds; a healthy store responds within milliseconds
 WATCH_MARGIN = 0.6  # seconds by which a watch's timeout exceeds its wait
+ERA = "Store-Era"  # rises each time the store comes back from an older copy
 GONE = 410  # the store no longer has the history after the cursor
 MS_PER_SECOND = 1000
 REGISTRY_TABLE = "servers"
@@ -33,12 +37,21 @@
     pool : HttpPool
     host : str
     port : int
+    on_era : callable, optional
+        Called with the era of an answer if it is another than before.
+
+    Attributes
+    ----------
+    era : int
+        Era of the store in its latest answer.
     """
 
-    def __init__(self, *, pool, host, port):
+    def __init__(self, *, pool, host, port, on_era=lambda era: None):
         self.pool = pool
         self.host = host
         self.port = port
+        self.on_era = on_era
+        self.era = 0
 
     def get(self, path, reply, *, timeout=CALL_TIMEOUT):
         """Send a GET.
@@ -46,15 +59,7 @@
         `reply` gets the status and the body, or None and the reason of the
         failure.
         """
-        call(
-            self.pool,
-            reply,
-            host=self.host,
-            port=self.port,
-            method="GET",
-            path=path,
-            timeout=timeout,
-        )
+        self._call(reply, method="GET", path=path, timeout=timeout)
 
     def put(self, table, key, value, reply, *, expected_ver=None):
         """Write a row; `reply` as for `get`.
@@ -76,11 +81,8 @@
 
     def _transact(self, reply, *, expect=(), put=(), remove=()):
         body = {"expect": expect, "put": put, "remove": remove}
-        call(
-            self.pool,
+        self._call(
             reply,
-            host=self.host,
-            port=self.port,
             method="POST",
             path="/api/rows-tx",
             headers=(("Content-Type", "application/json"),),
@@ -88,6 +90,22 @@
             timeout=CALL_TIMEOUT,
         )
 
+    def _call(self, reply, **request):
+        call(
+            self.pool,
+            reply,
+            on_headers=self._handle_headers,
+            host=self.host,
+            port=self.port,
+            **request,
+        )
+
+    def _handle_headers(self, headers):
+        era = _read_era(headers)
+        if era is not None and era != self.era:
+            self.era = era
+            self.on_era(era)
+
     def read_table(self, table, reply):
         """Read a table.
 
@@ -141,6 +159,15 @@
         )
 
 
+def _read_era(headers):
+    """Return the store's era in the headers of an answer, or None."""
+    value = headers.get(ERA)
+    if value is not None and not value.isdecimal():
+        logger.warning("[store] unreadable era %.40r", value)
+        return None
+    return None if value is None else int(value)
+
+
 def _read_page(status, body):
     """Return the StoreRows of a response, or None, and the reason."""
     if status != 200:
--- a/wagtailfront/platform/tests/store_pool.py
+++ b/wagtailfront/platform/tests/store_pool.py
@@ -50,7 +50,7 @@
             url = urlsplit(path)
             fields = {key: values[0] for key, values in parse_qs(url.query).items()}
             status, answer = 200, self._rows(fields)
-        sink.on_head(status, [])
+        sink.on_head(status, {})
         sink.on_data(msgspec.json.encode({**answer, "ver": self.ver}))
         sink.on_end()
 
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -103,7 +103,10 @@
             channel="store", connect_timeout=STORE_CONNECT_TIMEOUT
         )
         self.store = StoreClient(
-            pool=self.store_pool, host=settings.store[0], port=settings.store[1]
+            pool=self.store_pool,
+            host=settings.store[0],
+            port=settings.store[1],
+            on_era=self._on_store_era,
         )
         self.forwarder = Forwarder(context=self._make_context())
         context = self.forwarder.context
@@ -303,6 +306,9 @@
             self.forwarder.context.rate_limits.forget(record)
             self.forwarder.context.prefix_caches.forget(record)
 
+    def _on_store_era(self, era):
+        self.log.decision("store_era", outcome="changed", era=era)
+
     def _max_idle(self, record):
         service = self.forwarder.config.services.get(record.service)
         return max_idle_connections(
