--- /dev/null
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -0,0 +1,255 @@
+"""Store that comes back from older copies, and instances that follow it."""
+
+import random
+
+from wagtailfront.authority.step_component import StepComponent
+from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
+from wagtailfront.forwarding.fleet_pace import FleetPace
+from wagtailfront.forwarding.forwarder import Forwarder
+from wagtailfront.forwarding.registry_follower import RegistryFollower
+from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
+from wagtailfront.forwarding.tests.builders import LogLines, Scene, VirtualTimers
+from wagtailfront.platform.store_client import (
+    OPERATOR_TABLE,
+    REGISTRY_TABLE,
+    StoreClient,
+    StoreRegistry,
+    StoreRouting,
+)
+from wagtailfront.platform.tests.builders import make_registration, make_row
+from wagtailfront.platform.tests.store_pool import StorePool
+
+LATENCY = 0.004  # seconds
+REWRITE_DELAY = 0.3  # seconds
+
+
+class DrillStore(StorePool):
+    """Store with watches that wait, which goes away and is restored.
+
+    Attributes
+    ----------
+    rewrite_delay : float
+        Seconds until the operator and the engines have written again what
+        they had written before a restore.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.timers = VirtualTimers()
+        self.history = [(self.timers.now, self.copy())]
+        self.written = {}
+        self.watches = []
+        self.is_away = False
+        self.rewrite_delay = REWRITE_DELAY
+
+    def write(self, table, key, value):
+        ver = super().write(table, key, value)
+        self.history.append((self.timers.now, self.copy()))
+        watches, self.watches = self.watches, []
+        for watch in watches:
+            watch()
+        return ver
+
+    def publish(self, table, key, value):
+        """Write a row of the operator or of an engine."""
+        self.written[table, key] = value
+        if not self.is_away:
+            self.write(table, key, value)
+
+    def drill(self, *, lost, away):
+        """Go away and come back from a copy that is `lost` seconds old."""
+        self.is_away = True
+        self.watches = []
+        limit = self.timers.now - lost
+        copy = [copy for at, copy in self.history if at <= limit][-1]
+        self.timers.after(away, lambda: self._return(copy))
+
+    def _return(self, copy):
+        self.is_away = False
+        self.restore(copy)
+        self.history.append((self.timers.now, self.copy()))
+        self.timers.after(self.rewrite_delay, self._write_again)
+
+    def _write_again(self):
+        if self.is_away:
+            return
+        for (table, key), value in self.written.items():
+            if self.rows.get((table, key), (None, 0))[0] != value:
+                self.write(table, key, value)
+
+
+class StoreLink:
+    """One instance's connection to a DrillStore, behind that of `HttpPool`."""
+
+    def __init__(self, *, store):
+        self.store = store
+        self.is_cut = False
+
+    def request(self, *, method, path, sink, timeout, body=b"", **options):
+        sink = _Once(sink)
+        after = self.store.timers.after
+        after(timeout, lambda: sink.fail("timed out"))
+        if self.is_cut:
+            return
+        if self.store.is_away:
+            after(LATENCY, lambda: sink.fail("reset"))
+            return
+        call = (method, path, body, sink, self.store.timers.now + timeout)
+        after(LATENCY, lambda: self._perform(*call))
+
+    def _perform(self, method, path, body, sink, deadline):
+        store = self.store
+        if self.is_cut or sink.is_done:
+            return
+        if store.is_away:
+            sink.fail("reset")
+            return
+        status, answer = store.perform(method, path, body)
+        wait = int(store.read_query(path).get("wait-ms", 0)) / 1000
+        if wait and status == 200 and not answer["rows"]:
+            call = (method, path, body, sink, deadline)
+            store.watches.append(lambda: self._perform(*call))
+            store.timers.after(wait, lambda: self._end_watch(sink))
+            return
+        store.timers.after(LATENCY, lambda: self._respond(sink, status, answer))
+
+    def _end_watch(self, sink):
+        if not self.store.is_away:
+            self._respond(sink, 200, {"rows": []})
+
+    def _respond(self, sink, status, answer):
+        if not self.is_cut and not sink.is_done:
+            sink.is_done = True
+            self.store.respond(sink.sink, status, answer)
+
+
+class _Once:
+    """A sink and whether it has got a response."""
+
+    def __init__(self, sink):
+        self.sink = sink
+        self.is_done = False
+
+    def fail(self, reason):
+        if not self.is_done:
+            self.is_done = True
+            self.sink.on_failure(reason, True)
+
+
+class Follower:
+    """Instance that follows configuration and registry of a DrillStore.
+
+    Parameters
+    ----------
+    store : DrillStore
+    peers : int, optional
+        Number of its peers, which determines how long its watches wait.
+
+    Attributes
+    ----------
+    configs : list of int
+        Versions of the configurations that it applied.
+    """
+
+    def __init__(self, *, store, peers=0):
+        self.link = StoreLink(store=store)
+        self.timers = store.timers
+        self.log = LogLines()
+        self.configs = []
+        self.versions = StoreVersions(tables=("routing", "registry"))
+        self.client = StoreClient(pool=self.link, host="10.0.0.1", port=80)
+        self.forwarder = Forwarder(context=Scene([]).context)
+        self.directory = EndpointDirectory()
+        self.follower = RegistryFollower(
+            directory=self.directory,
+            on_change=lambda change: None,
+            log=self.log,
+            timers=self.timers,
+            clock=self.timers.clock,
+        )
+        common = {
+            "versions": self.versions,
+            "pace": FleetPace(count_peers=lambda: peers, rng=random.Random(1)),
+            "timers": self.timers,
+            "log": self.log,
+        }
+        self.routing = StoreWatcher(
+            table="routing",
+            source=StoreRouting(client=self.client),
+            on_read=self._apply_routing,
+            **common,
+        )
+        self.registry = StoreWatcher(
+            table="registry",
+            source=StoreRegistry(client=self.client, log=self.log),
+            on_read=self.follower.apply_read,
+            min_gap=0.3,
+            **common,
+        )
+        self.routing._on_started(None)
+        self.registry._on_started(None)
+
+    def _apply_routing(self, read):
+        if read.config is not None and self.forwarder.apply_config(read.config):
+            self.configs.append(read.config.version)
+
+    @property
+    def config(self):
+        """Return the version of the configuration in force."""
+        return self.forwarder.config and self.forwarder.config.version
+
+    def usable(self):
+        """Return the ids of the endpoints that may get requests."""
+        return sorted(record.endpoint_id for record in self.directory.find("s"))
+
+
+def publish_config(store, version, **changes):
+    """Write a configuration as the operator."""
+    config = {"version": version, "routes": [], "services": [], **changes}
+    value = make_row("config", config).value
+    store.publish(OPERATOR_TABLE, "config", value)
+
+
+def register(store, key, **changes):
+    """Write an engine's registration as the engine."""
+    registration = make_registration(service="s", **changes)
+    store.publish(REGISTRY_TABLE, key, make_row(key, registration).value)
+
+
+def withdraw(store, key):
+    """Remove an engine's registration."""
+    store.publish(REGISTRY_TABLE, key, None)
+
+
+def exchange_versions(followers):
+    """Let all instances tell each other the versions that they know."""
+    known = [follower.versions.known for follower in followers]
+    for follower in followers:
+        for versions in known:
+            follower.versions.handle_peer_versions(versions)
+
+
+class LeaseOwner(StepComponent):
+    """Instance that wants a lease, in virtual time."""
+
+    def __init__(self, *, machine, store):
+        self.now = 0.0
+        super().__init__(store=store, clock=lambda: self.now)
+        self.machine = machine
+
+    def advance(self, now, *, wanted):
+        """Step the lease at a time at which it is wanted or not."""
+        self.now = now
+        if wanted != self.machine.wanted:
+            self.perform(self.machine.want(now, wanted))
+        self.wake_if_due(now)
+
+    def grant(self):
+        """Return the grant at the time of the last step, or None."""
+        return self.machine.grant(self.now)
+
+    def on_timer(self):
+        self.perform(self.machine.on_time(self.now))
+
+    def on_store_reply(self, tag, reply):
+        self.perform(self.machine.on_reply(self.now, tag, reply))
--- a/wagtailfront/platform/tests/store_pool.py
+++ b/wagtailfront/platform/tests/store_pool.py
@@ -23,6 +23,7 @@
         self.page_rows = page_rows
         self.rows = {}
         self.ver = 100
+        self.era = 1
         self.calls = []
         self.failures = []
 
@@ -35,6 +36,16 @@
             self.rows[table, key] = (value, self.ver)
         return self.ver
 
+    def copy(self):
+        """Return a copy of the store for `restore`."""
+        return dict(self.rows), self.ver
+
+    def restore(self, copy):
+        """Come back from a copy, in a new era."""
+        rows, self.ver = copy
+        self.rows = dict(rows)
+        self.era += 1
+
     def request(self, *, host, port, method, path, sink, body=b"", **options):
         """Respond to a request, or fail as `failures` says."""
         self.calls.append((method, path))
@@ -44,13 +55,28 @@
                 sink.on_failure("timed out", True)
                 return
             answer = {}
-        elif method == "POST":
-            status, answer = self._transact(msgspec.json.decode(body))
         else:
-            url = urlsplit(path)
-            fields = {key: values[0] for key, values in parse_qs(url.query).items()}
-            status, answer = 200, self._rows(fields)
-        sink.on_head(status, {})
+            status, answer = self.perform(method, path, body)
+        self.respond(sink, status, answer)
+
+    def perform(self, method, path, body):
+        """Return the status and the answer to a request."""
+        if method == "POST":
+            return self._transact(msgspec.json.decode(body))
+        fields = self.read_query(path)
+        if int(fields.get("after", 0)) > self.ver:
+            return 410, {}
+        return 200, self._rows(fields)
+
+    @staticmethod
+    def read_query(path):
+        """Return the fields of a query by name."""
+        fields = parse_qs(urlsplit(path).query)
+        return {key: values[0] for key, values in fields.items()}
+
+    def respond(self, sink, status, answer):
+        """Send an answer with the store's version and era."""
+        sink.on_head(status, {"Store-Era": str(self.era)})
         sink.on_data(msgspec.json.encode({**answer, "ver": self.ver}))
         sink.on_end()
 
