Apply the latest of several configurations in one answer of the store

Cause: a watch is answered with all changes of the row since its cursor, in order, and the first of them was applied, while the cursor moved past all. Endpoints' rows were not concerned, as later rows replace earlier ones there.

The test fails on the code before with version 7 instead of 11.

--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -168,17 +168,18 @@
 
 
 def read_routing(rows):
-    """Return the RoutingConfig in the rows, or None if there is none.
+    """Return the latest RoutingConfig in the rows, or None if there is none.
+
+    A watch that is answered late contains several versions of the row.
 
     Raises
     ------
     ValueError
         If it is malformed.
     """
-    row = next(
-        (row for row in rows if row.key == ROUTING_KEY and not row.removed), None
-    )
-    if row is None:
+    versions = [row for row in rows if row.key == ROUTING_KEY]
+    row = max(versions, key=lambda row: row.ver, default=None)
+    if row is None or row.removed:
         return None
     try:
         data = base64.b64decode(row.value, validate=True)
--- a/wagtailfront/platform/tests/test_rows.py
+++ b/wagtailfront/platform/tests/test_rows.py
@@ -92,3 +92,13 @@
     """Guards against a truncated response that is taken as complete."""
     with pytest.raises(ValueError, match="unreadable rows"):
         read_rows(b'{"rows":[')
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2), (2, 0, 1)])
+def test_the_latest_of_several_configurations_in_one_answer_is_taken(order):
+    """Guards against a change that is lost behind an earlier one."""
+    rows = [
+        make_row("config", make_config(version=7 + 2 * number), ver=40 + number)
+        for number in order
+    ]
+    assert read_routing(rows).version == 11
