Order positions of the store by its era before their version

After the store came back from an older copy, an instance could miss changes: a watch from a cursor of the era before returns only what lies beyond it, although smaller versions have been given out again, and a peer's report of a change with a smaller version led to no read, so that a lost watch went unnoticed. Callers would get 404 for a route, or an endpoint no requests.

Cause: versions were compared alone. A position now consists of era and version; a watch that is answered in another era leads to a full read, as does a call or a peer that reports a new era; answers of earlier eras and reports of peers that have not heard of the new one are dropped. Instances tell each other the era beside their versions.

Three tests failed before and pass now (on the code before: e4 is missing after a watch, configurations [5, 7] instead of [7, 7], a late answer is taken). The stand-in of the tests gave an answer with a version of a later moment; it is corrected, and the three fail before with the corrected one too.

--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -16,6 +16,7 @@
     "EngineInquiry",
     "StageOrders",
     "RefusedPartStore",
+    "StorePosition",
     "RoutingSource",
     "RoutingRead",
 ]
@@ -157,6 +158,22 @@
         """Close the connection so that the response is seen as incomplete."""
 
 
+class StorePosition(NamedTuple):
+    """Point in the store's history; a later one compares as greater.
+
+    Attributes
+    ----------
+    era : int
+        Rises each time the store comes back from an older copy of itself.
+    ver : int
+        Version of the store in that era. The next era may contain the same
+        versions again, with other changes.
+    """
+
+    era: int = 0
+    ver: int = 0
+
+
 class RoutingRead(NamedTuple):
     """Result of a read of the routing configuration.
 
@@ -166,20 +183,20 @@
         False if the store did not answer.
     config : RoutingConfig or None
         None if there is none or if it has not changed.
-    cursor : int or None
+    cursor : StorePosition or None
         Where the next watch starts; None if the store no longer has the
         history from there.
     reason : str
         Why the store did not answer.
-    changed : int
-        Version of the store at the latest change; 0 if there was none.
+    changed : StorePosition
+        Position of the latest change; that of no change has version 0.
     """
 
     is_known: bool
     config: Any = None
-    cursor: int | None = None
+    cursor: StorePosition | None = None
     reason: str = ""
-    changed: int = 0
+    changed: StorePosition = StorePosition()
 
 
 class RoutingSource(Protocol):
@@ -188,7 +205,7 @@
     def read(self, reply) -> None:
         """Read the configuration; `reply` gets a RoutingRead."""
 
-    def watch(self, cursor: int, wait: float, reply) -> None:
+    def watch(self, cursor: StorePosition, wait: float, reply) -> None:
         """Wait up to `wait` seconds for a change after `cursor`."""
 
 
@@ -207,9 +224,9 @@
 
     is_known: bool
     records: tuple | None = None
-    cursor: int | None = None
+    cursor: StorePosition | None = None
     reason: str = ""
-    changed: int = 0
+    changed: StorePosition = StorePosition()
 
 
 class RegistrySource(Protocol):
@@ -218,7 +235,7 @@
     def read(self, reply) -> None:
         """Read all registrations; `reply` gets a RegistryRead."""
 
-    def watch(self, cursor: int, wait: float, reply) -> None:
+    def watch(self, cursor: StorePosition, wait: float, reply) -> None:
         """Wait up to `wait` seconds for a change after `cursor`."""
 
 
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -202,7 +202,7 @@
         full = now >= self.full_digest_due
         if full:
             self.full_digest_due = now + FULL_DIGEST_INTERVAL
-        known = self.versions.known
+        known = (self.versions.era, self.versions.known)
         rates = self.rate_limits.make_report(now=now, full=full)
         digest = self.load.make_digest(
             full=full or bool(rates) or known != self.sent_versions
@@ -211,7 +211,11 @@
             self.sent_versions = known
             reports.append(
                 msgspec.structs.replace(
-                    digest, address=self.row.address, versions=known, rates=rates
+                    digest,
+                    address=self.row.address,
+                    era=self.versions.era,
+                    versions=self.versions.known,
+                    rates=rates,
                 )
             )
         items = self._own_evidence(now, repeat=full)
@@ -276,7 +280,7 @@
         is_newcomer = report.incarnation not in self.load.peers
         self.load.merge(report, now=now)
         self.rate_limits.merge(report.rates, now=now)
-        self.versions.handle_peer_versions(report.versions)
+        self.versions.handle_peer_versions(report.era, report.versions)
         for prompt in report.prompts:
             self._record_prompt(prompt)
         if report.address in self.last_seen:
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -2,6 +2,8 @@
 
 from circuits import BaseComponent, handler
 
+from wagtailfront.forwarding.interfaces import StorePosition
+
 __all__ = ["StoreWatcher", "StoreVersions"]
 
 # Seconds after which the store answers a watch without a change; a silent
@@ -17,46 +19,75 @@
 
 
 class StoreVersions:
-    """Version of the latest change of each table known to this instance.
+    """Position of the latest change of each table known to this instance.
 
-    Instances send each other these versions, so that one whose watch got no
-    response learns that it has missed a change.
+    Instances send each other the era of the store and the versions in it, so
+    that one whose watch got no response learns that it has missed a change,
+    and one that has not heard of a restore learns of that. Versions of an
+    earlier era say nothing about the present one.
 
     Parameters
     ----------
     tables : tuple of str
         In the order in which versions are sent.
 
+    Attributes
+    ----------
+    era : int
+        Latest era of the store that this instance or a peer has seen.
+    era_listeners : list of callable
+        Called with each era after the first.
+
     Examples
     --------
     >>> versions = StoreVersions(tables=("routing", "registry"))
-    >>> versions.record("registry", 7)
-    >>> versions.known
-    (0, 7)
+    >>> versions.record("registry", StorePosition(1, 7))
+    >>> versions.era, versions.known
+    (1, (0, 7))
     >>> versions.listeners["registry"] = print
-    >>> versions.handle_peer_versions((3, 9))
-    9
+    >>> versions.handle_peer_versions(1, (3, 9))
+    StorePosition(era=1, ver=9)
+    >>> versions.record("registry", StorePosition(2, 4))
+    >>> versions.handle_peer_versions(1, (3, 9))
+    >>> versions.era, versions.known
+    (2, (0, 4))
     """
 
     def __init__(self, *, tables):
         self.tables = tables
+        self.era = 0
         self.changed = dict.fromkeys(tables, 0)
         self.listeners = {}
+        self.era_listeners = []
 
     @property
     def known(self):
         """Return the versions in the order of the tables."""
         return tuple(self.changed.values())
 
-    def record(self, table, version):
-        """Record the version of a change that this instance has applied."""
-        self.changed[table] = max(self.changed[table], version)
+    def record(self, table, position):
+        """Record the position of a change that this instance has applied."""
+        self.handle_era(position.era)
+        if position.era == self.era:
+            self.changed[table] = max(self.changed[table], position.ver)
 
-    def handle_peer_versions(self, versions):
-        """Handle the versions that a peer knows."""
+    def handle_era(self, era):
+        """Handle an era in which the store answered, here or to a peer."""
+        if era <= self.era:
+            return
+        is_first, self.era = not self.era, era
+        self.changed = dict.fromkeys(self.tables, 0)
+        for listener in () if is_first else self.era_listeners:
+            listener(era)
+
+    def handle_peer_versions(self, era, versions):
+        """Handle the era and the versions that a peer knows."""
+        self.handle_era(era)
+        if era < self.era:
+            return
         for table, version in zip(self.tables, versions, strict=False):
             if version > self.changed[table] and table in self.listeners:
-                self.listeners[table](version)
+                self.listeners[table](StorePosition(era, version))
 
 
 class StoreWatcher(BaseComponent):
@@ -104,8 +135,11 @@
         self.cursor = None
         self.is_reachable = None
         self.call_number = 0
-        self.catch_up_version = 0
-        versions.listeners[table] = self.handle_newer_version
+        self.catch_up_to = StorePosition()
+        versions.listeners[table] = self.handle_newer_position
+        versions.era_listeners.append(
+            lambda era: self.handle_newer_position(StorePosition(era))
+        )
 
     @handler("started", channel="*")
     def _on_started(self, manager):
@@ -131,7 +165,10 @@
             self.is_reachable = read.is_known
             outcome = "reached" if read.is_known else "lost"
             self.log.decision(self.table, outcome=outcome, reason=read.reason)
-        if not read.is_known:
+        is_outdated = read.cursor is not None and read.cursor.era < self.versions.era
+        if is_outdated:
+            self.log.decision(self.table, outcome="outdated", known=read.cursor)
+        if not read.is_known or is_outdated:
             # A watch without a response may have missed a change.
             self.cursor = None
             self._call_store_after(RETRY_DELAY)
@@ -154,17 +191,17 @@
             delay, lambda: number == self.call_number and self._call_store()
         )
 
-    def handle_newer_version(self, version):
-        """Handle a report that the store has a change with this version."""
-        if version <= self.catch_up_version or (self.cursor or 0) >= version:
+    def handle_newer_position(self, position):
+        """Handle a report that the store has come to this position."""
+        if position <= self.catch_up_to or (self.cursor or StorePosition()) >= position:
             return
-        self.catch_up_version = version
-        self.timers.after(CATCH_UP_DELAY, lambda: self._catch_up(version))
+        self.catch_up_to = position
+        self.timers.after(CATCH_UP_DELAY, lambda: self._catch_up(position))
 
-    def _catch_up(self, version):
-        if self.cursor is not None and self.cursor < version:
+    def _catch_up(self, position):
+        if self.cursor is not None and self.cursor < position:
             self.log.decision(
-                self.table, outcome="behind", known=self.cursor, heard=version
+                self.table, outcome="behind", known=self.cursor, heard=position
             )
             self.cursor = None
             self._call_store()
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -13,7 +13,12 @@
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.fleet_pace import FleetPace
 from wagtailfront.forwarding.forwarder import Forwarder, PrefixCachesByService
-from wagtailfront.forwarding.interfaces import InstanceRow, RegistryRead, RoutingRead
+from wagtailfront.forwarding.interfaces import (
+    InstanceRow,
+    RegistryRead,
+    RoutingRead,
+    StorePosition,
+)
 from wagtailfront.forwarding.load_exchange import INSTANCE_LIFETIME, LoadExchange
 from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.registry_follower import RegistryFollower
@@ -32,6 +37,13 @@
 )
 from wagtailfront.platform.tests.wire import DEADLINE
 
+ERA = 3
+
+
+def at(ver):
+    """Return the position of a version in the store's present era."""
+    return StorePosition(ERA, ver)
+
 
 def make_config(version, **changes):
     """Return a configuration with one route."""
@@ -54,7 +66,7 @@
         self.calls.append(("read", None, reply))
 
     def watch(self, cursor, wait, reply):
-        self.calls.append(("watch", cursor, reply))
+        self.calls.append(("watch", cursor.ver, reply))
 
     def answer(self, result):
         """Respond to the latest call."""
@@ -100,9 +112,9 @@
 
 def test_changes_are_watched_from_where_the_last_read_ended(watcher):
     """Guards against a change that falls between two watches."""
-    watcher.source.answer(RoutingRead(True, config=make_config(1), cursor=7))
+    watcher.source.answer(RoutingRead(True, config=make_config(1), cursor=at(7)))
     watcher.timers.advance(0.0)
-    watcher.source.answer(RoutingRead(True, config=make_config(2), cursor=9))
+    watcher.source.answer(RoutingRead(True, config=make_config(2), cursor=at(9)))
     watcher.timers.advance(0.0)
     assert watcher.source.kinds() == [("read", None), ("watch", 7), ("watch", 9)]
     assert [config.version for config in watcher.seen] == [1, 2]
@@ -113,7 +125,7 @@
 )
 def test_an_unanswered_watch_or_lost_history_leads_to_a_full_read(watcher, result):
     """Guards against a change that is missed permanently."""
-    watcher.source.answer(RoutingRead(True, config=make_config(1), cursor=7))
+    watcher.source.answer(RoutingRead(True, config=make_config(1), cursor=at(7)))
     watcher.timers.advance(0.0)
     watcher.source.answer(result)
     watcher.timers.advance(1.0)
@@ -123,7 +135,7 @@
 def test_loss_and_return_of_the_store_are_logged_once_each(watcher):
     """Guards the log against a line for each failed read."""
     for known in (False, False, True):
-        watcher.source.answer(RoutingRead(known, cursor=1 if known else None))
+        watcher.source.answer(RoutingRead(known, cursor=at(1) if known else None))
         watcher.timers.advance(1.0)
     outcomes = [outcome for _kind, outcome, _inputs in watcher.log]
     assert outcomes == ["lost", "reached"]
@@ -179,7 +191,7 @@
     parts = make_watcher(table="registry", on_read=follower.apply_read, min_gap=0.3)
     parts.timers.advance(5.0)
     assert len(parts.source.calls) == 1
-    parts.source.answer(RegistryRead(True, records=(make_record(),), cursor=4))
+    parts.source.answer(RegistryRead(True, records=(make_record(),), cursor=at(4)))
     parts.timers.advance(0.1)
     assert len(parts.source.calls) == 1
     parts.timers.advance(0.3)
@@ -206,25 +218,33 @@
 
 def test_a_newer_version_of_a_peer_ends_an_unanswered_watch(watcher):
     """Guards against a change that is unknown until a long watch ends."""
-    watcher.source.answer(RoutingRead(True, config=make_config(1), cursor=7, changed=5))
+    watcher.source.answer(
+        RoutingRead(True, config=make_config(1), cursor=at(7), changed=at(5))
+    )
     watcher.timers.advance(0.0)
     lost_watch = watcher.source.calls[-1][2]
-    watcher.versions.handle_peer_versions((9, 0))
+    watcher.versions.handle_peer_versions(ERA, (9, 0))
     watcher.timers.advance(1.0)
     assert watcher.source.kinds() == [("read", None), ("watch", 7), ("read", None)]
-    watcher.source.answer(RoutingRead(True, config=make_config(2), cursor=9, changed=9))
-    lost_watch(RoutingRead(True, config=make_config(3), cursor=8))
+    watcher.source.answer(
+        RoutingRead(True, config=make_config(2), cursor=at(9), changed=at(9))
+    )
+    lost_watch(RoutingRead(True, config=make_config(3), cursor=at(8)))
     assert [config.version for config in watcher.seen] == [1, 2]
     assert watcher.versions.known == (9, 0)
 
 
 def test_a_version_that_the_watch_delivers_in_time_leads_to_no_read(watcher):
     """Guards the store against a read by every instance at each change."""
-    watcher.source.answer(RoutingRead(True, config=make_config(1), cursor=7, changed=5))
+    watcher.source.answer(
+        RoutingRead(True, config=make_config(1), cursor=at(7), changed=at(5))
+    )
     watcher.timers.advance(0.0)
-    watcher.versions.handle_peer_versions((9, 0))
+    watcher.versions.handle_peer_versions(ERA, (9, 0))
     watcher.timers.advance(0.1)
-    watcher.source.answer(RoutingRead(True, config=make_config(2), cursor=9, changed=9))
+    watcher.source.answer(
+        RoutingRead(True, config=make_config(2), cursor=at(9), changed=at(9))
+    )
     watcher.timers.advance(1.0)
     assert [kind for kind, _cursor in watcher.source.kinds()] == [
         "read",
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -203,9 +203,10 @@
     """Endpoints whose load by the sender changed, and prompts it placed.
 
     If `is_whole`, it names all endpoints that have load by the sender.
-    `address` is where the sender listens, and `versions` holds the store's
-    version of the latest change that it knows, for each table that instances
-    follow. `rates` holds what endpoints said of their rate limits.
+    `address` is where the sender listens, `era` the store's latest era that
+    it knows, and `versions` the store's version of the latest change in that
+    era, for each table that instances follow. `rates` holds what endpoints
+    said of their rate limits.
     """
 
     incarnation: Text
@@ -215,6 +216,7 @@
     address: Text = ""
     versions: Annotated[tuple[Number, ...], msgspec.Meta(max_length=8)] = ()
     rates: Annotated[tuple[EndpointRate, ...], msgspec.Meta(max_length=512)] = ()
+    era: Number = 0
 
 
 class RelayedReports(MessageBase):
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from wagtailfront.forwarding.interfaces import InstanceRow, RegistryRead, RoutingRead
+from wagtailfront.forwarding.interfaces import (
+    InstanceRow,
+    RegistryRead,
+    RoutingRead,
+    StorePosition,
+)
 from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.rows import (
     StoreRows,
@@ -38,12 +43,14 @@
     host : str
     port : int
     on_era : callable, optional
-        Called with the era of an answer if it is another than before.
+        Called with the era of an answer if it is later than before.
 
     Attributes
     ----------
     era : int
-        Era of the store in its latest answer.
+        Latest era of the store in any answer. It is that of the answer
+        itself while a reply is called, as answers of earlier eras are
+        dropped.
     """
 
     def __init__(self, *, pool, host, port, on_era=lambda era: None):
@@ -91,21 +98,31 @@
         )
 
     def _call(self, reply, **request):
+        is_outdated = False
+
+        def on_headers(headers):
+            nonlocal is_outdated
+            era = _read_era(headers)
+            is_outdated = era is not None and era < self.era
+            if era is not None and era > self.era:
+                self.era = era
+                self.on_era(era)
+
+        def on_reply(status, body):
+            if is_outdated:
+                reply(None, "answer of an earlier era of the store")
+            else:
+                reply(status, body)
+
         call(
             self.pool,
-            reply,
-            on_headers=self._handle_headers,
+            on_reply,
+            on_headers=on_headers,
             host=self.host,
             port=self.port,
             **request,
         )
 
-    def _handle_headers(self, headers):
-        era = _read_era(headers)
-        if era is not None and era != self.era:
-            self.era = era
-            self.on_era(era)
-
     def read_table(self, table, reply):
         """Read a table.
 
@@ -115,12 +132,16 @@
 
     def _read_from(self, table, first_key, pages, reply):
         """Read the rows from `first_key` on and append them to `pages`."""
+        era = self.era if pages else None
 
         def on_response(status, body):
             page, reason = _read_page(status, body)
             if page is None:
                 reply(None, reason)
                 return
+            if era not in (None, self.era):
+                reply(None, "the store was restored during the read")
+                return
             pages.append(page)
             if page.has_more and page.rows:
                 self._read_from(table, page.rows[-1].key + "\0", pages, reply)
@@ -134,8 +155,12 @@
             path += f"&from={quote(first_key, safe='')}"
         self.get(path, on_response)
 
+    def position(self, ver):
+        """Return the position of a version in the latest answer."""
+        return StorePosition(self.era, ver)
+
     def watch_table(self, table, cursor, wait, reply):
-        """Wait up to `wait` seconds for changes after version `cursor`.
+        """Wait up to `wait` seconds for changes after `cursor`.
 
         `reply` gets StoreRows or None, the reason of a failure, and whether
         the store no longer has the history after `cursor`.
@@ -143,17 +168,17 @@
 
         def on_response(status, body):
             if status == GONE:
-                reply(
-                    None,
-                    f"the store no longer has the history after version {cursor}",
-                    True,
-                )
+                reason = f"the store no longer has the history after {cursor}"
+                reply(None, reason, True)
+            elif status == 200 and self.era != cursor.era:
+                reason = f"the store was restored to era {self.era} after {cursor}"
+                reply(None, reason, True)
             else:
                 reply(*_read_page(status, body), False)
 
         wait_ms = int(wait * MS_PER_SECOND)
         self.get(
-            f"/api/rows-feed?table={table}&after={cursor}&wait-ms={wait_ms}",
+            f"/api/rows-feed?table={table}&after={cursor.ver}&wait-ms={wait_ms}",
             on_response,
             timeout=wait + WATCH_MARGIN,
         )
@@ -191,8 +216,8 @@
         Reasons by key of the malformed registrations in the latest read.
     rows : dict of str to StoreRow
         Registrations by key.
-    read_ver : int
-        Version of the store up to which `rows` is current.
+    read_to : StorePosition
+        Position up to which `rows` is current.
     """
 
     def __init__(self, *, client, log):
@@ -200,7 +225,7 @@
         self.log = log
         self.skipped = {}
         self.rows = {}
-        self.read_ver = 0
+        self.read_to = StorePosition()
 
     def read(self, reply):
         """Read all registrations."""
@@ -210,7 +235,7 @@
                 reply(RegistryRead(False, reason=reason))
                 return
             self.rows = {row.key: row for row in rows.rows}
-            self.read_ver = rows.ver
+            self.read_to = self.client.position(rows.ver)
             reply(self._registry_read(rows))
 
         self.client.read_table(REGISTRY_TABLE, on_rows)
@@ -222,9 +247,12 @@
             if rows is None:
                 reply(RegistryRead(is_history_gone, reason=reason))
                 return
+            position = self.client.position(rows.ver)
             # A later read may have completed before this watch.
-            changed_rows = [row for row in rows.rows if row.ver > self.read_ver]
-            self.read_ver = max(self.read_ver, rows.ver)
+            changed_rows = [
+                row for row in rows.rows if self.client.position(row.ver) > self.read_to
+            ]
+            self.read_to = max(self.read_to, position)
             for row in changed_rows:
                 self.rows.pop(row.key, None)
                 if not row.removed:
@@ -232,7 +260,7 @@
             if changed_rows:
                 reply(self._registry_read(rows))
             else:
-                reply(RegistryRead(True, cursor=rows.ver))
+                reply(RegistryRead(True, cursor=position))
 
         self.client.watch_table(REGISTRY_TABLE, cursor, wait, on_rows)
 
@@ -243,7 +271,10 @@
             self.log.decision("registration_skipped", outcome=key, reason=skipped[key])
         self.skipped = skipped
         return RegistryRead(
-            True, records=records, cursor=rows.ver, changed=_latest_version(rows.rows)
+            True,
+            records=records,
+            cursor=self.client.position(rows.ver),
+            changed=self.client.position(_latest_version(rows.rows)),
         )
 
 
@@ -257,7 +288,7 @@
         """Read the configuration."""
 
         def on_rows(rows, reason):
-            reply(_routing_read(rows) if rows else RoutingRead(False, reason=reason))
+            reply(self._routing_read(rows, reason))
 
         self.client.read_table(OPERATOR_TABLE, on_rows)
 
@@ -268,10 +299,24 @@
             if rows is None:
                 reply(RoutingRead(is_history_gone, reason=reason))
             else:
-                reply(_routing_read(rows))
+                reply(self._routing_read(rows))
 
         self.client.watch_table(OPERATOR_TABLE, cursor, wait, on_rows)
 
+    def _routing_read(self, rows, reason=""):
+        if rows is None:
+            return RoutingRead(False, reason=reason)
+        try:
+            config = read_routing(rows.rows)
+        except ValueError as error:
+            return RoutingRead(False, reason=str(error))
+        return RoutingRead(
+            True,
+            config=config,
+            cursor=self.client.position(rows.ver),
+            changed=self.client.position(_latest_version(rows.rows)),
+        )
+
 
 class StoreMembership:
     """Implements `MembershipStore` on the table of instances."""
@@ -307,12 +352,3 @@
 def _read_instance(row):
     address = base64.b64decode(row.value).decode("ascii", "replace")
     return InstanceRow(instance=row.key, address=address, version=row.ver)
-
-
-def _routing_read(rows):
-    try:
-        config = read_routing(rows.rows)
-    except ValueError as error:
-        return RoutingRead(False, reason=str(error))
-    changed = _latest_version(rows.rows)
-    return RoutingRead(True, config=config, cursor=rows.ver, changed=changed)
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -111,16 +111,18 @@
             store.watches.append(lambda: self._perform(*call))
             store.timers.after(wait, lambda: self._end_watch(sink))
             return
-        store.timers.after(LATENCY, lambda: self._respond(sink, status, answer))
+        era = store.era
+        store.timers.after(LATENCY, lambda: self._respond(sink, status, answer, era))
 
     def _end_watch(self, sink):
         if not self.store.is_away:
-            self._respond(sink, 200, {"rows": []})
+            answer = {"rows": [], "ver": self.store.ver}
+            self._respond(sink, 200, answer, self.store.era)
 
-    def _respond(self, sink, status, answer):
+    def _respond(self, sink, status, answer, era):
         if not self.is_cut and not sink.is_done:
             sink.is_done = True
-            self.store.respond(sink.sink, status, answer)
+            self.store.respond(sink.sink, status, answer, era)
 
 
 class _Once:
@@ -157,7 +159,9 @@
         self.log = LogLines()
         self.configs = []
         self.versions = StoreVersions(tables=("routing", "registry"))
-        self.client = StoreClient(pool=self.link, host="10.0.0.1", port=80)
+        self.client = StoreClient(
+            pool=self.link, host="h", port=80, on_era=self.versions.handle_era
+        )
         self.forwarder = Forwarder(context=Scene([]).context)
         self.directory = EndpointDirectory()
         self.follower = RegistryFollower(
@@ -223,10 +227,10 @@
 
 def exchange_versions(followers):
     """Let all instances tell each other the versions that they know."""
-    known = [follower.versions.known for follower in followers]
+    known = [(each.versions.era, each.versions.known) for each in followers]
     for follower in followers:
-        for versions in known:
-            follower.versions.handle_peer_versions(versions)
+        for era, versions in known:
+            follower.versions.handle_peer_versions(era, versions)
 
 
 class LeaseOwner(StepComponent):
--- a/wagtailfront/platform/tests/store_pool.py
+++ b/wagtailfront/platform/tests/store_pool.py
@@ -57,16 +57,17 @@
             answer = {}
         else:
             status, answer = self.perform(method, path, body)
-        self.respond(sink, status, answer)
+        self.respond(sink, status, answer, self.era)
 
     def perform(self, method, path, body):
         """Return the status and the answer to a request."""
         if method == "POST":
-            return self._transact(msgspec.json.decode(body))
+            status, answer = self._transact(msgspec.json.decode(body))
+            return status, {**answer, "ver": self.ver}
         fields = self.read_query(path)
         if int(fields.get("after", 0)) > self.ver:
             return 410, {}
-        return 200, self._rows(fields)
+        return 200, {**self._rows(fields), "ver": self.ver}
 
     @staticmethod
     def read_query(path):
@@ -74,10 +75,11 @@
         fields = parse_qs(urlsplit(path).query)
         return {key: values[0] for key, values in fields.items()}
 
-    def respond(self, sink, status, answer):
-        """Send an answer with the store's version and era."""
-        sink.on_head(status, {"Store-Era": str(self.era)})
-        sink.on_data(msgspec.json.encode({**answer, "ver": self.ver}))
+    @staticmethod
+    def respond(sink, status, answer, era):
+        """Send an answer that was given in an era."""
+        sink.on_head(status, {"Store-Era": str(era)})
+        sink.on_data(msgspec.json.encode(answer))
         sink.on_end()
 
     def _rows(self, fields):
--- a/wagtailfront/platform/tests/test_restored_store.py
+++ b/wagtailfront/platform/tests/test_restored_store.py
@@ -55,14 +55,16 @@
 
 def test_a_change_after_a_restore_ends_a_lost_watch(store):
     """Guards against peers' versions that count less than older ones."""
-    followers = [Follower(store=store, peers=83) for _ in range(2)]
+    followers = [Follower(store=store, peers=peers) for peers in (83, 0)]
     advance(store, 1.0)
     for version in range(2, 6):
         publish_config(store, version)
-    advance(store, 1.0)
+        advance(store, 0.1)
     exchange_versions(followers)
     store.drill(lost=5.0, away=1.0)
-    advance(store, 3.0)
+    for _ in range(40):
+        advance(store, 0.1)
+        exchange_versions(followers)
     followers[0].link.is_cut = True
     publish_config(store, 7)
     advance(store, 0.1)
--- a/wagtailfront/platform/tests/test_store.py
+++ b/wagtailfront/platform/tests/test_store.py
@@ -4,7 +4,7 @@
 
 from wagtailfront.authority.lease import LeaseMachine, lease_key
 from wagtailfront.authority.step_component import StepComponent
-from wagtailfront.forwarding.interfaces import InstanceRow
+from wagtailfront.forwarding.interfaces import InstanceRow, StorePosition
 from wagtailfront.forwarding.tests.builders import LogLines
 from wagtailfront.platform.part_store import StoreRefusedParts
 from wagtailfront.platform.store_client import (
@@ -61,7 +61,7 @@
     registry.read(reads.append)
     assert endpoints(reads[0]) == names
     assert len(pool.calls) == 3
-    assert reads[0].cursor == reads[0].changed == pool.ver
+    assert reads[0].cursor == reads[0].changed == (pool.era, pool.ver)
 
 
 def test_a_page_that_fails_makes_the_whole_read_fail():
@@ -96,7 +96,7 @@
         ("i-2", False),
         ("i-1", True),
     ]
-    assert reads[1].changed == changed
+    assert reads[1].changed == (pool.era, changed)
     registry.watch(reads[1].cursor, 1.0, reads.append)
     assert reads[2].is_known
     assert reads[2].records is None
@@ -114,7 +114,7 @@
         make_row("i-1", make_registration()).value,
         pool.ver - 1,
     )
-    registry.watch(0, 1.0, reads.append)
+    registry.watch(StorePosition(pool.era, 0), 1.0, reads.append)
     assert endpoints(reads[1]) == []
     assert reads[2].records is None
 
@@ -125,7 +125,7 @@
     pool = StorePool()
     registry, reads = make_registry(pool)
     pool.failures.append(status)
-    registry.watch(5, 1.0, reads.append)
+    registry.watch(StorePosition(pool.era, 5), 1.0, reads.append)
     assert reads[0].is_known == (status == 410)
     assert reads[0].cursor is None
     assert reads[0].reason
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -308,6 +308,7 @@
 
     def _on_store_era(self, era):
         self.log.decision("store_era", outcome="changed", era=era)
+        self.versions.handle_era(era)
 
     def _max_idle(self, record):
         service = self.forwarder.config.services.get(record.service)
