Keep what is known of endpoints that leave when the registry is restored

After the store came back from an older copy, engines that had announced their leaving, or had gone, were listed as ready and got requests again (DRAIN), and engines that had registered shortly before were dropped until they did so again.

Cause: a row of the registry was taken as newer than what the instance knew, whatever it came from. The directory now remembers departures with their era. In a later era an endpoint that had announced its leaving stays leaving, one that had gone stays gone for 5 s (a silent one is removed within that time), and one that is missing is retained for 2 s as after an outage.

--- a/wagtailfront/forwarding/endpoint_directory.py
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -10,6 +10,11 @@
 # Seconds after an outage within which live endpoints register again, according
 # to the platform's page on service discovery.
 RETURN_SECONDS = 2.0
+# Seconds after a restore of the registry in which it may list endpoints that
+# had gone: those that are silent for three heartbeats of 1.2 s are removed.
+GHOST_SECONDS = 5.0
+# Seconds for which departures are remembered; the copy is some seconds old.
+DEPARTURE_LIFETIME = 60.0
 
 
 class EndpointRecord(NamedTuple):
@@ -61,6 +66,14 @@
     gone: tuple
 
 
+class _Departure(NamedTuple):
+    """When, and in which era of the registry, an endpoint left or had gone."""
+
+    at: float
+    era: int
+    is_gone: bool
+
+
 class EndpointDirectory:
     """Endpoints that may get work, updated by full reads of the registry.
 
@@ -71,6 +84,12 @@
     after an outage are therefore retained until they have had time to
     register again.
 
+    A registry that comes back from an older copy, in a new era, also lacks
+    endpoints that had registered since, and contains those that had left.
+    The former are retained like after an outage. An endpoint that had
+    announced its leaving stays leaving, and one that had gone stays gone
+    unless its entry outlives the time in which a silent one is removed.
+
     Examples
     --------
     >>> record = EndpointRecord("e1", "s", "h", 80, "a", 4, False, "", 1)
@@ -85,8 +104,11 @@
         self.by_service = {}
         self.read_at = None
         self.retain_missing_until = 0.0
+        self.era = 0
+        self.departed = {}  # _Departure by incarnation
+        self.ghosts_until = 0.0
 
-    def replace(self, records, *, now):
+    def replace(self, records, *, now, era=0):
         """Replace the entries by those of a full read of the registry.
 
         Parameters
@@ -94,6 +116,8 @@
         records : iterable of EndpointRecord
         now : float
             Time of the response in seconds.
+        era : int, optional
+            Era of the registry; rises when it comes back from an older copy.
 
         Returns
         -------
@@ -101,8 +125,16 @@
         """
         if self.read_at is not None and now - self.read_at > OUTAGE_SECONDS:
             self.retain_missing_until = now + RETURN_SECONDS
+        if era > self.era:
+            if self.era:
+                self.retain_missing_until = now + RETURN_SECONDS
+                self.ghosts_until = now + GHOST_SECONDS
+            self.era = era
         self.read_at = now
-        present = {record.endpoint_id: record for record in records}
+        present = {
+            record.endpoint_id: record
+            for record in self._without_departed(records, now)
+        }
         missing = {
             endpoint_id: record
             for endpoint_id, record in self.records.items()
@@ -112,7 +144,7 @@
         before = self.records
         self.records = {**retained, **present}
         self._index()
-        return DirectoryChange(
+        change = DirectoryChange(
             added=tuple(
                 record
                 for record in present.values()
@@ -128,6 +160,33 @@
             ),
             gone=tuple(missing.values()) if not retained else (),
         )
+        self._record_departures(change, now)
+        return change
+
+    def _without_departed(self, records, now):
+        """Yield the records as of the endpoints' last known states."""
+        for record in records:
+            departure = self.departed.get(record.incarnation)
+            if departure is None or departure.era == self.era:
+                yield record
+            elif not departure.is_gone:
+                yield record._replace(is_leaving=True)
+            elif now >= self.ghosts_until:
+                yield record
+
+    def _record_departures(self, change, now):
+        self.departed = {
+            incarnation: departure
+            for incarnation, departure in self.departed.items()
+            if now - departure.at < DEPARTURE_LIFETIME
+        }
+        for record in change.added:
+            self.departed.pop(record.incarnation, None)
+        leaving = (*change.leaving, *(r for r in change.added if r.is_leaving))
+        for record in (*leaving, *change.gone):
+            is_gone = record in change.gone
+            departure = _Departure(now, self.era, is_gone)
+            self.departed[record.incarnation] = departure
 
     def find(self, service):
         """Return the endpoints of a service that may get new work."""
--- a/wagtailfront/forwarding/registry_follower.py
+++ b/wagtailfront/forwarding/registry_follower.py
@@ -25,17 +25,20 @@
         self.timers = timers
         self.clock = clock
         self.records = ()
+        self.era = 0
         self.recheck = None
 
     def apply_read(self, read):
         """Apply a RegistryRead; without records the last ones stay valid."""
         if read.records is not None:
             self.records = read.records
+        if read.cursor is not None:
+            self.era = read.cursor.era
         self._apply()
 
     def _apply(self):
         now = self.clock()
-        change = self.directory.replace(self.records, now=now)
+        change = self.directory.replace(self.records, now=now, era=self.era)
         for kind, group in zip(change._fields, change, strict=True):
             for record in group:
                 self.log.decision(
@@ -47,12 +50,12 @@
                 )
         if any(change):
             self.on_change(change)
-        if self.recheck is None and self.directory.retain_missing_until > now:
-            # No read may arrive when retained endpoints have to be removed.
-            self.recheck = self.timers.after(
-                self.directory.retain_missing_until - now, self._recheck_missing
-            )
+        settles = (self.directory.retain_missing_until, self.directory.ghosts_until)
+        due = min((at for at in settles if at > now), default=None)
+        if self.recheck is None and due is not None:
+            # No read may arrive when the directory has to change.
+            self.recheck = self.timers.after(due - now, self._recheck)
 
-    def _recheck_missing(self):
+    def _recheck(self):
         self.recheck = None
         self._apply()
--- a/wagtailfront/platform/tests/store_pool.py
+++ b/wagtailfront/platform/tests/store_pool.py
@@ -22,6 +22,7 @@
     def __init__(self, *, page_rows=500):
         self.page_rows = page_rows
         self.rows = {}
+        self.removed = {}
         self.ver = 100
         self.era = 1
         self.calls = []
@@ -32,18 +33,20 @@
         self.ver += 1
         if value is None:
             self.rows.pop((table, key), None)
+            self.removed[table, key] = self.ver
         else:
+            self.removed.pop((table, key), None)
             self.rows[table, key] = (value, self.ver)
         return self.ver
 
     def copy(self):
         """Return a copy of the store for `restore`."""
-        return dict(self.rows), self.ver
+        return dict(self.rows), dict(self.removed), self.ver
 
     def restore(self, copy):
         """Come back from a copy, in a new era."""
-        rows, self.ver = copy
-        self.rows = dict(rows)
+        rows, removed, self.ver = copy
+        self.rows, self.removed = dict(rows), dict(removed)
         self.era += 1
 
     def request(self, *, host, port, method, path, sink, body=b"", **options):
@@ -91,6 +94,13 @@
             and key >= fields.get("from", "")
             and ver > after
         ]
+        if "after" in fields:
+            found += [
+                {"key": key, "ver": ver, "removed": True}
+                for (table, key), ver in self.removed.items()
+                if table == fields["table"] and ver > after
+            ]
+            found.sort(key=lambda row: row["ver"])
         return {
             "rows": found[: self.page_rows],
             "has-more": len(found) > self.page_rows,
