Apply a configuration whose version a restored store gave out again

A configuration of the version in force was never applied, whatever it contained. After the store comes back from an older copy the operator may give a number out again, for another change that would then not be in force. A configuration of the same version and another content is applied if it was read in a later era; a lower version is that of the copy and is not; one of an earlier era never is, whatever its number.

The test fails before.

--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -54,26 +54,45 @@
     def __init__(self, *, context):
         self.context = context
         self.config = None
+        self.config_era = 0
         self.table = None
         self.limits = CallerLimits()
         self.tasks = set()
 
-    def apply_config(self, config):
+    def apply_config(self, config, *, era=0):
         """Apply a configuration if it is newer than the current one.
 
+        A higher version is newer in any era of the store, as the operator
+        counts on after a restore. The same version is newer in a later era
+        if it was given out again with other contents. A lower one is that of
+        an older copy.
+
+        Parameters
+        ----------
+        config : RoutingConfig
+        era : int, optional
+            Era of the store in which it was read.
+
         Returns
         -------
         bool
             Whether it was applied.
         """
-        if self.config is not None and config.version <= self.config.version:
+        if not self._is_newer(config, era):
             return False
-        self.config = config
+        self.config, self.config_era = config, era
         self.table = RouteTable(config.routes)
         self.limits = config.limits
         self.context.prefix_caches.add_services(config.services)
         return True
 
+    def _is_newer(self, config, era):
+        if self.config is None or era < self.config_era:
+            return self.config is None
+        if config.version == self.config.version:
+            return era > self.config_era and config != self.config
+        return config.version > self.config.version
+
     def accept(self, request, reply):
         """Start a request; return its task, or None if it was rejected."""
         try:
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -150,6 +150,24 @@
     assert forwarder.config.version == 5
 
 
+def test_a_version_that_is_given_out_again_is_another_configuration():
+    """Guards a change after a restore against an older one of its version."""
+    forwarder = Forwarder(context=Scene([]).context)
+    steps = [
+        (make_config(9), 1, True),
+        (make_config(8, routes=()), 2, False),
+        (make_config(9), 2, False),
+        (make_config(9, routes=()), 2, True),
+        (make_config(9), 1, False),
+        (make_config(9), 2, False),
+        (make_config(12), 2, True),
+        (make_config(15), 1, False),
+        (make_config(15), 2, True),
+    ]
+    applied = [forwarder.apply_config(config, era=era) for config, era, _ in steps]
+    assert applied == [expected for _config, _era, expected in steps]
+
+
 def test_without_a_configuration_callers_get_503():
     """Guards against 404 for a route that is not known yet."""
     scene = Scene([make_record()])
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -194,8 +194,9 @@
         self.registry._on_started(None)
 
     def _apply_routing(self, read):
-        if read.config is not None and self.forwarder.apply_config(read.config):
-            self.configs.append(read.config.version)
+        config = read.config
+        if config and self.forwarder.apply_config(config, era=read.cursor.era):
+            self.configs.append(config.version)
 
     @property
     def config(self):
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -287,11 +287,12 @@
         config = read.config
         if config is None:
             return
-        applied = self.forwarder.apply_config(config)
+        applied = self.forwarder.apply_config(config, era=read.cursor.era)
         self.log.decision(
             "configuration",
             outcome="applied" if applied else "kept",
             version=config.version,
+            era=read.cursor.era,
             routes=len(config.routes),
         )
         self.metrics.set("config_version", self.forwarder.config.version)
