Never give out a fencing number twice when the store is restored

After the store came back from an older copy, the row of the lease of stage orders was one of before: a candidate took the lease over at once if that row was free, beside a holder whose takeover was lost, and gave out the same fencing number again. A holder could also renew over another one, when the version that its write expected had been given out again.

Cause: row, version and number were compared without their era. A lease says for which era it was written; one of an earlier era, and a missing one in an era after the first, is taken over only when every holder of before has stopped. Fencing numbers of a later era are higher than all of an earlier one. A write is not sent, or its success not believed, if the store has been restored since the row was read. Whether there was a predecessor is part of the grant.

--- a/wagtailfront/authority/lease.py
+++ b/wagtailfront/authority/lease.py
@@ -22,6 +22,10 @@
 __all__ = ["Lease", "LeaseTimes", "Grant", "LeaseMachine", "lease_key", "candidates"]
 
 NO_HOLDER = ""
+# Era of a store that has never come back from an older copy; 0 if it does not
+# say. In any later one a lease may have been lost.
+FIRST_ERA = 1
+FENCING_NUMBERS_PER_ERA = 2**20
 
 
 class Lease(msgspec.Struct, frozen=True):
@@ -32,14 +36,18 @@
     holder : str
         Incarnation of the holding instance, empty after a release.
     fencing : int
-        Raised by 1 at each takeover.
+        Raised by 1 at each takeover. Those of a later era of the store are
+        higher than all of an earlier one, whose takeovers may be lost.
     beat : int
         Counts the holder's writes; `holder` and `beat` identify a write.
+    era : int
+        Era of the store for which it was written.
     """
 
     holder: str
     fencing: int
     beat: int
+    era: int = 0
 
 
 class LeaseTimes(NamedTuple):
@@ -69,6 +77,8 @@
         When this holder got the reply that confirmed its takeover.
     until : float
         No effect may start at or after this time on the holder's clock.
+    has_predecessor : bool
+        Whether another instance may have held the lease before.
     """
 
     key: Key
@@ -76,6 +86,7 @@
     fencing: int
     since: float
     until: float
+    has_predecessor: bool = True
 
 
 def lease_key(group):
@@ -128,6 +139,10 @@
     are cleared when the lease is released: the release may take effect late,
     and only a write that is committed after it excludes that.
 
+    A store that comes back from an older copy has lost takeovers since. What
+    a row of an earlier era says is not used: the lease is taken over when
+    every holder of before has had to stop.
+
     Examples
     --------
     >>> from wagtailfront.stores.interfaces import Missing
@@ -147,6 +162,8 @@
         self.times = times or LeaseTimes()
         self.store_request = OutstandingRequest(owner=f"lease/{group}")
         self.wanted = False
+        self.era = None
+        self.has_predecessor = True
         self.row = None  # version and Lease of the last known row
         self.seen_at = None  # when that version was first read or written
         self.until = float("-inf")
@@ -166,7 +183,14 @@
         if not self.is_held(now):
             return None
         version, lease = self.row
-        return Grant(self.key, version, lease.fencing, self.since, self.until)
+        return Grant(
+            self.key,
+            version,
+            lease.fencing,
+            self.since,
+            self.until,
+            self.has_predecessor,
+        )
 
     def want(self, now, wanted):
         """Request the lease or release it at once."""
@@ -210,7 +234,10 @@
 
     def is_own(self):
         """Whether the last known row names this instance as holder."""
-        return self.row is not None and self.row[1].holder == self.instance
+        if self.row is None:
+            return False
+        lease = self.row[1]
+        return lease.holder == self.instance and lease.era == self.era
 
     def is_released(self):
         """Whether the lease is not wanted or owned and no request is open."""
@@ -234,13 +261,13 @@
         return ReadRow(tag, self.key), StartTimer(self.store_request.due())
 
     def _on_read(self, now, sent_at, reply):
-        version, lease = 0, Lease(NO_HOLDER, 0, 0)
+        version, lease = 0, Lease(NO_HOLDER, 0, 0, min(reply.era, FIRST_ERA))
         if isinstance(reply, Found):
             version = reply.row.version
             lease = msgspec.msgpack.decode(reply.row.value, type=Lease)
-        if self.row is None or self.row[0] != version:
+        if self.row is None or self.row[0] != version or self.era != reply.era:
             self.seen_at = now
-        self.row = (version, lease)
+        self.row, self.era = (version, lease), reply.era
         if self.is_own():
             self._confirm(now)
             if not self.wanted or now >= self.until:
@@ -250,8 +277,11 @@
         self._stop_holding()
         if not self.wanted:
             return ()
-        if lease.holder == NO_HOLDER or sent_at >= self._takeover_at():
-            return self._write(now, Lease(self.instance, lease.fencing + 1, 0))
+        is_free = lease.holder == NO_HOLDER and lease.era == self.era
+        if is_free or sent_at >= self._takeover_at():
+            self.has_predecessor = not is_free or lease.fencing > 0
+            fencing = max(lease.fencing, self.era * FENCING_NUMBERS_PER_ERA) + 1
+            return self._write(now, Lease(self.instance, fencing, 0))
         self.next_step = min(now + self.times.renew_every, self._takeover_at())
         return self._sleep()
 
@@ -265,7 +295,7 @@
 
     def _write(self, now, lease):
         self.beat += 1
-        lease = msgspec.structs.replace(lease, beat=self.beat)
+        lease = msgspec.structs.replace(lease, beat=self.beat, era=self.era)
         if lease.holder == self.instance:
             self.sent[self.beat] = now
         version = self.row[0]
--- a/wagtailfront/forwarding/stage_manager.py
+++ b/wagtailfront/forwarding/stage_manager.py
@@ -141,8 +141,10 @@
         grant = self.lease.grant()
         if grant is None:
             return False
-        has_predecessor = grant.fencing > 1
-        return not has_predecessor or self.clock() - grant.since >= SUCCESSION_SECONDS
+        return (
+            not grant.has_predecessor
+            or self.clock() - grant.since >= SUCCESSION_SECONDS
+        )
 
     def _order(self, change, now):
         record, stage = change
--- a/wagtailfront/platform/store_table.py
+++ b/wagtailfront/platform/store_table.py
@@ -46,15 +46,16 @@
 
     Attributes
     ----------
-    versions : dict of Key to (int, int)
-        A row's own version and the store's version of it, as read or written
+    versions : dict of Key to (int, StorePosition)
+        A row's own version and the store's position of it, as read or written
         last.
 
     Notes
     -----
     `TableStore` counts the versions of each row, while the store takes them
     from one counter for all rows. Therefore a row's value contains the row's
-    own version.
+    own version. A condition holds for the era in which the row was read: a
+    later era may have given its version to another write.
     """
 
     def __init__(self, *, client):
@@ -71,16 +72,17 @@
             try:
                 rows = [row for row in read_rows(body).rows if row.key == key.sort]
                 if not rows:
-                    self.versions[key] = (0, 0)
-                    reply(Missing())
+                    self.versions[key] = (0, self.client.position(0))
+                    reply(Missing(era=self.client.era))
                     return
                 data = base64.b64decode(rows[0].value, validate=True)
                 stored = msgspec.msgpack.decode(data, type=_Value)
             except (ValueError, msgspec.MsgspecError) as error:
                 reply(Unavailable(reason=f"unreadable row: {error}"))
                 return
-            self.versions[key] = (stored.version, rows[0].ver)
-            reply(Found(row=Row(key, stored.version, stored.value)))
+            self.versions[key] = (stored.version, self.client.position(rows[0].ver))
+            row = Row(key, stored.version, stored.value)
+            reply(Found(row=row, era=self.client.era))
 
         name = quote(key.sort, safe="")
         self.client.get(
@@ -96,27 +98,32 @@
         if len(puts) != 1 or checks:
             raise ValueError("only a single row can be written")
         put = puts[0]
-        version, ver = self.versions.pop(put.key, (None, 0))
-        if version != put.expected:
+        version, position = self.versions.pop(put.key, (None, self.client.position(0)))
+        if version != put.expected or position.era != self.client.era:
             reply(ConditionFailed())
             return
 
         def on_response(status, body):
-            if status == 200:
+            if status is not None and self.client.era != position.era:
+                reply(Unknown(reason=f"the store was restored after {position}"))
+            elif status == 200:
                 try:
                     written = msgspec.json.decode(body, type=_Written).ver
                 except msgspec.MsgspecError as error:
                     reply(Unknown(reason=f"unreadable response: {error}"))
                     return
-                self.versions[put.key] = (put.expected + 1, written)
+                written_at = self.client.position(written)
+                self.versions[put.key] = (put.expected + 1, written_at)
                 reply(Committed())
             elif status == CONDITION_FAILED:
                 reply(ConditionFailed())
             elif status in REJECTED_STATUSES:
-                self.versions[put.key] = (version, ver)
+                self.versions[put.key] = (version, position)
                 reply(Unavailable(reason=describe_failure(status, body)))
             else:
                 reply(Unknown(reason=describe_failure(status, body)))
 
         value = msgspec.msgpack.encode(_Value(put.expected + 1, put.value))
-        self.client.put(TABLE, put.key.sort, value, on_response, expected_ver=ver)
+        self.client.put(
+            TABLE, put.key.sort, value, on_response, expected_ver=position.ver
+        )
--- a/wagtailfront/stores/interfaces.py
+++ b/wagtailfront/stores/interfaces.py
@@ -59,14 +59,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Found:
-    """The row or object that was read."""
+    """The row or object that was read, and the store's era."""
 
     row: Row
+    era: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
 class Missing:
-    """The row or object does not exist."""
+    """The row or object does not exist in the store's era."""
+
+    era: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
