Announce instances again when the store is restored

After the store came back from an older copy, an announcement that it had acknowledged could be gone for up to 25 s (15 s in small fleets), so that instances which started then did not find each other; and the row of an instance that is gone came back under a position that had not been seen, so that it counted as live for another 50 s.

Cause: an announcement was taken for kept once the store had answered, and a changed version for a new one. Each instance announces itself within a second of learning of a new era, and the first row that an instance sees of a known one in a new era is no sign of life. Both tests fail before.

--- a/wagtailfront/forwarding/fleet_pace.py
+++ b/wagtailfront/forwarding/fleet_pace.py
@@ -36,6 +36,16 @@
         self.count_peers = count_peers
         self.rng = rng
 
+    def spread(self, seconds):
+        """Return a random delay, so that all instances do not call at once.
+
+        Parameters
+        ----------
+        seconds : float
+            Upper limit of the result.
+        """
+        return self.rng.uniform(0, seconds)
+
     def stretch(self, seconds, *, max_seconds=MAX_SECONDS):
         """Return an interval of a small fleet adapted to the present size.
 
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -247,13 +247,13 @@
     instance : str
     address : str
         Where it listens for its peers.
-    version : int
+    version : StorePosition
         Increases with each announcement.
     """
 
     instance: str
     address: str
-    version: int = 0
+    version: StorePosition = StorePosition()
 
 
 class MembershipStore(Protocol):
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -114,6 +114,8 @@
         self.full_digest_due = 0.0
         self.evidence_sends = {}
         self.sent_versions = ()
+        self.announcement = None
+        versions.era_listeners.append(self._on_new_era)
         Ticker(
             interval=SEND_INTERVAL, make_event=send_digest, target=self.channel
         ).register(self)
@@ -137,7 +139,14 @@
 
     def _on_announced(self, written):
         delay = self.pace.stretch(ANNOUNCE_INTERVAL) if written else ANNOUNCE_RETRY
-        self.timers.after(delay, self._announce)
+        self.announcement = self.timers.after(delay, self._announce)
+
+    def _on_new_era(self, era):
+        """Announce this instance again: the store may have lost its row."""
+        if self.announcement is not None:
+            self.announcement.cancel()
+            delay = self.pace.spread(ANNOUNCE_RETRY)
+            self.announcement = self.timers.after(delay, self._announce)
 
     def _read_if_alone(self):
         if not self.load.peers:
@@ -153,10 +162,14 @@
         now = self.clock()
         seen = dict(self.last_seen)
         for row in rows:
-            if self.row_versions.get(row.instance) != row.version:
-                self.row_versions[row.instance] = row.version
-                if row.address != self.row.address:
-                    seen[row.address] = now
+            known = self.row_versions.get(row.instance)
+            if known == row.version:
+                continue
+            self.row_versions[row.instance] = row.version
+            # The first row in a new era may be that of an older copy.
+            is_copy = known is not None and known.era < row.version.era
+            if not is_copy and row.address != self.row.address:
+                seen[row.address] = now
         self._update_last_seen(seen, now)
 
     def _update_last_seen(self, seen, now):
--- a/wagtailfront/forwarding/tests/fleet.py
+++ b/wagtailfront/forwarding/tests/fleet.py
@@ -9,7 +9,7 @@
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.fleet_pace import FleetPace
 from wagtailfront.forwarding.forwarder import PrefixCachesByService
-from wagtailfront.forwarding.interfaces import InstanceRow
+from wagtailfront.forwarding.interfaces import InstanceRow, StorePosition
 from wagtailfront.forwarding.load_exchange import LoadExchange
 from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.store_watcher import StoreVersions
@@ -34,7 +34,7 @@
     def add(self, name):
         """Start an instance, also again."""
         self.starts += 1
-        row = InstanceRow(name, f"{name}:7", self.starts)
+        row = InstanceRow(name, f"{name}:7", StorePosition(1, self.starts))
         load, rate_limits = self._make_state(row, f"{name}#{self.starts}")
         exchange = LoadExchange(
             row=row,
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -323,15 +323,15 @@
     store, timers = FakeMembership(), VirtualTimers()
     exchange = make_exchange(store, timers)
     store.rows = [
-        InstanceRow("a", "10.0.0.1:1", 1),
-        InstanceRow("b", "10.0.0.2:1", 2),
-        InstanceRow("c", "10.0.0.3:1", 3),
+        InstanceRow("a", "10.0.0.1:1", at(1)),
+        InstanceRow("b", "10.0.0.2:1", at(2)),
+        InstanceRow("c", "10.0.0.3:1", at(3)),
     ]
     exchange._on_started(None)
     timers.advance(1.0)
     assert exchange.addresses == ("10.0.0.2:1", "10.0.0.3:1")
     for step in range(int(INSTANCE_LIFETIME) + 2):
-        store.rows[2] = store.rows[2]._replace(version=10 + step)
+        store.rows[2] = store.rows[2]._replace(version=at(10 + step))
         timers.advance(1.0)
     assert exchange.addresses == ("10.0.0.3:1",)
 
@@ -342,7 +342,7 @@
     exchange = make_exchange(store, timers)
     assert exchange.load.instances == 0
     store.rows = [
-        InstanceRow(name, f"10.0.0.{number}:1", number)
+        InstanceRow(name, f"10.0.0.{number}:1", at(number))
         for number, name in enumerate("abcd", start=1)
     ]
     exchange._on_started(None)
@@ -364,6 +364,36 @@
     assert store.announced == 5
 
 
+def test_an_instance_announces_itself_again_to_a_restored_store():
+    """Guards against an instance that those which start later do not find."""
+    store, timers = FakeMembership(), VirtualTimers()
+    exchange = make_exchange(store, timers)
+    exchange.versions.handle_era(1)
+    exchange._on_started(None)
+    timers.advance(3.0)
+    assert store.announced == 1
+    exchange.versions.handle_era(2)
+    timers.advance(1.0)
+    assert store.announced == 2
+    timers.advance(15.5)
+    assert store.announced == 3
+
+
+def test_rows_of_an_older_copy_do_not_show_that_an_instance_is_live():
+    """Guards against messages to instances that are gone, after a restore."""
+    store, timers = FakeMembership(), VirtualTimers()
+    exchange = make_exchange(store, timers)
+    store.rows = [InstanceRow("b", "10.0.0.2:1", StorePosition(1, 7))]
+    exchange._on_started(None)
+    timers.advance(INSTANCE_LIFETIME - 5)
+    store.rows = [InstanceRow("b", "10.0.0.2:1", StorePosition(2, 5))]
+    timers.advance(10.0)
+    assert exchange.addresses == ()
+    store.rows = [InstanceRow("b", "10.0.0.2:1", StorePosition(2, 9))]
+    timers.advance(5.0)
+    assert exchange.addresses == ("10.0.0.2:1",)
+
+
 class FakeServer:
     """Callers' server with some open connections."""
 
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -344,11 +344,11 @@
                 self.log.decision("instances", outcome="unknown", reason=reason)
                 reply(None)
             else:
-                reply([_read_instance(row) for row in rows.rows])
+                reply([self._read_instance(row) for row in rows.rows])
 
         self.client.read_table(INSTANCE_TABLE, on_rows)
 
-
-def _read_instance(row):
-    address = base64.b64decode(row.value).decode("ascii", "replace")
-    return InstanceRow(instance=row.key, address=address, version=row.ver)
+    def _read_instance(self, row):
+        address = base64.b64decode(row.value).decode("ascii", "replace")
+        version = self.client.position(row.ver)
+        return InstanceRow(instance=row.key, address=address, version=version)
