Write refused prompt parts again when the store is restored

After the store came back from an older copy, parts that crash engines could be missing there although it had acknowledged them, so that instances which started later would try them again; and parts that had been allowed again came back as refused for every instance that started.

Cause: what the store had acknowledged was taken for kept. On a new era each instance compares the table with what it knows, at a random time within 2 s, so that most find what the first has written, and writes or removes the difference. The test fails before (handle_new_era did not exist; without its two writes the table keeps {"harmless"}).

--- a/wagtailfront/forwarding/tests/test_crashing_parts.py
+++ b/wagtailfront/forwarding/tests/test_crashing_parts.py
@@ -1,8 +1,11 @@
 """Tests of requests with a prompt part that crashes engines."""
 
+import random
+
 import pytest
 
 from wagtailfront.decisions.crashing_parts import CrashingParts
+from wagtailfront.forwarding.fleet_pace import FleetPace
 from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.forwarding.refused_parts import RefusedParts
 from wagtailfront.forwarding.tests.builders import (
@@ -148,6 +151,7 @@
     refused_parts = RefusedParts(
         crashing_parts=CrashingParts(source="i"),
         store=store,
+        pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
         timers=timers,
         log=LogLines(),
         clock=timers.clock,
@@ -189,3 +193,22 @@
     scene = Scene(ENGINES, is_model=True, crashing_parts=refuse_part("own-1"))
     start(scene, 1, "sound")
     assert len(scene.pool.exchanges) == 1
+
+
+def test_what_a_restored_store_has_lost_is_written_again():
+    """Guards engines, and callers of parts that had been allowed again."""
+    store, timers = FakePartStore(), VirtualTimers()
+    instances = [start_instance(store, timers) for _ in range(3)]
+    for instance in instances:
+        taint(instance.crashing_parts, "deadly", now=timers.now)
+        instance._on_check_parts()
+    store.parts = {"harmless"}
+    for instance in instances:
+        instance.allowed["harmless"] = True
+        instance.handle_new_era(2)
+    timers.advance(3.0)
+    assert store.parts == {"deadly"}
+    for instance in instances:
+        parts = instance.crashing_parts
+        assert parts.find_refused(("harmless",), now=timers.now) is None
+        assert parts.find_refused(("deadly",), now=timers.now)
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -235,12 +235,15 @@
         )
 
     def _make_refused_parts(self):
-        return RefusedParts(
+        refused_parts = RefusedParts(
             crashing_parts=self.forwarder.context.crashing_parts,
             store=StoreRefusedParts(client=self.store, log=self.log),
+            pace=self.pace,
             timers=self.timers,
             log=self.log,
         )
+        self.versions.era_listeners.append(refused_parts.handle_new_era)
+        return refused_parts
 
     def _make_stage_manager(self):
         load = self.forwarder.context.load
