Commit changes again that a restored table has lost

With a table that comes back from an older copy, wagtailfront's own configuration could not be changed any more: operators got "invalid: base version 13 does not suit 10" or no outcome in time, and an instance that started read a configuration without the lost changes from the table.

Cause: a change counted as kept once it was committed, and the head as the newest version. A head below the applied version now leads to the lost changes being committed again from the instances' logs, under their versions and conditional on the head, with another token than before, as the table may remember the old one. Proposals wait while the head is below what the instance or a peer in touch has applied.

If no running instance retains a lost change it stays lost, which is logged.

--- a/wagtailfront/authority/config_log.py
+++ b/wagtailfront/authority/config_log.py
@@ -97,9 +97,12 @@
     return decode_json(data, LogEntry)
 
 
-def commit_request(entry):
+def commit_request(entry, *, salt=""):
     """Return the transaction that commits `entry`.
 
+    Requests with different salts are different for the table, which may
+    remember the token of a commit that a restore has undone.
+
     The head's row version is the configuration's version, so the put of the
     head fails unless the previous version is the newest. A retry of the same
     request cannot take effect twice, since the first one raised the head.
@@ -115,7 +118,8 @@
     head = Put(HEAD, entry.version - 1, entry.change_id.encode())
     change = Put(change_key(entry.version), 0, encode_entry(entry))
     # The table's protocol allows tokens of at most 36 characters.
-    token = xxhash.xxh3_128_hexdigest(f"{entry.change_id}.{entry.version}".encode())
+    text = f"{entry.change_id}.{entry.version}{salt}"
+    token = xxhash.xxh3_128_hexdigest(text.encode())
     return CommitRequest((head, change), token)
 
 
--- a/wagtailfront/authority/config_maintenance.py
+++ b/wagtailfront/authority/config_maintenance.py
@@ -1,18 +1,29 @@
-"""Changes of the roster as instances start and end, and snapshots."""
+"""Upkeep of the roster, the snapshots and the log in the table."""
 
 import xxhash
 
+from wagtailfront.authority import config_effects as effects
+from wagtailfront.authority.config_log import PARTITION, commit_request
 from wagtailfront.authority.config_state import JoinRoster, LeaveRoster
+from wagtailfront.authority.lease import candidates
 from wagtailfront.authority.snapshot import encode_snapshot, slot_name
 from wagtailfront.stores import interfaces as store
 
-__all__ = ["SNAPSHOT_INTERVAL", "ROSTER_INTERVAL", "RosterMaintainer", "SnapshotWriter"]
+__all__ = [
+    "SNAPSHOT_INTERVAL",
+    "ROSTER_INTERVAL",
+    "LogRestorer",
+    "RosterMaintainer",
+    "SnapshotWriter",
+]
 
 # Seconds between snapshots.
 SNAPSHOT_INTERVAL = 5.0
 # Seconds between attempts to change the roster. A random delay of up to the
 # same length keeps instances that start together from colliding repeatedly.
 ROSTER_INTERVAL = 1.0
+# Seconds after which any instance restores the log, not only the first ones.
+RESTORE_BY_ALL = 3.0
 
 
 class RosterMaintainer:
@@ -94,3 +105,59 @@
 
         data = encode_snapshot(replica.log.config)
         replica.requests.put_object(now, slot_name(version), data, on_written)
+
+
+class LogRestorer:
+    """Commits changes again that the table has lost.
+
+    A table that comes back from an older copy of itself has a head below the
+    applied version. The changes since were confirmed, so they are committed
+    again, in order and under their versions; each commit is conditional on
+    the head, so it does not matter how many instances do so.
+
+    Parameters
+    ----------
+    replica : ConfigReplica
+    """
+
+    def __init__(self, *, replica):
+        self.replica = replica
+        self.behind_since = None
+        self.attempts = 0
+        self.is_writing = False
+
+    def handle_head(self, now, head):
+        """Handle the head as read from the table."""
+        if head >= self.replica.log.version:
+            self.behind_since = None
+            return
+        if self.behind_since is None:
+            self.behind_since = now
+        if not self.is_writing and self._is_due(now):
+            self._write(now, head)
+
+    def _is_due(self, now):
+        replica = self.replica
+        live = [name for name in replica.config.roster if name not in replica.gone]
+        is_first = replica.member.incarnation in candidates(PARTITION, live)
+        return is_first or now - self.behind_since >= RESTORE_BY_ALL
+
+    def _write(self, now, head):
+        replica = self.replica
+        entries = replica.log.entries_after(head)
+        if not entries:
+            text = f"the table lost changes above {head} that are not retained here"
+            replica.effects.append(effects.Warn(text))
+            return
+        self.attempts += 1
+        self.is_writing = True
+        salt = f".{replica.member.incarnation}.{self.attempts}"
+
+        def on_reply(replied_at, reply):
+            self.is_writing = False
+            if isinstance(reply, store.Committed):
+                text = f"committed version {entries[0].version} again"
+                replica.effects.append(effects.Warn(text))
+                self.handle_head(replied_at, entries[0].version)
+
+        replica.requests.transact(now, commit_request(entries[0], salt=salt), on_reply)
--- a/wagtailfront/authority/config_replica.py
+++ b/wagtailfront/authority/config_replica.py
@@ -8,7 +8,11 @@
     change_key,
     decode_entry,
 )
-from wagtailfront.authority.config_maintenance import RosterMaintainer, SnapshotWriter
+from wagtailfront.authority.config_maintenance import (
+    LogRestorer,
+    RosterMaintainer,
+    SnapshotWriter,
+)
 from wagtailfront.authority.freshness import Freshness
 from wagtailfront.authority.proposal import Proposal
 from wagtailfront.authority.snapshot import SLOTS, decode_snapshot, encode_snapshot
@@ -73,6 +77,7 @@
         self.requests = StoreRequests(emit=lambda effect: self.effects.append(effect))
         self.roster_maintainer = RosterMaintainer(replica=self, now=now, random=random)
         self.snapshot_writer = SnapshotWriter(replica=self, now=now)
+        self.log_restorer = LogRestorer(replica=self)
         self.proposals = {}
         self.gone = frozenset()
         self.next_poll = now
@@ -89,6 +94,10 @@
         """The applied configuration."""
         return self.log.config
 
+    def latest_known_version(self, now):
+        """Return the highest version that this instance or a peer applied."""
+        return max(self.log.version, self.freshness.latest_report(now, self.gone))
+
     def may_dispatch(self, now):
         """Return whether new work may be given to endpoints at `now`."""
         return self.freshness.may_dispatch(now)
@@ -145,6 +154,7 @@
             if head < version_before:
                 text = f"head {head} is below the applied version {version_before}"
                 self.effects.append(effects.Warn(text))
+                self.log_restorer.handle_head(replied_at, head)
                 return
             self.head = max(self.head, head)
             self.freshness.head_read(now, head)
--- a/wagtailfront/authority/freshness.py
+++ b/wagtailfront/authority/freshness.py
@@ -154,6 +154,17 @@
             self.reports.get(voter, (-math.inf, 0)), (sent_at, version)
         )
 
+    def latest_report(self, now, gone):
+        """Return the highest version that a peer in touch has reported."""
+        return max(
+            (
+                version
+                for incarnation, (sent_at, version) in self.reports.items()
+                if incarnation not in gone and now - sent_at <= CONFIRM_LIFETIME
+            ),
+            default=0,
+        )
+
     def refresh(self):
         """Compute until when the applied version is confirmed."""
         if self.config is None:
--- a/wagtailfront/authority/proposal.py
+++ b/wagtailfront/authority/proposal.py
@@ -120,6 +120,10 @@
             self._go_to(now, Step.READ_HEAD, delay=RETRY_DELAY)
             return
         self.head = reply.row.version if isinstance(reply, store.Found) else 0
+        if self.head < self.replica.latest_known_version(now):
+            # The table came back from an older copy and is being restored.
+            self._go_to(now, Step.READ_HEAD, delay=RETRY_DELAY)
+            return
         age = self.head - self.base_version
         if age < 0 or age > MAX_BASE_AGE:
             reason = f"base version {self.base_version} does not suit {self.head}"
--- a/wagtailfront/authority/tests/test_config_start.py
+++ b/wagtailfront/authority/tests/test_config_start.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings, strategies as st
 
 from wagtailfront.authority import config_effects as effects
+from wagtailfront.authority.config_log import HEAD, change_key, decode_entry
 from wagtailfront.authority.proposal import Proposal
 from wagtailfront.authority.tests.config_builders import ENGINES, drain, limit_change
 from wagtailfront.authority.tests.config_fleet import Fleet, Parts, StaleDispatch
@@ -191,3 +192,44 @@
             config.engines[ENGINES[0]].state == "serving"
         )
         assert not (may_use and node.replica.may_dispatch(fleet.now)), node.number
+
+
+@pytest.mark.parametrize("restarted", [(), (0,), (1, 3)])
+@pytest.mark.parametrize("seed", range(5))
+def test_changes_that_a_restored_table_has_lost_are_committed_again(seed, restarted):
+    """Guards accepted and later changes after a restore of the table."""
+    fleet = Fleet(size=5, seed=seed)
+    fleet.run(4.0)
+    copy = fleet.table.copy()
+    for value in range(3):
+        fleet.propose(seed % 5, limit_change("till", 3 + value))
+        fleet.run(4.0)
+    version = fleet.nodes[2].replica.log.version
+    config = fleet.nodes[2].replica.config
+    fleet.table.restore(copy)
+    for number in restarted:
+        fleet.start(number)
+    change_id = fleet.propose(2, limit_change("van", 8))
+    fleet.run(8.0)
+    assert isinstance(fleet.outcomes[change_id], effects.Accepted)
+    fleet.start(4)
+    fleet.run(8.0)
+    rows = fleet.table.rows
+    assert rows[HEAD].version > version
+    assert decode_entry(rows[change_key(version)].value).change_id == "op2"
+    for node in fleet.nodes.values():
+        assert node.replica.config.workspaces["till"] == config.workspaces["till"]
+        assert node.replica.log.version == rows[HEAD].version
+
+
+def test_a_change_based_on_a_version_that_the_table_lost_is_not_invalid():
+    """Guards an operator's call while the table is being restored."""
+    fleet = Fleet(size=5, seed=3)
+    fleet.run(4.0)
+    copy = fleet.table.copy()
+    fleet.propose(0, limit_change("till", 3))
+    fleet.run(4.0)
+    fleet.table.restore(copy)
+    change_id = fleet.propose(1, limit_change("till", 4))
+    fleet.run(8.0)
+    assert isinstance(fleet.outcomes[change_id], effects.Accepted)
--- a/wagtailfront/stores/memory.py
+++ b/wagtailfront/stores/memory.py
@@ -229,6 +229,14 @@
         self.committed_tokens.add(token)
         return Committed()
 
+    def copy(self):
+        """Return a copy of the table for `restore`."""
+        return dict(self.rows)
+
+    def restore(self, copy):
+        """Come back from a copy; the tokens of lost writes stay known."""
+        self.rows = dict(copy)
+
     def version(self, key):
         """Return the version of the row at `key`, 0 if there is none."""
         row = self.rows.get(key)
