Test followers of a store that is restored in a storm of changes

Waiting requests are checked again for a crashing part before they are sent, and endpoints without a limit cost one look-up.

--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -107,7 +107,7 @@
         )
         if placement.decision is Decision.REFUSE:
             self._give_up("it crashed endpoints that ran it", POISON_RETRY_AFTER)
-        elif not self._give_up_on_crashing_part():
+        elif not self.give_up_on_crashing_part():
             self.dispatch()
 
     def cancel(self):
@@ -215,7 +215,7 @@
             self._give_up(reason, admission.retry_after)
         return admission.is_admitted
 
-    def _give_up_on_crashing_part(self):
+    def give_up_on_crashing_part(self):
         """End the request if a part of its prompt crashes engines."""
         part = self.context.crashing_parts.find_refused(
             self.fields.shared_parts, now=self.context.clock()
@@ -226,7 +226,7 @@
         return part is not None
 
     def _send(self, attempt_type, record, uncached_tokens=0, expected=0.0):
-        if self._give_up_on_crashing_part():
+        if self.give_up_on_crashing_part():
             return
         if not self._reserve(1):
             self._give_up("the repeat budget is spent", RETRY_AFTER)
--- a/wagtailfront/forwarding/rate_limits.py
+++ b/wagtailfront/forwarding/rate_limits.py
@@ -175,6 +175,8 @@
 
         Infinite if the endpoint is left to other instances.
         """
+        if incarnation not in self.observations:
+            return 0.0
         return max(0.0, self._next_slot(incarnation, now) - now)
 
     def reserve(self, incarnation, *, now):
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -58,10 +58,10 @@
         return min(longest, self.task.deadline - now - MIN_TIME_LEFT)
 
     def _launch_later(self, attempt_type, record, *prompt):
-        if self.task.context.directory.is_current(record):
-            self._launch(attempt_type, record, *prompt)
-        else:
+        if not self.task.context.directory.is_current(record):
             self.task.dispatch()
+        elif not self.task.give_up_on_crashing_part():
+            self._launch(attempt_type, record, *prompt)
 
     def _launch(self, attempt_type, record, uncached_tokens, expected):
         task = self.task
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -99,7 +99,8 @@
 
     def _perform(self, method, path, body, sink, deadline):
         store = self.store
-        if self.is_cut or sink.is_done:
+        sink.is_lost |= self.is_cut
+        if sink.is_lost or sink.is_done:
             return
         if store.is_away:
             sink.fail("reset")
@@ -120,17 +121,19 @@
             self._respond(sink, 200, answer, self.store.era)
 
     def _respond(self, sink, status, answer, era):
-        if not self.is_cut and not sink.is_done:
+        sink.is_lost |= self.is_cut
+        if not sink.is_lost and not sink.is_done:
             sink.is_done = True
             self.store.respond(sink.sink, status, answer, era)
 
 
 class _Once:
-    """A sink and whether it has got a response."""
+    """A sink, and whether it has got a response or one was lost."""
 
     def __init__(self, sink):
         self.sink = sink
         self.is_done = False
+        self.is_lost = False
 
     def fail(self, reason):
         if not self.is_done:
--- a/wagtailfront/platform/tests/test_restored_store.py
+++ b/wagtailfront/platform/tests/test_restored_store.py
@@ -138,6 +138,58 @@
     assert [read.is_known for read in reads] == [True, False, True]
 
 
+def disturb(rng, store, followers, version, starts):
+    """Change, drill, cut or restart something; return the latest version.
+
+    `starts` holds the time of each engine's latest start, by its id.
+    """
+    follower = rng.choice(followers)
+    choice = rng.random()
+    if choice < 0.4:
+        version += rng.randrange(1, 5)
+        publish_config(store, version)
+    elif choice < 0.6:
+        engine = f"e{rng.randrange(4, 9)}"
+        if engine in starts and rng.random() < 0.5:
+            register(store, engine, born=starts[engine], **DRAINING)
+        else:
+            starts[engine] = len(starts) + starts.get(engine, 0) + 10
+            register(store, engine, born=starts[engine])
+    elif choice < 0.7:
+        withdraw(store, f"e{rng.randrange(4, 9)}")
+    elif choice < 0.8 and not store.is_away:
+        store.drill(lost=rng.uniform(1.0, 9.0), away=rng.choice((0.02, 0.3, 2.0)))
+    elif choice < 0.9:
+        follower.link.is_cut = not follower.link.is_cut
+    else:
+        follower.link.is_cut = True
+        followers[followers.index(follower)] = Follower(store=store, peers=5)
+    return version
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_all_instances_agree_after_restores_cuts_and_restarts(store, seed):
+    """Guards against changes lost, or reverted, in a storm of them."""
+    rng, version, starts = random.Random(seed), 1, {}
+    followers = [Follower(store=store, peers=5) for _ in range(6)]
+    everyone = list(followers)
+    for _ in range(80):
+        version = disturb(rng, store, followers, version, starts)
+        everyone += [each for each in followers if each not in everyone]
+        for _ in range(rng.choice((1, 1, 4, 12))):
+            advance(store, 0.08)
+            exchange_versions([f for f in followers if not f.link.is_cut])
+    for follower in followers:
+        follower.link.is_cut = False
+    for _ in range(100):
+        advance(store, 0.1)
+        exchange_versions(followers)
+    assert {follower.config for follower in followers} == {version}
+    assert len({tuple(follower.usable()) for follower in followers}) == 1
+    for follower in everyone:
+        assert follower.configs == sorted(set(follower.configs))
+
+
 class _Published:
     """A StorePool to which operator and engines write."""
 
