Replace listeners of eras when a component is restarted

Found by reading the change: a watcher that its supervisor replaces stayed a listener of new eras and would have gone on calling the store; listeners have names now, as those of versions do. A request that is not limited is sent as before when little of its time is left, instead of being refused with the reason of a rate limit. Tests run in four processes (pytest-xdist), since those with 84 instances added two minutes.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 test: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4
 	$(BIN)/python tools/code_report.py
 
 format: $(STAMP)
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -115,7 +115,7 @@
         self.evidence_sends = {}
         self.sent_versions = ()
         self.announcement = None
-        versions.era_listeners.append(self._on_new_era)
+        versions.era_listeners[self.channel] = self._on_new_era
         Ticker(
             interval=SEND_INTERVAL, make_event=send_digest, target=self.channel
         ).register(self)
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -33,7 +33,7 @@
         task = self.task
         now, limits = task.context.clock(), task.context.rate_limits
         wait = limits.wait(record.incarnation, now=now)
-        if wait > self._max_wait(now):
+        if wait and wait > self._max_wait(now):
             return math.inf
         limits.reserve(record.incarnation, now=now)
         attempt = (attempt_type, record, uncached_tokens, expected)
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -35,8 +35,9 @@
     ----------
     era : int
         Latest era of the store that this instance or a peer has seen.
-    era_listeners : list of callable
-        Called with each era after the first.
+    era_listeners : dict of str to callable
+        Called with each era after the first, by the component's channel or
+        table, so that a component that is restarted replaces its own.
 
     Examples
     --------
@@ -58,7 +59,7 @@
         self.era = 0
         self.changed = dict.fromkeys(tables, 0)
         self.listeners = {}
-        self.era_listeners = []
+        self.era_listeners = {}
 
     @property
     def known(self):
@@ -77,7 +78,7 @@
             return
         is_first, self.era = not self.era, era
         self.changed = dict.fromkeys(self.tables, 0)
-        for listener in () if is_first else self.era_listeners:
+        for listener in () if is_first else self.era_listeners.values():
             listener(era)
 
     def handle_peer_versions(self, era, versions):
@@ -137,8 +138,8 @@
         self.call_number = 0
         self.catch_up_to = StorePosition()
         versions.listeners[table] = self.handle_newer_position
-        versions.era_listeners.append(
-            lambda era: self.handle_newer_position(StorePosition(era))
+        versions.era_listeners[table] = lambda era: self.handle_newer_position(
+            StorePosition(era)
         )
 
     @handler("started", channel="*")
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -242,7 +242,9 @@
             timers=self.timers,
             log=self.log,
         )
-        self.versions.era_listeners.append(refused_parts.handle_new_era)
+        self.versions.era_listeners[refused_parts.channel] = (
+            refused_parts.handle_new_era
+        )
         return refused_parts
 
     def _make_stage_manager(self):
