Announce once after a restore, and forget limits of engines that are gone

Found by reading the change. A restore during an announcement started a second series of announcements beside the first, and each further one another. A report of a limit that arrived after its engine had gone was kept, and counted in the gauge, for as long as the process ran. A refusal named the expected time without the wait for the rate limit. The two new tests fail before.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -97,10 +97,16 @@
             is_load_outdated=len(self.context.load.peers) >= MAX_DIRECT_INSTANCES,
         )
 
-    def admit(self, plan, *, time_left):
-        """Return the Admission of a model request with this plan."""
+    def admit(self, expected, *, time_left):
+        """Return the Admission of a model request.
+
+        Parameters
+        ----------
+        expected, time_left : float
+            Seconds until the first event and until the caller's deadline.
+        """
         return admit(
-            expected=plan.wait + plan.expected,
+            expected=expected,
             route=self.route,
             time_left=time_left,
             limits=self.context.limits,
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -200,18 +200,19 @@
     def _admit(self, plan, prefill_engine):
         """Return whether the request is admitted; refuse it otherwise."""
         time_left = self.deadline - self.context.clock()
-        admission = self.choice.admit(plan, time_left=time_left)
+        expected = plan.wait + plan.expected
+        admission = self.choice.admit(expected, time_left=time_left)
         if not admission.is_admitted:
             self.log.decision(
                 "not_admitted",
                 "its first event would be too late",
-                expected=round(plan.expected, 3),
+                expected=round(expected, 3),
                 endpoint=prefill_engine.endpoint_id,
                 unread=plan.uncached_tokens,
                 peers=len(self.context.load.peers),
                 **self.log.input_ages(),
             )
-            reason = f"a first event is expected after {plan.expected:.2f} s"
+            reason = f"a first event is expected after {expected:.2f} s"
             self._give_up(reason, admission.retry_after)
         return admission.is_admitted
 
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -139,14 +139,17 @@
 
     def _on_announced(self, written):
         delay = self.pace.stretch(ANNOUNCE_INTERVAL) if written else ANNOUNCE_RETRY
+        self._announce_after(delay)
+
+    def _announce_after(self, delay):
+        if self.announcement is not None:
+            self.announcement.cancel()
         self.announcement = self.timers.after(delay, self._announce)
 
     def _on_new_era(self, era):
         """Announce this instance again: the store may have lost its row."""
         if self.announcement is not None:
-            self.announcement.cancel()
-            delay = self.pace.spread(ANNOUNCE_RETRY)
-            self.announcement = self.timers.after(delay, self._announce)
+            self._announce_after(self.pace.spread(ANNOUNCE_RETRY))
 
     def _read_if_alone(self):
         if not self.load.peers:
@@ -292,7 +295,8 @@
             return
         is_newcomer = report.incarnation not in self.load.peers
         self.load.merge(report, now=now)
-        self.rate_limits.merge(report.rates, now=now)
+        rates = [rate for rate in report.rates if self.find_service(rate.endpoint)]
+        self.rate_limits.merge(rates, now=now)
         self.versions.handle_peer_versions(report.era, report.versions)
         for prompt in report.prompts:
             self._record_prompt(prompt)
--- a/wagtailfront/forwarding/tests/fleet.py
+++ b/wagtailfront/forwarding/tests/fleet.py
@@ -46,7 +46,7 @@
             crashing_parts=CrashingParts(source=load.incarnation),
             versions=StoreVersions(tables=("routing",)),
             pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
-            find_service=lambda endpoint: None,
+            find_service=lambda endpoint: "s",
             timers=self.timers,
             log=LogLines(),
             clock=self.timers.clock,
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -379,6 +379,21 @@
     assert store.announced == 3
 
 
+def test_a_restore_during_an_announcement_does_not_double_it():
+    """Guards the store against announcements that multiply."""
+    store, timers = FakeMembership(), VirtualTimers()
+    exchange = make_exchange(store, timers)
+    exchange.versions.handle_era(1)
+    exchange._on_started(None)
+    for era in (2, 3, 4):
+        timers.advance(2.0)
+        exchange.versions.handle_era(era)
+        exchange._announce()
+    announced = store.announced
+    timers.advance(31.0)
+    assert store.announced == announced + 2
+
+
 def test_rows_of_an_older_copy_do_not_show_that_an_instance_is_live():
     """Guards against messages to instances that are gone, after a restore."""
     store, timers = FakeMembership(), VirtualTimers()
--- a/wagtailfront/forwarding/tests/test_rate_limits.py
+++ b/wagtailfront/forwarding/tests/test_rate_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wagtailfront.forwarding.tests.builders import Scene
+from wagtailfront.forwarding.tests.builders import Scene, make_record
 from wagtailfront.forwarding.tests.limited_fleet import LimitedFleet, make_engines
 from wagtailfront.membership.messages import EndpointRate
 
@@ -121,6 +121,22 @@
         assert served / (fleet.timers.now - 108.0) > 0.8 * LIMIT * len(engines)
 
 
+def test_the_limit_of_an_engine_that_is_gone_is_forgotten():
+    """Guards against reports that arrive after their engine has gone."""
+    fleet = make_fleet(6, limited=1)
+    fleet.serve(4.0)
+    for scene in fleet.scenes.values():
+        scene.context.rate_limits.forget(make_record("d0", stage="decode"))
+    for exchange in list(fleet.instances.values())[1:]:
+        exchange.find_service = lambda endpoint: None
+    first = next(iter(fleet.scenes.values())).context.rate_limits
+    now = fleet.timers.now
+    first.record_answer("d0/1", LIMIT, sent=now, now=now)
+    fleet.run(2.0)
+    limited = [s.context.rate_limits.count_limited() for s in fleet.scenes.values()]
+    assert limited == [1, 0, 0, 0, 0, 0]
+
+
 def test_an_answer_to_an_earlier_request_does_not_end_a_limit():
     """Guards against answers on other connections that come later."""
     scene = Scene([])
