Add a failing test of a rate limit of zero that has ended

Found by reading the whole change: an engine that names 0 gets no request from any instance, so that no answer can end its limit.

--- a/wagtailfront/forwarding/tests/test_rate_limits.py
+++ b/wagtailfront/forwarding/tests/test_rate_limits.py
@@ -156,3 +156,14 @@
     assert limits.limit("e1/1") == LIMIT
     limits.merge((EndpointRate("e1/1", None, 0.2),), now=10.2)
     assert limits.limit("e1/1") is None
+
+
+def test_a_limit_of_zero_that_is_no_longer_named_ends():
+    """Guards against an endpoint that is never tried again."""
+    engines = make_engines(0, 1, limited=1, limit=0.0)
+    fleet = LimitedFleet(6, engines=engines, requests=30, seed=1)
+    fleet.serve(3.0)
+    engines[0].limit = None
+    fleet.serve(10.0)
+    limited = [s.context.rate_limits.count_limited() for s in fleet.scenes.values()]
+    assert sum(limited) == 0
