Probe endpoints whose rate limit is 0

Change: one instance of the fleet, the first by rendezvous hash, sends such an endpoint a request each 4 s at most. A divided fleet scales the rate as it does for other limits. Result: test_a_limit_of_zero_that_is_no_longer_named_ends fails before and passes now; test_an_endpoint_with_a_limit_of_zero_is_probed_by_one_instance (6 and 84 instances) passes. The 25 tests of the module pass.

--- a/wagtailfront/forwarding/rate_limits.py
+++ b/wagtailfront/forwarding/rate_limits.py
@@ -13,6 +13,9 @@
 # several keep an endpoint in use when one of them has no requests.
 EXTRA_SENDERS = 2
 BURST_SECONDS = 0.25  # seconds of an unused share that may be sent at once
+# Requests per second to an endpoint whose limit permits fewer: only an answer
+# shows that a limit has ended.
+PROBE_RATE = 0.25
 ENDED_REPORT_SECONDS = 10.0  # seconds for which the end of a limit is reported
 
 
@@ -53,7 +56,8 @@
     live instances, each with an equal share; no other instance sends to it.
     An instance that has lost touch with a part of the fleet scales its share
     down by that part, so the sum over the parts of a divided fleet stays
-    below the limit.
+    below the limit. An endpoint whose limit is 0 gets a request now and then
+    from one instance, as no answer would end the limit otherwise.
 
     Examples
     --------
@@ -164,11 +168,12 @@
         if rate is None:
             return math.inf
         live = self.fleet.live_addresses(now=now)
-        senders = ranked(live, key=incarnation)[: int(rate) + EXTRA_SENDERS]
+        count = int(rate) + EXTRA_SENDERS if rate > PROBE_RATE else 1
+        senders = ranked(live, key=incarnation)[:count]
         if not self.fleet.instances or self.fleet.address not in senders:
             return 0.0
         in_touch = min(1.0, len(live) / self.fleet.instances)
-        return rate * in_touch / len(senders)
+        return max(rate, PROBE_RATE) * in_touch / len(senders)
 
     def wait(self, incarnation, *, now):
         """Return the seconds until this instance may send a request.
--- a/wagtailfront/forwarding/tests/test_rate_limits.py
+++ b/wagtailfront/forwarding/tests/test_rate_limits.py
@@ -167,3 +167,17 @@
     fleet.serve(10.0)
     limited = [s.context.rate_limits.count_limited() for s in fleet.scenes.values()]
     assert sum(limited) == 0
+
+
+@pytest.mark.parametrize("size", [6, 84])
+def test_an_endpoint_with_a_limit_of_zero_is_probed_by_one_instance(size):
+    """Guards such an endpoint against probes of each instance."""
+    engines = make_engines(0, 3, limited=1, limit=0.0)
+    fleet = LimitedFleet(size, engines=engines, requests=30, seed=1)
+    fleet.serve(4.0)
+    start = fleet.timers.now
+    fleet.serve(16.0)
+    probes = [each for each in engines[0].arrivals if each.at >= start]
+    assert 1 <= len(probes) <= 5
+    assert len({each.instance for each in probes}) == 1
+    assert engines[0].excess(0.0) <= 0
