--- a/wagtailfront/forwarding/endpoint_directory.py
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -4,9 +4,6 @@
 
 __all__ = ["EndpointRecord", "DirectoryChange", "EndpointDirectory"]
 
-# Seconds without a successful read after which entries may have expired only
-# because endpoints could not renew them.
-OUTAGE_SECONDS = 2.5
 # Seconds after an outage within which live endpoints register again, according
 # to the platform's page on service discovery.
 RETURN_SECONDS = 2.0
@@ -80,9 +77,9 @@
     Notes
     -----
     The registry drops an entry that its endpoint does not renew, even while
-    the store is unreachable. Endpoints that are missing from the first reads
-    after an outage are therefore retained until they have had time to
-    register again.
+    the store is unreachable. Endpoints that are missing from the first read
+    after a failed one are therefore retained until they have had time to
+    register again. One that is missing from a later read was removed.
 
     A registry that comes back from an older copy, in a new era, also lacks
     endpoints that had registered since, and contains those that had left.
@@ -95,20 +92,23 @@
     >>> record = EndpointRecord("e1", "s", "h", 80, "a", 4, False, "", 1)
     >>> directory = EndpointDirectory()
     >>> _ = directory.replace([record], now=0.0)
-    >>> [len(directory.replace([], now=now).gone) for now in (9.0, 10.0, 11.1)]
-    [0, 0, 1]
+    >>> len(directory.replace([], now=9.0, is_after_failure=True).gone)
+    0
+    >>> [len(directory.replace([], now=now).gone) for now in (10.0, 11.1)]
+    [0, 1]
     """
 
     def __init__(self):
         self.records = {}
         self.by_service = {}
         self.read_at = None
-        self.retain_missing_until = 0.0
+        self.retained = frozenset()  # ids of endpoints that may come back
+        self.retain_until = 0.0
         self.era = 0
         self.departed = {}  # _Departure by incarnation
         self.ghosts_until = 0.0
 
-    def replace(self, records, *, now, era=0):
+    def replace(self, records, *, now, era=0, is_after_failure=False):
         """Replace the entries by those of a full read of the registry.
 
         Parameters
@@ -118,18 +118,17 @@
             Time of the response in seconds.
         era : int, optional
             Era of the registry; rises when it comes back from an older copy.
+        is_after_failure : bool, optional
+            Whether the read before this one failed.
 
         Returns
         -------
         DirectoryChange
         """
-        if self.read_at is not None and now - self.read_at > OUTAGE_SECONDS:
-            self.retain_missing_until = now + RETURN_SECONDS
-        if era > self.era:
-            if self.era:
-                self.retain_missing_until = now + RETURN_SECONDS
-                self.ghosts_until = now + GHOST_SECONDS
-            self.era = era
+        is_restored = 0 < self.era < era
+        if is_restored:
+            self.ghosts_until = now + GHOST_SECONDS
+        self.era = max(self.era, era)
         self.read_at = now
         present = {
             record.endpoint_id: record
@@ -140,7 +139,16 @@
             for endpoint_id, record in self.records.items()
             if endpoint_id not in present
         }
-        retained = missing if now < self.retain_missing_until else {}
+        if is_after_failure or is_restored:
+            self.retained = frozenset(missing)
+            self.retain_until = now + RETURN_SECONDS
+        elif now >= self.retain_until:
+            self.retained = frozenset()
+        retained = {
+            endpoint_id: record
+            for endpoint_id, record in missing.items()
+            if endpoint_id in self.retained
+        }
         before = self.records
         self.records = {**retained, **present}
         self._index()
@@ -158,7 +166,11 @@
                 and record.endpoint_id in before
                 and not before[record.endpoint_id].is_leaving
             ),
-            gone=tuple(missing.values()) if not retained else (),
+            gone=tuple(
+                record
+                for endpoint_id, record in missing.items()
+                if endpoint_id not in retained
+            ),
         )
         self._record_departures(change, now)
         return change
--- a/wagtailfront/forwarding/registry_follower.py
+++ b/wagtailfront/forwarding/registry_follower.py
@@ -26,19 +26,27 @@
         self.clock = clock
         self.records = ()
         self.era = 0
+        self.has_failed_read = False
         self.recheck = None
 
     def apply_read(self, read):
         """Apply a RegistryRead; without records the last ones stay valid."""
+        if not read.is_known:
+            self.has_failed_read = True
+            return
+        is_after_failure = self.has_failed_read and read.records is not None
         if read.records is not None:
             self.records = read.records
+            self.has_failed_read = False
         if read.cursor is not None:
             self.era = read.cursor.era
-        self._apply()
+        self._apply(is_after_failure=is_after_failure)
 
-    def _apply(self):
+    def _apply(self, *, is_after_failure=False):
         now = self.clock()
-        change = self.directory.replace(self.records, now=now, era=self.era)
+        change = self.directory.replace(
+            self.records, now=now, era=self.era, is_after_failure=is_after_failure
+        )
         for kind, group in zip(change._fields, change, strict=True):
             for record in group:
                 self.log.decision(
@@ -50,7 +58,7 @@
                 )
         if any(change):
             self.on_change(change)
-        settles = (self.directory.retain_missing_until, self.directory.ghosts_until)
+        settles = (self.directory.retain_until, self.directory.ghosts_until)
         due = min((at for at in settles if at > now), default=None)
         if self.recheck is None and due is not None:
             # No read may arrive when the directory has to change.
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -100,7 +100,7 @@
         Name for the log and for `versions`.
     source : RoutingSource or RegistrySource
     on_read : callable
-        Called with the result of each successful call.
+        Called with the result of each call, also of one that failed.
     versions : StoreVersions
     pace : FleetPace
     timers : Timers
@@ -170,6 +170,8 @@
         if is_outdated:
             self.log.decision(self.table, outcome="outdated", known=read.cursor)
         if not read.is_known or is_outdated:
+            if not read.is_known:
+                self.on_read(read)
             # A watch without a response may have missed a change.
             self.cursor = None
             self._call_store_after(RETRY_DELAY)
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -220,6 +220,7 @@
     follower = make_follower(changes, timers)
     follower.apply_read(RegistryRead(True, records=(make_record(),)))
     timers.advance(6.0)
+    follower.apply_read(RegistryRead(False))
     follower.apply_read(RegistryRead(True, records=()))
     assert not changes[1:]
     timers.advance(2.1)
@@ -227,6 +228,39 @@
     assert follower.directory.find("s") == ()
 
 
+def gone_ids(changes):
+    """Return the ids of the endpoints that have gone, by change."""
+    return [[record.endpoint_id for record in change.gone] for change in changes]
+
+
+def test_an_endpoint_that_is_missing_after_a_long_watch_is_gone_at_once():
+    """Guards against work for an endpoint that left while nothing failed."""
+    changes, timers = [], VirtualTimers()
+    follower = make_follower(changes, timers)
+    follower.apply_read(RegistryRead(True, records=(make_record(),)))
+    timers.advance(6.0)
+    follower.apply_read(RegistryRead(True, records=()))
+    assert gone_ids(changes) == [[], ["e1"]]
+    assert follower.directory.find("s") == ()
+
+
+def test_only_what_the_first_read_after_a_failed_one_lacks_is_retained():
+    """Guards against work for an endpoint that leaves soon after an outage."""
+    changes, timers = [], VirtualTimers()
+    follower = make_follower(changes, timers)
+    first, second = make_record("e1"), make_record("e2")
+    follower.apply_read(RegistryRead(True, records=(first, second)))
+    follower.apply_read(RegistryRead(False))
+    follower._recheck()
+    follower.apply_read(RegistryRead(True, records=(second,)))
+    timers.advance(0.5)
+    follower.apply_read(RegistryRead(True, records=()))
+    assert gone_ids(changes) == [[], ["e2"]]
+    assert follower.directory.find("s") == (first,)
+    timers.advance(1.6)
+    assert gone_ids(changes) == [[], ["e2"], ["e1"]]
+
+
 def test_a_newer_version_of_a_peer_ends_an_unanswered_watch(watcher):
     """Guards against a change that is unknown until a long watch ends."""
     watcher.source.answer(
