Read peers' messages at intervals, and load exported names on first use

Cause: in a fleet of 195 an instance woke up for each of 123 messages a second (260 turns of the event loop), and raised an exception for each socket without a message; each of 930 reports a second made objects that were thrown away. A start loaded the whole library. Change: the bus of forwarding instances reads all messages of 40 ms at once, within the turn in which they are due. Versions that peers repeat, and loads that did not change, are passed over.

--- a/wagtailfront/__init__.py
+++ b/wagtailfront/__init__.py
@@ -11,29 +11,7 @@
 ['e1', 'e2']
 """
 
-from wagtailfront.authority.claims import ClaimMachine
-from wagtailfront.authority.config_log import ConfigLog
-from wagtailfront.authority.config_state import apply_change
-from wagtailfront.authority.engine_change import ChangeMachine
-from wagtailfront.authority.freshness import Freshness
-from wagtailfront.authority.lease import LeaseMachine, candidates
-from wagtailfront.authority.orders import OrderMachine
-from wagtailfront.decisions.admission import Admission, TokenBucket
-from wagtailfront.decisions.crash_evidence import CrashEvidence
-from wagtailfront.decisions.hedging import HedgePlanner
-from wagtailfront.decisions.length_prediction import LengthPredictor
-from wagtailfront.decisions.outlier_detection import SlowDetector
-from wagtailfront.decisions.policy import ExpectedFinish
-from wagtailfront.decisions.prefix_affinity import PrefixMap
-from wagtailfront.decisions.retry_budget import (
-    RetryAllowance,
-    RetryBudget,
-    retry_delay,
-)
-from wagtailfront.decisions.role_planning import RolePlanner
-from wagtailfront.decisions.silence import EndpointSilence
-from wagtailfront.decisions.subsetting import subset
-from wagtailfront.outcome import Answered, Failed, Refused, Verdict
+import importlib
 
 __all__ = [
     "Admission",
@@ -63,3 +41,40 @@
     "retry_delay",
     "subset",
 ]
+
+# Loaded on first use, as a program needs few of them and starts often.
+MODULES = {
+    "Admission": "decisions.admission",
+    "Answered": "outcome",
+    "ChangeMachine": "authority.engine_change",
+    "ClaimMachine": "authority.claims",
+    "ConfigLog": "authority.config_log",
+    "CrashEvidence": "decisions.crash_evidence",
+    "EndpointSilence": "decisions.silence",
+    "ExpectedFinish": "decisions.policy",
+    "Failed": "outcome",
+    "Freshness": "authority.freshness",
+    "HedgePlanner": "decisions.hedging",
+    "LeaseMachine": "authority.lease",
+    "LengthPredictor": "decisions.length_prediction",
+    "OrderMachine": "authority.orders",
+    "PrefixMap": "decisions.prefix_affinity",
+    "Refused": "outcome",
+    "RetryAllowance": "decisions.retry_budget",
+    "RetryBudget": "decisions.retry_budget",
+    "RolePlanner": "decisions.role_planning",
+    "SlowDetector": "decisions.outlier_detection",
+    "TokenBucket": "decisions.admission",
+    "Verdict": "outcome",
+    "apply_change": "authority.config_state",
+    "candidates": "authority.lease",
+    "retry_delay": "decisions.retry_budget",
+    "subset": "decisions.subsetting",
+}
+
+
+def __getattr__(name):
+    """Import an exported name from its module."""
+    if name not in MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{MODULES[name]}"), name)
--- a/wagtailfront/forwarding/fleet_load.py
+++ b/wagtailfront/forwarding/fleet_load.py
@@ -124,18 +124,22 @@
         """Update a peer's loads from its digest."""
         if digest.incarnation == self.incarnation:
             return
-        peer = self.peers.setdefault(digest.incarnation, _Peer())
+        peer = self.peers.get(digest.incarnation)
+        if peer is None:
+            peer = self.peers[digest.incarnation] = _Peer()
         peer.address = digest.address or peer.address
         peer.received_at = now
         if digest.loads or digest.prompts:
             self.has_peer_requests = True
         reported = {load.endpoint: load for load in digest.loads}
-        if digest.is_whole:
+        if digest.is_whole and peer.loads:
             # The peer has no load on endpoints that its digest does not list.
             for endpoint in peer.loads.keys() - reported.keys():
                 self._add(peer.loads.pop(endpoint), -1)
         for endpoint, load in reported.items():
             before = peer.loads.get(endpoint)
+            if before == load:
+                continue
             if before is not None:
                 self._add(before, -1)
             peer.loads[endpoint] = load
@@ -147,7 +151,9 @@
             # Entries of past incarnations must not accumulate.
             del self.outstanding_totals[load.endpoint]
         if load.pending:
-            totals = self.pending_totals.setdefault(load.endpoint, Counter())
+            totals = self.pending_totals.get(load.endpoint)
+            if totals is None:
+                totals = self.pending_totals[load.endpoint] = Counter()
             for priority, tokens in load.pending:
                 totals[priority] += sign * tokens
             if not any(totals.values()):
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -277,7 +277,7 @@
         if isinstance(message, RelayedReports):
             for report in message.reports:
                 self._handle_report(report, now)
-        elif isinstance(message, PlacementDigest | CrashReport | PromptPartReport):
+        elif isinstance(message, (PlacementDigest, CrashReport, PromptPartReport)):
             self._handle_report(message, now)
             if self.targets.others:
                 self.to_relay.append(message)
@@ -295,8 +295,9 @@
             return
         is_newcomer = report.incarnation not in self.load.peers
         self.load.merge(report, now=now)
-        rates = [rate for rate in report.rates if self.find_service(rate.endpoint)]
-        self.rate_limits.merge(rates, now=now)
+        if report.rates:
+            rates = [rate for rate in report.rates if self.find_service(rate.endpoint)]
+            self.rate_limits.merge(rates, now=now)
         self.versions.handle_peer_versions(report.era, report.versions)
         for prompt in report.prompts:
             self._record_prompt(prompt)
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -35,6 +35,8 @@
     ----------
     era : int
         Latest era of the store that this instance or a peer has seen.
+    known : tuple of int
+        Versions of the latest changes in that era, in the order of the tables.
     era_listeners : dict of str to callable
         Called with each era after the first, by the component's channel or
         table, so that a component that is restarted replaces its own.
@@ -57,37 +59,39 @@
     def __init__(self, *, tables):
         self.tables = tables
         self.era = 0
-        self.changed = dict.fromkeys(tables, 0)
+        self.known = (0,) * len(tables)
         self.listeners = {}
         self.era_listeners = {}
 
-    @property
-    def known(self):
-        """Return the versions in the order of the tables."""
-        return tuple(self.changed.values())
-
     def record(self, table, position):
         """Record the position of a change that this instance has applied."""
         self.handle_era(position.era)
         if position.era == self.era:
-            self.changed[table] = max(self.changed[table], position.ver)
+            self.known = tuple(
+                max(version, position.ver) if name == table else version
+                for name, version in zip(self.tables, self.known, strict=True)
+            )
 
     def handle_era(self, era):
         """Handle an era in which the store answered, here or to a peer."""
         if era <= self.era:
             return
         is_first, self.era = not self.era, era
-        self.changed = dict.fromkeys(self.tables, 0)
+        self.known = (0,) * len(self.tables)
         for listener in () if is_first else self.era_listeners.values():
             listener(era)
 
     def handle_peer_versions(self, era, versions):
         """Handle the era and the versions that a peer knows."""
+        if era == self.era and versions == self.known:
+            return
         self.handle_era(era)
         if era < self.era:
             return
-        for table, version in zip(self.tables, versions, strict=False):
-            if version > self.changed[table] and table in self.listeners:
+        for table, known, version in zip(
+            self.tables, self.known, versions, strict=False
+        ):
+            if version > known and table in self.listeners:
                 self.listeners[table](StorePosition(era, version))
 
 
--- a/wagtailfront/membership/peer_bus.py
+++ b/wagtailfront/membership/peer_bus.py
@@ -1,6 +1,7 @@
 """Component that exchanges messages with peers over ZeroMQ sockets."""
 
 import logging
+import time
 from typing import NamedTuple
 
 import zmq
@@ -112,6 +113,10 @@
     heartbeat : float, optional
         Seconds between heartbeats on a connection, which is closed after
         three without an answer.
+    read_interval : float, optional
+        Seconds between reads of incoming connections. By default each socket
+        is read as soon as a message arrives.
+    clock : callable, optional
 
     Notes
     -----
@@ -119,14 +124,28 @@
     call on the socket may consume the signal. So each socket is read until
     it is empty, also after a send, and a timer reads all of them.
 
+    With many peers, waking up for each message costs more than the message.
+    A bus with a `read_interval` reads the messages of that time at once.
+
     A connection is used only once it is established. Messages to a peer that
     cannot be reached are dropped rather than delivered late.
     """
 
     channel = "peer_bus"
 
-    def __init__(self, *, address, keys=None, heartbeat=HEARTBEAT_INTERVAL):
+    def __init__(
+        self,
+        *,
+        address,
+        keys=None,
+        heartbeat=HEARTBEAT_INTERVAL,
+        read_interval=None,
+        clock=time.monotonic,
+    ):
         super().__init__()
+        self.read_interval = read_interval
+        self.clock = clock
+        self.read_due = clock()
         self.keys = keys
         self.heartbeat_ms = int(heartbeat * MS_PER_SECOND)
         self.poller = None
@@ -148,7 +167,10 @@
         self.router.bind(f"tcp://{address}")
         self.address = self.router.last_endpoint.decode().removeprefix("tcp://")
         Ticker(
-            interval=FALLBACK_INTERVAL, make_event=drain_sockets, target=self.channel
+            interval=FALLBACK_INTERVAL,
+            make_event=drain_sockets,
+            target=self.channel,
+            clock=clock,
         ).register(self)
 
     def _bind_zap(self):
@@ -212,13 +234,13 @@
         return (*own, *self.dealers.values())
 
     def _watch(self, socket, address=None):
-        if self.poller is not None:
+        if self.poller is not None and self.read_interval is None:
             descriptor = socket.getsockopt(zmq.FD)
             self.by_descriptor[descriptor] = address
             self.poller.addReader(self, descriptor)
 
     def _close(self, socket):
-        if self.poller is not None:
+        if self.poller is not None and self.read_interval is None:
             descriptor = socket.getsockopt(zmq.FD)
             self.by_descriptor.pop(descriptor, None)
             self.poller.discard(descriptor)
@@ -237,6 +259,20 @@
     def _on_drain_sockets(self):
         self._drain_all()
 
+    @handler("generate_events")
+    def _on_generate_events(self, event):
+        """Read at intervals, without an event that wakes up the loop again."""
+        if self.read_interval is None or self.router.closed:
+            return
+        now = self.clock()
+        if now >= self.read_due:
+            self.read_due = now + self.read_interval
+            count = self.received.messages
+            self._drain_own()
+            if self.received.messages > count:
+                event.reduce_time_left(0)
+        event.reduce_time_left(self.read_due - now)
+
     def _drain_own(self):
         """Read the sockets for authentication and incoming connections."""
         if self.router.closed:
@@ -255,11 +291,10 @@
     def _drain(self, socket, address):
         """Read messages in batches until there are none."""
         for _ in range(DRAIN_MESSAGES):
-            try:
-                parts = socket.recv_multipart(zmq.NOBLOCK)
-            except zmq.Again:
+            # Costs less than the exception of a read without a message.
+            if not socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
                 return
-            self._handle_parts(parts, address)
+            self._handle_parts(socket.recv_multipart(zmq.NOBLOCK), address)
         self.fire(drain_sockets())
 
     def _handle_parts(self, parts, address):
@@ -334,7 +369,8 @@
             if error.errno not in (zmq.EAGAIN, zmq.EHOSTUNREACH):
                 raise
             self.dropped += 1
-        self._drain(socket, address)
+        if self.read_interval is None:
+            self._drain(socket, address)
 
     @handler("peers_changed")
     def _on_peers_changed(self, addresses):
--- a/wagtailfront/membership/tests/test_peer_bus.py
+++ b/wagtailfront/membership/tests/test_peer_bus.py
@@ -1,5 +1,7 @@
 """Tests of the peer bus over real sockets on the loopback interface."""
 
+import time
+
 import zmq
 from circuits import BaseComponent, handler
 from zmq.utils import z85
@@ -36,9 +38,9 @@
 class Instance:
     """An event loop with a peer bus; several loops are run in turn."""
 
-    def __init__(self, *, address="127.0.0.1:0", keys=None):
+    def __init__(self, *, address="127.0.0.1:0", keys=None, **options):
         self.loop = EventLoop()
-        self.bus = PeerBus(address=address, keys=keys).register(self.loop)
+        self.bus = PeerBus(address=address, keys=keys, **options).register(self.loop)
         self.listener = Listener().register(self.loop)
 
     @property
@@ -180,3 +182,27 @@
     instance.loop.fire(peer_reply(source, messages.ConfigFetch(after=1)), "peer_bus")
     run([instance], lambda: instance.bus.dropped == 1)
     close([instance])
+
+
+def test_a_bus_with_a_read_interval_reads_all_messages_of_that_time_at_once():
+    """Guards a large fleet against a wake-up for each message."""
+    frozen_at = []
+    reader = Instance(
+        read_interval=0.04,
+        clock=lambda: frozen_at[-1] if frozen_at else time.monotonic(),
+    )
+    instances = sender, reader = Instance(), reader
+    connect(sender, reader, instances)
+    frozen_at.append(reader.bus.read_due - 0.01)
+    before = len(reader.received)
+    for number in range(BURST):
+        sender.send(reader, messages.ConfigFetch(after=number))
+    for _ in range(FEW_STEPS):
+        sender.loop.step()
+        reader.loop.step()
+    assert len(reader.received) == before
+    frozen_at.append(reader.bus.read_due)
+    reader.loop.step()
+    reader.loop.step()
+    assert len(reader.received) == before + BURST
+    close(instances)
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -56,6 +56,7 @@
 # Seconds. Peers receive a digest each second, so the heartbeat only has to
 # detect connections to a peer that lost power.
 PEER_HEARTBEAT = 3.0
+PEER_READ_INTERVAL = 0.04  # seconds; half of the interval of digests
 # File descriptors reserved for endpoints, the store and files.
 RESERVED_DESCRIPTORS = 1200
 
@@ -175,9 +176,7 @@
             "endpoints": lambda: self.pool,
             "routing": self._make_routing,
             "registry": self._make_registry,
-            "peer_bus": lambda: PeerBus(
-                address=str(self.settings.peers), heartbeat=PEER_HEARTBEAT
-            ),
+            "peer_bus": self._make_peer_bus,
             "load_exchange": self._make_load_exchange,
             "refused_parts": self._make_refused_parts,
             "stages": self._make_stage_manager,
@@ -217,6 +216,13 @@
             min_gap=self.settings.registry_gap,
         )
 
+    def _make_peer_bus(self):
+        return PeerBus(
+            address=str(self.settings.peers),
+            heartbeat=PEER_HEARTBEAT,
+            read_interval=PEER_READ_INTERVAL,
+        )
+
     def _make_load_exchange(self):
         context = self.forwarder.context
         return LoadExchange(
