--- a/wagtailfront/membership/tests/test_peer_bus.py
+++ b/wagtailfront/membership/tests/test_peer_bus.py
@@ -193,7 +193,7 @@
     )
     instances = sender, reader = Instance(), reader
     connect(sender, reader, instances)
-    frozen_at.append(reader.bus.read_due - 0.01)
+    frozen_at.append(reader.bus.read_due - reader.bus.read_interval)
     before = len(reader.received)
     for number in range(BURST):
         sender.send(reader, messages.ConfigFetch(after=number))
