--- a/wagtailfront/membership/peer_bus.py
+++ b/wagtailfront/membership/peer_bus.py
@@ -101,6 +101,10 @@
     """Read the messages that wait in all sockets."""
 
 
+class drain_dealers(Event):
+    """Read the messages that wait on connections to peers."""
+
+
 class PeerBus(BaseComponent):
     """One bound ROUTER socket and a DEALER socket per peer.
 
@@ -168,9 +172,8 @@
         self.address = self.router.last_endpoint.decode().removeprefix("tcp://")
         Ticker(
             interval=FALLBACK_INTERVAL,
-            make_event=drain_sockets,
+            make_event=drain_sockets if read_interval is None else drain_dealers,
             target=self.channel,
-            clock=clock,
         ).register(self)
 
     def _bind_zap(self):
@@ -285,6 +288,10 @@
         if self.router.closed:
             return
         self._drain_own()
+        self._drain_dealers()
+
+    @handler("drain_dealers")
+    def _drain_dealers(self):
         for address, socket in list(self.dealers.items()):
             self._drain(socket, address)
 
