Believe only answers that are certainly to their request

A stream that had begun and was resumed at an engine that answered 400, 404, 500 or with a whole body got that head and body in its middle. A not-run statement or 421 that names no request was believed on a kept connection, where it may be a copy of an earlier one, so that a call that ran was refused with 503 or run again. Third, a request that was refused twice went out again on its first connection, where a copy of its own refusal bears its id. Change: a stream that has begun goes on with events only, whose ids increase, or is cut. Answers that name no request count only as the first on their connection. A request never uses a connection twice. A reply refuses a second head, and logs it.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -61,10 +61,21 @@
         """Return the bytes of the body received so far."""
         return b"".join(self.chunks)
 
+    @property
+    def is_attributable(self):
+        """Return whether the response is certainly one to this request.
+
+        A response that names no request, on a connection that carried others
+        before, may be a copy of one of theirs.
+        """
+        return self.fields.request_id is not None or self.exchange.is_first
+
     @property
     def is_not_run(self):
         """Return whether the endpoint states that the request did not run."""
-        return self.fields.is_not_run or self.status == MISDIRECTED
+        return self.is_attributable and (
+            self.fields.is_not_run or self.status == MISDIRECTED
+        )
 
     @property
     def may_have_run(self):
@@ -76,7 +87,12 @@
         self.health.outstanding += 1
         self.health.add_pending(self.task.route.priority, self.uncached_tokens)
         payload = self._encode(options)
-        self.exchange = self.context.pool.send(self.record, payload, sink=self)
+        # A copy of an earlier response to the same request bears its id too.
+        used = self.task.used_connections
+        self.exchange = self.context.pool.send(
+            self.record, payload, sink=self, avoid=used
+        )
+        used.add(self.exchange.connection)
 
     def drop(self):
         """Abandon the attempt; closes its connection if still in use."""
@@ -171,6 +187,8 @@
         """
         if self.status != OK:
             raise ValueError(f"status {self.status}")
+        if not self.is_attributable:
+            raise ValueError("response names no request")
         return self.context.dialect.read_handle(self.record.address, self.body)
 
     def record_arrival(self):
@@ -247,7 +265,7 @@
         content_type = find_header(headers, b"content-type") or b""
         is_stream = content_type.lower().startswith(EVENT_STREAM)
         if status == OK and is_stream and self.is_trusted:
-            self.splitter = EventSplitter()
+            self.splitter = EventSplitter(after=self.task.stream.last_event_id)
         return True
 
     def on_data(self, data):
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -35,23 +35,37 @@
 
 
 class Reply:
-    """Response to one request on a caller's connection."""
+    """Response to one request on a caller's connection.
+
+    A second head would stand in the body of the first response. Such a call
+    resets the connection instead; one after the end is only logged, as the
+    connection may carry the next response already.
+    """
 
     def __init__(self, *, server, connection, request):
         self.server = server
         self.connection = connection
         self.keep_alive = request.keep_alive
         self.is_chunked = request.http_version != "1.0"
+        self.is_started = False
         self.is_ended = False
 
     def answer(self, status, headers, body):
         """Send a complete response."""
+        if self.is_started:
+            self._fail("an answer")
+            return
+        self.is_started = True
         length = (b"Content-Length", b"%d" % len(body))
         self._write(self._head(status, [*headers, length]) + body)
         self._end()
 
     def start(self, status, headers):
         """Send the head of a streamed response."""
+        if self.is_started:
+            self._fail("a second head")
+            return
+        self.is_started = True
         if self.is_chunked:
             headers = [*headers, (b"Transfer-Encoding", b"chunked")]
         else:
@@ -60,18 +74,30 @@
 
     def send(self, data):
         """Send a part of a streamed response's body."""
+        if self.is_ended or not self.is_started:
+            self._fail("a part")
+            return
         self._write(encode_chunk(data) if self.is_chunked else data)
 
     def finish(self):
         """End a streamed response as complete."""
+        if self.is_ended or not self.is_started:
+            self._fail("an end")
+            return
         if self.is_chunked:
             self._write(LAST_CHUNK)
         self._end()
 
     def abort(self):
         """Reset the connection, which shows that the response is truncated."""
-        self.is_ended = True
-        self.server.reset(self.connection)
+        if not self.is_ended:
+            self.is_ended = True
+            self.server.reset(self.connection)
+
+    def _fail(self, what):
+        """Reset an open response, as `what` does not fit what was sent."""
+        logger.error("[callers] A response got %s out of turn.", what)
+        self.abort()
 
     def _head(self, status, headers):
         if self.server.is_draining or not self.keep_alive:
--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -82,6 +82,11 @@
     Attributes
     ----------
     record : EndpointRecord
+    connection : object
+        Identifies the connection that the request was given to.
+    is_first : bool
+        Whether it is the first request on its connection, so that a response
+        on it cannot be one to an earlier request.
     is_sent : bool
         Whether a byte of the request may have reached the endpoint.
     """
@@ -92,6 +97,7 @@
         self.payload = payload
         self.sink = sink
         self.connection = None
+        self.is_first = True
         self.is_sent = False
         self.is_done = False
 
@@ -116,6 +122,7 @@
         self.sock = sock
         self.record = record
         self.is_open = False
+        self.is_new = True
         self.reader = ResponseReader()
         self.exchange = None
         self.outgoing = b""
@@ -178,7 +185,7 @@
                 is_needed=lambda: self.connections,
             ).register(self)
 
-    def send(self, record, payload, *, sink):
+    def send(self, record, payload, *, sink, avoid=()):
         """Send a request to an endpoint and return its exchange.
 
         Parameters
@@ -186,11 +193,14 @@
         record : EndpointRecord
         payload : bytes
         sink : ExchangeSink
+        avoid : collection, optional
+            Connections that must not be used.
         """
         exchange = Exchange(pool=self, record=record, payload=payload, sink=sink)
-        connection = self._take_idle(record)
+        connection = self._take_idle(record, avoid)
         if connection is None:
             connection = self._open(record)
+        exchange.is_first, connection.is_new = connection.is_new, False
         exchange.connection = connection
         connection.exchange = exchange
         connection.outgoing = payload
@@ -198,14 +208,15 @@
             self._flush(connection)
         return exchange
 
-    def _take_idle(self, record):
+    def _take_idle(self, record, avoid):
         idle = self.idle[record.incarnation]
         now = self.clock()
-        while idle:
-            connection = idle.pop()
-            if now - connection.idle_since < connection.idle_limit:
+        for connection in reversed(tuple(idle)):
+            if now - connection.idle_since >= connection.idle_limit:
+                self.close(connection)
+            elif connection not in avoid:
+                idle.remove(connection)
                 return connection
-            self.close(connection)
         return None
 
     def _open(self, record):
--- a/wagtailfront/forwarding/event_splitter.py
+++ b/wagtailfront/forwarding/event_splitter.py
@@ -12,10 +12,15 @@
 class EventSplitter:
     """Buffers a stream so that only complete events leave it.
 
+    Parameters
+    ----------
+    after : int, optional
+        Id of the last event before the stream.
+
     Attributes
     ----------
     last_id : int or None
-        Id of the last complete event that had one.
+        Id of the last complete event that had one; `after` until then.
     has_partial_event : bool
         Whether an incomplete event is buffered.
 
@@ -29,9 +34,9 @@
     (15, 4)
     """
 
-    def __init__(self):
+    def __init__(self, *, after=None):
         self.partial = b""
-        self.last_id = None
+        self.last_id = after
 
     @property
     def has_partial_event(self):
@@ -43,7 +48,8 @@
         Raises
         ------
         ValueError
-            If an incomplete event exceeds `MAX_EVENT` bytes.
+            If an incomplete event exceeds `MAX_EVENT` bytes, or if ids do not
+            increase, so that an event would be repeated.
         """
         self.partial += data
         end = 0
@@ -52,7 +58,9 @@
         complete, self.partial = self.partial[:end], self.partial[end:]
         if len(self.partial) > MAX_EVENT:
             raise ValueError("event too large")
-        ids = EVENT_ID.findall(complete)
-        if ids:
-            self.last_id = int(ids[-1])
+        for found in EVENT_ID.findall(complete):
+            event_id = int(found)
+            if self.last_id is not None and event_id <= self.last_id:
+                raise ValueError(f"event {event_id} after event {self.last_id}")
+            self.last_id = event_id
         return complete
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -64,6 +64,7 @@
         self.on_done = on_done
         self.attempt = None
         self.tried = set()
+        self.used_connections = set()
         self.sends = 0
         self.runs = 0
         self.may_have_run = False  # never reset; a refusal is sent only while False
@@ -277,6 +278,11 @@
         status = attempt.status
         if attempt.is_not_run:
             self._handle_refusal(attempt)
+        elif self.stream.is_started:
+            # The caller already has a head and events; only a stream goes on.
+            self.handle_failure(attempt, f"{status} in a stream that began", True)
+        elif not attempt.is_attributable:
+            self.handle_failure(attempt, f"{status} names no request", True)
         elif status in (TOO_MANY, UNAVAILABLE):
             self.handle_failure(attempt, f"{status} without a not-run statement", True)
         elif status < 300 and not attempt.is_trusted:
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -115,6 +115,8 @@
         self.record = record
         self.payload = payload
         self.sink = sink
+        self.connection = object()
+        self.is_first = True
         self.is_sent = True
         self.is_cancelled = False
         self.status = None
@@ -141,7 +143,7 @@
     def __init__(self):
         self.exchanges = []
 
-    def send(self, record, payload, *, sink):
+    def send(self, record, payload, *, sink, avoid=()):
         self.exchanges.append(FakeExchange(record, payload, sink))
         return self.exchanges[-1]
 
--- a/wagtailfront/forwarding/tests/limited_fleet.py
+++ b/wagtailfront/forwarding/tests/limited_fleet.py
@@ -94,7 +94,7 @@
         self.name = name
         self.told_at = {}
 
-    def send(self, record, payload, *, sink):
+    def send(self, record, payload, *, sink, avoid=()):
         exchange = FakeExchange(record, payload, sink)
         engine = self.fleet.engines[record.endpoint_id]
         now = self.fleet.timers.now
--- a/wagtailfront/forwarding/tests/test_forward_task.py
+++ b/wagtailfront/forwarding/tests/test_forward_task.py
@@ -20,6 +20,7 @@
     HANDLE,
     KV_SOURCE,
     NOT_RUN,
+    NOT_RUN_UNNAMED,
     OTHER_REQUEST,
     PREFILL_LINE,
     SIGNED,
@@ -292,7 +293,9 @@
     assert scene.pool.last is not first
 
 
-OUTCOMES = st.sampled_from(["refuse", "cut", "unsent", "error", "answer", "wait"])
+OUTCOMES = st.sampled_from(
+    ["refuse", "unnamed", "cut", "unsent", "error", "answer", "wait"]
+)
 
 
 @settings(max_examples=300)
@@ -325,6 +328,10 @@
             ran += 1
             if outcome == "cut":
                 exchange.fail()
+            elif outcome == "unnamed":
+                # A copy of an earlier refusal, while the request runs.
+                exchange.is_first = False
+                exchange.respond(503, NOT_RUN_UNNAMED)
             else:
                 exchange.respond(500 if outcome == "error" else 200, SIGNED)
     scene.timers.advance(10.0)
--- a/wagtailfront/forwarding/tests/test_sockets.py
+++ b/wagtailfront/forwarding/tests/test_sockets.py
@@ -22,7 +22,10 @@
     make_service,
 )
 from wagtailfront.forwarding.tests.scripted_endpoint import ScriptedEndpoint
-from wagtailfront.platform.tests.wire import signed_response as answer
+from wagtailfront.platform.tests.wire import (
+    refusal_response,
+    signed_response as answer,
+)
 from wagtailfront.transport.timers import Timers
 
 TIMEOUT = 10.0  # seconds
@@ -130,6 +133,24 @@
     assert len(instance.endpoint.requests) == 1
 
 
+def test_a_request_that_was_refused_is_sent_again_on_another_connection(start):
+    """Guards against a copy of its refusal, which bears the request's id."""
+    connections = []
+
+    def refuse_twice(connection, request_id, request):
+        is_refused = len(connections) < 2
+        connections.append(connection)
+        reply = refusal_response(request_id) if is_refused else answer(request_id, b"-")
+        connection.sendall(reply)
+        return True
+
+    instance = start(refuse_twice)
+    with instance.connect() as connection:
+        connection.sendall(GET % b"r1")
+        assert b"200 OK" in read_until(connection, [b"\r\n\r\n"])
+    assert len(set(connections)) == len(connections) == 3
+
+
 def test_bytes_after_an_answer_belong_to_no_request(start):
     """Guards against extra bytes that are used for the next request."""
 
--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -9,6 +9,7 @@
 UNSIGNED = [(REQUEST_ID, b"r1")]
 OTHER_REQUEST = [(REQUEST_ID, b"other"), (SIGNATURE, b"s")]
 NOT_RUN = [(REQUEST_ID, b"r1"), (b"X-Not-Executed", b"1")]
+NOT_RUN_UNNAMED = [(b"X-Not-Executed", b"1")]
 EVENT_STREAM = [*SIGNED, (b"Content-Type", b"text/event-stream")]
 HANDLE = b'{"handle":"k7","tokens":10,"version":1}'
 
@@ -36,6 +37,12 @@
     return (b"Server-Limit", b"%g" % rate)
 
 
+def refusal_response(request_id):
+    """Return the bytes of a named refusal on a connection that is kept."""
+    head = b"HTTP/1.1 503 Full\r\n%b: %b\r\nX-Not-Executed: 1\r\n"
+    return head % (REQUEST_ID, request_id) + b"Content-Length: 0\r\n\r\n"
+
+
 def signed_response(request_id, body, *, extra=b""):
     """Return the bytes of a signed response with a length, and `extra`."""
     head = b"HTTP/1.1 200 OK\r\n%b: %b\r\n%b: s\r\nContent-Length: %d\r\n\r\n"
