Send relayed reports less often in a fleet of hundreds

Cause: an instance sends its reports to about twice the square root of the fleet each 0.16 s, so its messages and those that it gets grow with the fleet (135 a second each at 195), and with them the processor time. Change: an instance with more peers to send to than one in a fleet of about 90 sends less often in proportion (0.24 s at 195). Reports wait in one message of up to 24. Result: test_messages_of_an_instance_do_not_grow_with_the_fleet fails before (at 195: 169 a second) and passes now. Tests of relays, loads, rate limits and authority pass (162).

--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -20,12 +20,15 @@
 from wagtailfront.membership.peer_bus import peer_broadcast, peers_changed
 from wagtailfront.transport.ticker import Ticker
 
-__all__ = ["LoadExchange"]
+__all__ = ["LoadExchange", "send_interval"]
 
 SEND_INTERVAL = 0.08  # seconds between digests; about the time of a prefill
 # Seconds between digests that are relayed: each takes twice the messages of a
 # small fleet, so they are sent half as often.
 RELAYED_SEND_INTERVAL = 0.16
+# Peers that an instance of a fleet of about 90 sends to; one that has more
+# sends less often, so that messages do not grow with the fleet.
+REFERENCE_PEERS = 18
 FULL_DIGEST_INTERVAL = 1.0  # seconds between digests of all endpoints
 # Seconds after the start, when most instances have announced themselves.
 FIRST_READ_DELAY = 0.4
@@ -38,7 +41,23 @@
 ANNOUNCE_RETRY = 1.0  # seconds after an announcement that failed
 MAX_EVIDENCE = 128  # items in one report
 EVIDENCE_SENDS = 2  # sends of each item, as a message may be lost
-MAX_RELAYED = 16  # reports in one message
+MAX_RELAYED = 24  # reports in one message
+
+
+def send_interval(targets):
+    """Return the seconds between two digests to these RelayTargets.
+
+    Examples
+    --------
+    >>> send_interval(RelayTargets(group=("a", "b")))
+    0.08
+    >>> send_interval(RelayTargets(group=("a",) * 13, others=("b",) * 14))
+    0.24
+    """
+    if not targets.others:
+        return SEND_INTERVAL
+    count = len(targets.addresses)
+    return RELAYED_SEND_INTERVAL * max(1.0, count / REFERENCE_PEERS)
 
 
 class send_digest(Event):
@@ -203,7 +222,7 @@
         if now < self.send_due - SEND_INTERVAL / 2:
             return
         is_relayed = bool(self.targets.others)
-        self.send_due = now + (RELAYED_SEND_INTERVAL if is_relayed else SEND_INTERVAL)
+        self.send_due = now + send_interval(self.targets)
         reports = self._own_reports(now)
         for report in reports:
             self._send(self.targets.group, report)
--- a/wagtailfront/forwarding/tests/test_relays.py
+++ b/wagtailfront/forwarding/tests/test_relays.py
@@ -8,6 +8,7 @@
 from wagtailfront.decisions.crash_evidence import Decision
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
+from wagtailfront.forwarding.load_exchange import send_interval
 from wagtailfront.forwarding.relay_groups import relay_targets
 from wagtailfront.forwarding.tests.fleet import Fleet
 
@@ -32,6 +33,15 @@
     assert most <= 3 * size**0.5
 
 
+@given(size=st.integers(13, 1000))
+def test_messages_of_an_instance_do_not_grow_with_the_fleet(size):
+    """Guards the processor time of an instance in a fleet of hundreds."""
+    fleet = [f"{number:04}" for number in range(size)]
+    targets = relay_targets(fleet, fleet[size // 2])
+    # Twelve instances, the most that do not relay, send as many.
+    assert len(targets.addresses) / send_interval(targets) <= 11 / 0.08
+
+
 @pytest.mark.parametrize("size", [2, 6, 12, 13, 40, 84])
 def test_all_instances_know_the_load_of_all(size):
     """Simulates requests of all instances at one endpoint."""
