Count only complete events as progress of a stream

Result: test_a_stalled_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere fails before and passes now; slow streams and the time limit were right before (two tests added).

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -277,8 +277,9 @@
         except ValueError as error:
             self.fail(str(error))
             return
-        self._record_progress()
+        # Bytes of an event that is never completed are no progress.
         if events:
+            self._record_progress()
             self.record_answer()
             self.task.stream.forward_events(self, events)
 
--- a/wagtailfront/forwarding/tests/test_faulty_answers.py
+++ b/wagtailfront/forwarding/tests/test_faulty_answers.py
@@ -67,6 +67,44 @@
     assert reply.is_complete
 
 
+def test_a_slow_but_sound_stream_is_not_cut():
+    """Guards a stream whose pauses are just below an engine's silence."""
+    scene = Scene(ENGINES, is_model=True)
+    reply = start_stream(scene, RESUMABLE._replace(timeout=60.0))
+    for number in range(2, 40):
+        scene.timers.advance(0.8)
+        scene.pool.last.sink.on_data(EVENT % number)
+    scene.pool.last.sink.on_end()
+    assert reply.is_complete
+    assert len(scene.pool.exchanges) == 1
+
+
+def test_a_stalled_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere():
+    """Guards against bytes that look like progress."""
+    scene = Scene(ENGINES, is_model=True)
+    start_stream(scene, RESUMABLE._replace(timeout=60.0))
+    stalled = scene.pool.last
+    for _ in range(3):
+        scene.timers.advance(0.5)
+        if not stalled.is_cancelled:
+            stalled.sink.on_data(b"d")
+    assert stalled.is_cancelled
+    assert len(scene.pool.exchanges) == 2
+
+
+def test_a_stalled_stream_that_cannot_go_on_ends_with_its_time():
+    """Guards against a stream without end."""
+    scene = Scene(ENGINES, is_model=True)
+    reply = start_stream(scene, make_route(STREAMING, timeout=5.0))
+    stalled = scene.pool.last
+    for _ in range(12):
+        scene.timers.advance(0.5)
+        if not stalled.is_cancelled:
+            stalled.sink.on_data(b"d")
+    assert reply.is_aborted
+    assert stalled.is_cancelled
+
+
 @pytest.mark.parametrize(
     ("status", "headers"), [(503, NOT_RUN_UNNAMED), (429, NOT_RUN_UNNAMED), (421, [])]
 )
--- a/wagtailfront/membership/peer_bus.py
+++ b/wagtailfront/membership/peer_bus.py
@@ -44,6 +44,7 @@
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1000
 CONNECT_TIMEOUT_MS = 2000
+POLLIN = int(zmq.POLLIN)
 ZAP_ENDPOINT = "inproc://zeromq.zap.01"
 
 logger = logging.getLogger(__name__)
@@ -299,7 +300,7 @@
         """Read messages in batches until there are none."""
         for _ in range(DRAIN_MESSAGES):
             # Costs less than the exception of a read without a message.
-            if not socket.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            if not socket.getsockopt(zmq.EVENTS) & POLLIN:
                 return
             self._handle_parts(socket.recv_multipart(zmq.NOBLOCK), address)
         self.fire(drain_sockets())
