Log bytes that arrive on a connection which is being closed

Cause: of the three hypotheses for the request without an answer, the one of a connection that closes with a request in it left no line in the log; the others have 'attempt_failed: silent' and 'cut', or a traceback. Change: a decision line 'unserved' for such bytes. They were parsed before but never served, so nothing else changes. Measured: tests of forwarding pass.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -168,6 +168,12 @@
             connection = _CallerConnection(sock=sock, reader=reader, now=self.clock())
             self.connections[sock] = connection
         connection.last_activity = self.clock()
+        if connection.is_closing:
+            # The bytes may be a request that crossed the close.
+            self.forwarder.context.log.decision(
+                "unserved", outcome="connection closes", size=len(data)
+            )
+            return
         connection.waiting.extend(connection.reader.feed(data))
         if connection.reader.expects_continue:
             connection.reader.expects_continue = False
