Keep callers' connections when a watcher is restarted

Callers saw: every open connection of an instance closed at once, requests without an answer, when any component other than the last ones raised. Cause: the supervisor restarts a failed component with all later ones, and the callers' listener and the shutdown stood after the store's client, the watchers, the peers, the stage manager and the status page, although they need none of these. An exception in a reply of the store, e.g. in reading a configuration, failed the child "store" and cut all requests in progress. Change: the listener and the shutdown follow the timers and the endpoints' connections, which are all that they use. Measured: test_forward_tree.py starts a whole instance with a store and an endpoint on the loopback interface; before, a held request ended without an answer when "store" failed (b'' instead of 200); after, all nine cases get their answer and the next configuration is applied.

--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -169,11 +169,18 @@
         )
 
     def build(self):
-        """Return the root supervisor."""
+        """Return the root supervisor.
+
+        A component that fails is restarted with all later ones. Those that
+        hold callers' connections come before those that may fail by what the
+        store, peers and operators send.
+        """
         factories = {
             "timers": lambda: self.timers,
-            "store": lambda: self.store_pool,
             "endpoints": lambda: self.pool,
+            "callers": self._make_callers,
+            "departure": self._make_shutdown,
+            "store": lambda: self.store_pool,
             "routing": self._make_routing,
             "registry": self._make_registry,
             "peer_bus": self._make_peer_bus,
@@ -181,8 +188,6 @@
             "refused_parts": self._make_refused_parts,
             "stages": self._make_stage_manager,
             "status": self._make_status_server,
-            "callers": self._make_callers,
-            "departure": self._make_shutdown,
         }
         if self.settings.metrics is not None:
             factories["metrics"] = self._make_metrics_server
--- /dev/null
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -0,0 +1,133 @@
+"""A forwarding instance with a store and endpoints on real sockets."""
+
+import contextlib
+import socket
+import time
+
+from wagtailfront.callers.tests.builders import running
+from wagtailfront.forwarding.tests.builders import LogLines
+from wagtailfront.forwarding.tests.scripted_endpoint import ScriptedEndpoint
+from wagtailfront.platform.tests.builders import make_registration
+from wagtailfront.platform.tests.row_store import RowStore
+from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
+from wagtailfront.programs.setting_values import HostPort
+
+__all__ = ["REQUEST", "ForwardSite", "free_port", "read_answer", "wait_for"]
+
+TIMEOUT = 10.0  # seconds
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\n\r\n"
+
+
+def free_port():
+    """Return a port that nothing listens on."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def wait_for(condition):
+    """Return the first true value of `condition`."""
+    limit = time.monotonic() + TIMEOUT
+    while time.monotonic() < limit:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.005)
+    raise AssertionError("the condition did not become true")
+
+
+def read_answer(connection):
+    """Return the status line and the body of a response with a length."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = connection.recv(65536)
+        if not part:
+            return b"", data
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+    while len(body) < length:
+        part = connection.recv(65536)
+        if not part:
+            return b"", body
+        body += part
+    return head.split(b"\r\n")[0], body
+
+
+class ForwardSite:
+    """Store and endpoints, and the settings of an instance.
+
+    Parameters
+    ----------
+    scripts : list of callable
+        Script of each endpoint.
+    """
+
+    def __init__(self, scripts):
+        self.store = RowStore()
+        self.version = 0
+        self.endpoints = [ScriptedEndpoint(script) for script in scripts]
+        for number, endpoint in enumerate(self.endpoints):
+            address = f"127.0.0.1:{endpoint.port}"
+            self.store.write(
+                "servers", f"e{number}", make_registration(address=address, stage="")
+            )
+        self.ports = {
+            name: free_port() for name in ("callers", "status", "peers", "metrics")
+        }
+        self.change()
+
+    def change(self, *, limits=None, **route):
+        """Write the next version of the configuration."""
+        self.version += 1
+        fields = {
+            "name": "r",
+            "host": "h",
+            "prefix": "/",
+            "kind": "safe",
+            "service": "s",
+            "timeout-ms": 5000,
+            "target-latency-ms": 2000,
+            **route,
+        }
+        config = {
+            "version": self.version,
+            "routes": [fields],
+            "services": [{"name": "s", "max-connections": 500}],
+            "limits": limits or {},
+        }
+        self.store.write("op", "config", config)
+
+    @contextlib.contextmanager
+    def run_tree(self):
+        """Run an instance in a thread; yield its ForwardTree and root."""
+        addresses = {
+            name: HostPort("127.0.0.1", port) for name, port in self.ports.items()
+        }
+        settings = ForwardSettings(
+            instance="i1",
+            data_centre="a",
+            store=HostPort(*self.store.address),
+            drain_timeout=8.0,
+            registry_gap=0.1,
+            prefill_share=0.0,
+            repeat_share=0.2,
+            repeat_slack=50.0,
+            repeat_window=10.0,
+            max_descriptors=2000,
+            **addresses,
+        )
+        tree = ForwardTree(settings=settings, log=LogLines())
+        root = tree.build()
+        with running(root):
+            wait_for(lambda: tree.ready()[0] == 200)
+            yield tree, root
+
+    def connect(self):
+        """Return a connection to the instance."""
+        address = ("127.0.0.1", self.ports["callers"])
+        return socket.create_connection(address, timeout=TIMEOUT)
+
+    def close(self):
+        self.store.close()
+        for endpoint in self.endpoints:
+            endpoint.close()
--- /dev/null
+++ b/wagtailfront/programs/tests/test_forward_tree.py
@@ -0,0 +1,73 @@
+"""Tests of a whole forwarding instance, its store and its endpoints."""
+
+import signal
+import threading
+
+import pytest
+
+from wagtailfront.platform.tests.wire import signed_response
+from wagtailfront.programs.tests.forward_site import (
+    REQUEST,
+    ForwardSite,
+    read_answer,
+    wait_for,
+)
+
+
+class HeldAnswers:
+    """Endpoint that answers when the test permits it."""
+
+    def __init__(self):
+        self.permitted = threading.Event()
+
+    def __call__(self, connection, request_id, request):
+        self.permitted.wait(10.0)
+        connection.sendall(signed_response(request_id, request_id))
+        return True
+
+
+@pytest.fixture
+def hold():
+    """Return the script of an endpoint that holds its answers."""
+    hold = HeldAnswers()
+    yield hold
+    hold.permitted.set()
+
+
+@pytest.fixture
+def site(hold):
+    """Return a site with one endpoint that holds its answers."""
+    hangup = signal.getsignal(signal.SIGHUP)
+    site = ForwardSite([hold])
+    yield site
+    site.close()
+    signal.signal(signal.SIGHUP, hangup)
+
+
+@pytest.mark.parametrize(
+    "child",
+    [
+        "store",
+        "routing",
+        "registry",
+        "peer_bus",
+        "load_exchange",
+        "refused_parts",
+        "stages",
+        "status",
+        "metrics",
+    ],
+)
+def test_a_component_that_fails_cuts_no_request(site, hold, child):
+    """Guards requests in progress against the restart of a watcher."""
+    with site.run_tree() as (tree, root), site.connect() as connection:
+        connection.sendall(REQUEST % b"r1")
+        wait_for(lambda: site.endpoints[0].requests)
+        failed = threading.Event()
+        tree.timers.after(0.0, lambda: (root.fail_child(child), failed.set()))
+        assert failed.wait(5.0)
+        hold.permitted.set()
+        assert read_answer(connection) == (b"HTTP/1.1 200 OK", b"r1")
+        wait_for(lambda: child in root.live)
+        site.change()
+        wait_for(lambda: tree.forwarder.config.version == site.version)
