Go on watching a table after a read that cannot be applied

Callers saw: with an exception in applying a read, no later configuration or registration in force, and, as the exception left the reply of the store's client, the client and all components after it restarted. Cause: StoreWatcher scheduled its next call after the read had been applied. Measured: test_a_read_that_cannot_be_applied_is_made_again fails before (ValueError leaves the reply, no second call), passes after.

--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -1,11 +1,15 @@
 """Watching of tables of the platform's store."""
 
+import logging
+
 from circuits import BaseComponent, handler
 
 from wagtailfront.forwarding.interfaces import StorePosition
 
 __all__ = ["StoreWatcher", "StoreVersions"]
 
+logger = logging.getLogger(__name__)
+
 # Seconds after which the store answers a watch without a change; a silent
 # connection is detected soon after.
 WATCH_SECONDS = 1.2
@@ -157,7 +161,7 @@
 
         def on_reply(read):
             if number == self.call_number:
-                self._handle_read(read)
+                self._handle_safely(read)
 
         if self.cursor is None:
             self.source.read(on_reply)
@@ -165,6 +169,16 @@
             wait = self.pace.stretch(WATCH_SECONDS)
             self.source.watch(self.cursor, wait, on_reply)
 
+    def _handle_safely(self, read):
+        """Handle a read; one that cannot be applied is made again."""
+        try:
+            self._handle_read(read)
+        except Exception:
+            # The watch must go on, and the store's client serves others too.
+            logger.exception("[store] A read of %s was not applied.", self.table)
+            self.cursor = None
+            self._call_store_after(WATCH_SECONDS)
+
     def _handle_read(self, read):
         if read.is_known != self.is_reachable:
             self.is_reachable = read.is_known
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -124,6 +124,23 @@
     assert watcher.source.kinds()[-1] == ("read", None)
 
 
+def test_a_read_that_cannot_be_applied_is_made_again():
+    """Guards against a watcher that ends with the first fault in a row."""
+    faults, seen = [ValueError("bad row")], []
+
+    def on_read(read):
+        if faults:
+            raise faults.pop()
+        seen.append(read.config.version)
+
+    parts = make_watcher(on_read=on_read)
+    parts.source.answer(RoutingRead(True, config=make_config(1), cursor=at(7)))
+    parts.timers.advance(2.0)
+    parts.source.answer(RoutingRead(True, config=make_config(1), cursor=at(7)))
+    assert parts.source.kinds() == [("read", None), ("read", None)]
+    assert seen == [1]
+
+
 def test_loss_and_return_of_the_store_are_logged_once_each(watcher):
     """Guards the log against a line for each failed read."""
     for known in (False, False, True):
