Report connections and responses that fail here to their request

Callers saw: a reset instead of an answer if no connection to an endpoint could be opened (no descriptor left, an address that is no address), and nothing until the deadline if handling a response raised. Cause: EndpointPool.send() let the exception of socket() and connect_ex() pass through the start of the request; _on_read() closed the connection of a response that raised without a word to its sink. Change: both are reported through the sink, the first as not sent, so that the request goes to another endpoint or is refused. A socket that cannot be connected is closed and not kept in the table. The Instance of test_sockets.py moved to socket_instance.py, its tests are unchanged.

--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -199,7 +199,13 @@
         exchange = Exchange(pool=self, record=record, payload=payload, sink=sink)
         connection = self._take_idle(record, avoid)
         if connection is None:
-            connection = self._open(record)
+            try:
+                connection = self._open(record)
+            except (OSError, ValueError) as error:
+                # The sink must not be called before send() has returned.
+                reason = f"open: {error}"
+                self.timers.after(0.0, lambda: exchange.fail(reason))
+                return exchange
         exchange.is_first, connection.is_new = connection.is_new, False
         exchange.connection = connection
         connection.exchange = exchange
@@ -221,10 +227,14 @@
 
     def _open(self, record):
         sock = new_client_socket(TCP_USER_TIMEOUT_MS)
+        try:
+            result = sock.connect_ex((record.host, record.port))
+        except (OSError, ValueError):
+            sock.close()
+            raise
         connection = _Connection(sock=sock, record=record)
         self.connections[sock] = connection
         self.on_connect()
-        result = sock.connect_ex((record.host, record.port))
         # The sink must not be called before send() has returned.
         refused = result != 0 and result not in IN_PROGRESS
         self.timers.after(
@@ -293,16 +303,8 @@
             self.close(connection)
             return
         parts = connection.reader.feed(data) if data else connection.reader.feed_end()
-        for part in parts:
-            try:
-                self._deliver(connection, part)
-            except Exception:
-                # A fault in one response must not stop the whole pool.
-                logger.exception(
-                    "[endpoints] Failed to handle a response; its connection is closed."
-                )
-                self.close(connection)
-                return
+        if not all(self._handle_part(connection, part) for part in parts):
+            return
         failure = connection.reader.failure
         if failure is not None:
             self._fail(connection, str(failure))
@@ -311,6 +313,23 @@
         elif connection.exchange is None and connection.sock in self.connections:
             self._release(connection)
 
+    def _handle_part(self, connection, part):
+        """Return whether a part of a response could be handled."""
+        exchange = connection.exchange
+        try:
+            self._deliver(connection, part)
+        except Exception:
+            # A fault in one response must not stop the whole pool.
+            logger.exception(
+                "[endpoints] Failed to handle a response; its connection is closed."
+            )
+            self.close(connection)
+            # The fault may lie in handling the end, with the exchange done.
+            exchange.is_done = True
+            exchange.sink.on_failure("response not handled", exchange.is_sent)
+            return False
+        return True
+
     def _deliver(self, connection, part):
         exchange = connection.exchange
         if exchange is None or exchange.is_done:
--- a/wagtailfront/forwarding/tests/test_sockets.py
+++ b/wagtailfront/forwarding/tests/test_sockets.py
@@ -7,110 +7,30 @@
 
 import pytest
 
-from wagtailfront.callers.tests.builders import running
-from wagtailfront.forwarding.caller_server import ForwardServer
-from wagtailfront.forwarding.endpoint_pool import EndpointPool
-from wagtailfront.forwarding.forwarder import Forwarder
 from wagtailfront.forwarding.framing import LAST_CHUNK
-from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
-from wagtailfront.forwarding.tests.builders import (
-    SAFE,
-    STREAMING,
-    Scene,
-    make_record,
-    make_route,
-    make_service,
+from wagtailfront.forwarding.tests.builders import STREAMING, make_route
+from wagtailfront.forwarding.tests.socket_instance import (
+    GET,
+    POST,
+    TIMEOUT,
+    echo,
+    make_config,
+    read_until,
+    start_instances,
 )
-from wagtailfront.forwarding.tests.scripted_endpoint import ScriptedEndpoint
 from wagtailfront.platform.tests.wire import (
     refusal_response,
     signed_response as answer,
 )
-from wagtailfront.transport.timers import Timers
-
-TIMEOUT = 10.0  # seconds
-GET = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\n\r\n"
-POST = (
-    b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\nTransfer-Encoding: chunked"
-    b"\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
-)
-
 
 ENDLESS_BYTES = 200 * 1024 * 1024
 
 
-def make_config(route, *, version=1):
-    """Return a configuration with one route."""
-    return RoutingConfig(
-        version=version,
-        routes=(route,),
-        services={"s": make_service()},
-        limits=CallerLimits(idle_timeout=1.0, head_timeout=0.3),
-    )
-
-
-class Instance:
-    """Forwarding instance with one scripted endpoint."""
-
-    def __init__(self, script):
-        self.endpoint = ScriptedEndpoint(script)
-        record = make_record("e1", port=self.endpoint.port)
-        scene = Scene([record])
-        self.timers = Timers()
-        self.pool = EndpointPool(timers=self.timers)
-        context = scene.context._replace(
-            pool=self.pool, timers=self.timers, clock=time.monotonic
-        )
-        self.forwarder = Forwarder(context=context)
-        self.forwarder.apply_config(make_config(make_route(SAFE, timeout=3.0)))
-        self.server = ForwardServer(
-            bind=("127.0.0.1", 0), forwarder=self.forwarder, max_connections=50
-        )
-
-    @property
-    def components(self):
-        return self.timers, self.pool, self.server
-
-    def connect(self):
-        address = ("127.0.0.1", self.server.listener.port)
-        return socket.create_connection(address, timeout=TIMEOUT)
-
-
 @pytest.fixture
 def start():
     """Return a function that starts an Instance with a script."""
-    running_blocks = []
-
-    def begin(script):
-        instance = Instance(script)
-        block = running(*instance.components)
-        block.__enter__()
-        running_blocks.append((block, instance))
-        return instance
-
-    yield begin
-    for block, instance in running_blocks:
-        block.__exit__(None, None, None)
-        if instance.endpoint.listener.fileno() >= 0:
-            instance.endpoint.close()
-
-
-def echo(connection, request_id, request):
-    """Answer with the request's id and body."""
-    body = request.partition(b"\r\n\r\n")[2]
-    connection.sendall(answer(request_id, request_id + b"/" + body))
-    return True
-
-
-def read_until(connection, marks):
-    """Read until all marks have arrived or the connection ends."""
-    data = b""
-    while not all(mark in data for mark in marks):
-        part = connection.recv(65536)
-        if not part:
-            break
-        data += part
-    return data
+    with start_instances() as begin:
+        yield begin
 
 
 def test_pipelined_requests_are_answered_in_order(start):
