Skip registrations whose address is not an IP address

Callers saw: all requests of an instance stalled while it resolved the name in a malformed registration, as connect() resolves names in the event loop, and the request for that endpoint failed. Cause: a registration's address was only checked for a colon and a port. Change: a host that is no IPv4 address makes the registration malformed, and it is skipped like the others. Measured: two new cases of test_only_an_unreadable_registration_is_skipped (a name, an empty host) fail before, pass after.

--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -1,6 +1,7 @@
 """Decoding of the store's rows that endpoints and operators write."""
 
 import base64
+import ipaddress
 import logging
 from typing import Annotated
 
@@ -154,6 +155,7 @@
         raise ValueError(f"unknown state {wire.state!r}")
     if not colon or not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"unreadable address {wire.address!r}")
+    ipaddress.IPv4Address(host)  # resolving a name would block the event loop
     return EndpointRecord(
         endpoint_id=row.key,
         service=wire.service,
--- a/wagtailfront/platform/tests/test_rows.py
+++ b/wagtailfront/platform/tests/test_rows.py
@@ -39,6 +39,8 @@
         {},
         make_registration(address="nowhere"),
         make_registration(address="10.0.0.9:0"),
+        make_registration(address="an-engine.invalid:80"),
+        make_registration(address=":80"),
         make_registration(state="asleep"),
         make_registration(slots="many"),
         make_registration(service=""),
