Answer requests whose own step raises

Callers saw: a reset if the start of their request raised, and nothing until the deadline if a timer or the report of a failed attempt did; an exception in the latter also restarted the pool and the callers' listener. Cause: ForwardServer reset the connection of a request whose start raised. An exception in a timer was logged by Timers, and one in handle_failure() left the pool, which the supervisor then restarted. Change: ForwardTask.run() calls the steps of a request and ends it with 503, or 502 if it may have run, when one raises; Forwarder refuses a request of which no task could be made; the server answers 502 if even that raises, and the connection goes on. The test of buffered bodies waits by wait_for(), which fails by itself after the same time. Measured: test_faults.py, nine new cases fail before, pass after; wagtailfront/forwarding passes.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -80,7 +80,8 @@
     @property
     def may_have_run(self):
         """Return whether the endpoint may have begun to run the request."""
-        return not self.is_prefill and self.exchange.is_sent
+        is_sent = self.exchange is not None and self.exchange.is_sent
+        return not self.is_prefill and is_sent
 
     def launch(self, options):
         """Send the request with `options`, a SendOptions."""
@@ -98,7 +99,8 @@
         """Abandon the attempt; closes its connection if still in use."""
         if not self.is_dropped:
             self.is_dropped = True
-            self.exchange.cancel()
+            if self.exchange is not None:
+                self.exchange.cancel()
             self.health.outstanding -= 1
             self.context.body_memory.release(self.size)
             self.clear_pending()
@@ -166,7 +168,7 @@
     def _report_failure(self, reason, sent):
         if sent:
             self.record_arrival()
-        self.task.handle_failure(self, reason, sent)
+        self.task.run(self.task.handle_failure, self, reason, sent)
 
     def _record_progress(self):
         self.health.last_response_at = self.context.clock()
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -25,6 +25,7 @@
 logger = logging.getLogger(__name__)
 
 SWEEP_INTERVAL = 0.5  # seconds between checks for slow and idle callers
+BAD_GATEWAY = 502  # does not say whether the request has run
 MAX_PIPELINED = 8  # requests queued on one connection
 # SO_LINGER with a timeout of 0: close() sends RST instead of FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -196,10 +197,11 @@
             task = self.forwarder.accept(request, reply)
         except Exception:
             # A fault in one request must not stop the whole server.
-            logger.exception(
-                "[callers] Failed to start a request; its connection is reset."
-            )
-            self.reset(connection)
+            logger.exception("[callers] Failed to start a request.")
+            if reply.is_started:
+                reply.abort()
+            else:
+                reply.answer(BAD_GATEWAY, [], b"")
             return
         # accept() may have ended the task and begun the next request.
         if task is not None and not reply.is_ended:
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -1,5 +1,7 @@
 """One caller's request, from its arrival to the single response."""
 
+import functools
+import logging
 import math
 
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
@@ -17,6 +19,8 @@
 
 __all__ = ["DEADLINE_GRACE", "ForwardTask", "time_limit"]
 
+logger = logging.getLogger(__name__)
+
 MAX_SENDS = 4  # sends of one request, including those that did not run it
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
 RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
@@ -139,7 +143,18 @@
 
     def after(self, delay, callback):
         """Call `callback` after `delay` seconds unless the task has ended."""
-        self.timers.append(self.context.timers.after(delay, callback))
+        step = functools.partial(self.run, callback)
+        self.timers.append(self.context.timers.after(delay, step))
+
+    def run(self, step, *arguments):
+        """Call a step of the request; end the request if it raises."""
+        try:
+            step(*arguments)
+        except Exception:
+            # A fault in one request must not stop the others.
+            logger.exception("[forward] A step of a request failed.")
+            if not self.is_done:
+                self._give_up("fault of this instance", RETRY_AFTER)
 
     def _expire(self):
         if not self.is_done:
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Routing of accepted requests to their tasks."""
 
+import logging
 import math
 from collections import defaultdict
 
@@ -14,6 +15,8 @@
 
 __all__ = ["Forwarder", "AttemptBudgets", "PrefixCachesByService"]
 
+logger = logging.getLogger(__name__)
+
 UNCONFIGURED_RETRY_AFTER = 0.5  # seconds; about one read of the configuration
 STOPPING_RETRY_AFTER = 0.02  # seconds; other instances can serve it at once
 BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 400, 404, 503
@@ -108,6 +111,20 @@
 
     def accept(self, request, reply):
         """Start a request; return its task, or None if it was rejected."""
+        try:
+            task = self._make_task(request, reply)
+        except Exception:
+            # A fault in one request must not stop the others.
+            logger.exception("[forward] Failed to start a request.")
+            self._answer(reply, "", UNAVAILABLE, "fault of this instance")
+            return None
+        if task is not None:
+            self.tasks.add(task)
+            task.run(task.begin)
+        return task
+
+    def _make_task(self, request, reply):
+        """Return a request's task, or None if it was rejected."""
         try:
             fields = self.context.dialect.read_request(request.headers)
             path = request.target.partition(b"?")[0].decode("ascii")
@@ -135,7 +152,7 @@
                 retry_after=STOPPING_RETRY_AFTER,
             )
             return None
-        task = ForwardTask(
+        return ForwardTask(
             request=request,
             fields=fields,
             route=route,
@@ -145,9 +162,6 @@
             on_done=self._on_done,
             config_version=self.config.version,
         )
-        self.tasks.add(task)
-        task.begin()
-        return task
 
     def _answer(
         self, reply, request_id, status, reason, retry_after=UNCONFIGURED_RETRY_AFTER
--- a/wagtailfront/forwarding/tests/socket_instance.py
+++ b/wagtailfront/forwarding/tests/socket_instance.py
@@ -100,3 +100,14 @@
             break
         data += part
     return data
+
+
+def wait_for(condition):
+    """Return the first true value of `condition`."""
+    limit = time.monotonic() + TIMEOUT
+    while time.monotonic() < limit:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.005)
+    raise AssertionError("the condition did not become true")
--- a/wagtailfront/forwarding/tests/test_faults.py
+++ b/wagtailfront/forwarding/tests/test_faults.py
@@ -7,11 +7,22 @@
 
 from wagtailfront.forwarding import endpoint_pool
 from wagtailfront.forwarding.attempt import RunAttempt
+from wagtailfront.forwarding.forward_task import ForwardTask
+from wagtailfront.forwarding.forwarder import Forwarder
+from wagtailfront.forwarding.routes import RouteTable
+from wagtailfront.forwarding.silence_watch import SilenceWatch
+from wagtailfront.forwarding.tests.builders import (
+    UNSAFE,
+    Scene,
+    make_record,
+    make_route,
+)
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     echo,
     read_until,
     start_instances,
+    wait_for,
 )
 
 HEAD_END = [b"\r\n\r\n"]
@@ -67,3 +78,53 @@
         caller.settimeout(1.0)
         caller.sendall(GET % b"r1")
         assert read_until(caller, HEAD_END).startswith(b"HTTP/1.1 502 ")
+
+
+@pytest.mark.parametrize(
+    ("owner", "step", "status"),
+    [
+        (RouteTable, "find", 503),
+        (ForwardTask, "__init__", 503),
+        (ForwardTask, "dispatch", 503),
+        (RunAttempt, "_encode", 503),
+        (SilenceWatch, "watch", 503),
+        (Forwarder, "accept", 502),
+    ],
+)
+def test_a_request_whose_start_fails_is_answered(
+    instance, monkeypatch, owner, step, status
+):
+    """Guards a request, and those behind it, against a reset."""
+    with monkeypatch.context() as patch, instance.connect() as caller:
+        patch.setattr(owner, step, fail(RuntimeError("fault")))
+        caller.sendall(GET % b"r1")
+        head = read_until(caller, HEAD_END)
+        assert head.startswith(b"HTTP/1.1 %d " % status)
+        patch.undo()
+        caller.sendall(GET % b"r2")
+        assert b"r2/" in read_until(caller, [b"r2/"])
+    wait_for(lambda: not instance.forwarder.tasks)
+
+
+@pytest.mark.parametrize(("is_sent", "status"), [(True, 502), (False, 503)])
+def test_a_timer_that_fails_ends_its_request(is_sent, status):
+    """Guards a request against waiting for its deadline without an attempt."""
+    scene = Scene([make_record()])
+    task, reply = scene.start(make_route(UNSAFE))
+    scene.pool.last.is_sent = is_sent
+    task.after(0.1, fail(RuntimeError("fault")))
+    scene.timers.advance(0.2)
+    assert reply.status == status
+    assert scene.done == [task]
+
+
+def test_a_failure_that_cannot_be_handled_ends_its_request(monkeypatch):
+    """Guards the pool, and with it all callers, against a restart."""
+    scene = Scene([make_record()])
+    task, reply = scene.start(make_route(UNSAFE))
+    monkeypatch.setattr(
+        scene.context.health, "record_failure", fail(RuntimeError("fault"))
+    )
+    scene.pool.last.fail()
+    assert reply.status == 502
+    assert scene.done == [task]
--- a/wagtailfront/forwarding/tests/test_sockets.py
+++ b/wagtailfront/forwarding/tests/test_sockets.py
@@ -17,6 +17,7 @@
     make_config,
     read_until,
     start_instances,
+    wait_for,
 )
 from wagtailfront.platform.tests.wire import (
     refusal_response,
@@ -191,9 +192,7 @@
     assert is_closed.wait(TIMEOUT)
     assert max(sent) < ENDLESS_BYTES
     # The caller may read its answer before the task has ended in its thread.
-    deadline = time.monotonic() + TIMEOUT
-    while instance.forwarder.tasks and time.monotonic() < deadline:
-        time.sleep(0.01)
+    wait_for(lambda: not instance.forwarder.tasks)
     assert instance.forwarder.context.body_memory.total == 0
 
 
--- a/wagtailfront/programs/tests/forward_site.py
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -2,17 +2,17 @@
 
 import contextlib
 import socket
-import time
 
 from wagtailfront.callers.tests.builders import running
 from wagtailfront.forwarding.tests.builders import LogLines
 from wagtailfront.forwarding.tests.scripted_endpoint import ScriptedEndpoint
+from wagtailfront.forwarding.tests.socket_instance import wait_for
 from wagtailfront.platform.tests.builders import make_registration
 from wagtailfront.platform.tests.row_store import RowStore
 from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
 from wagtailfront.programs.setting_values import HostPort
 
-__all__ = ["REQUEST", "ForwardSite", "free_port", "read_answer", "wait_for"]
+__all__ = ["REQUEST", "ForwardSite", "free_port", "read_answer"]
 
 TIMEOUT = 10.0  # seconds
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\n\r\n"
@@ -24,17 +24,6 @@
         return listener.getsockname()[1]
 
 
-def wait_for(condition):
-    """Return the first true value of `condition`."""
-    limit = time.monotonic() + TIMEOUT
-    while time.monotonic() < limit:
-        value = condition()
-        if value:
-            return value
-        time.sleep(0.005)
-    raise AssertionError("the condition did not become true")
-
-
 def read_answer(connection):
     """Return the status line and the body of a response with a length."""
     data = b""
--- a/wagtailfront/programs/tests/test_forward_tree.py
+++ b/wagtailfront/programs/tests/test_forward_tree.py
@@ -5,12 +5,12 @@
 
 import pytest
 
+from wagtailfront.forwarding.tests.socket_instance import wait_for
 from wagtailfront.platform.tests.wire import signed_response
 from wagtailfront.programs.tests.forward_site import (
     REQUEST,
     ForwardSite,
     read_answer,
-    wait_for,
 )
 
 
