Let callers use the limits that they know of around a change

Callers saw, after a change of the configuration: an idle connection closed within 0.5 s though they may keep it for longer, 408 for a body on its way, and 413 for a proper request on a connection older than a wider limit, or while they did not know of a narrower one yet. Change: the limits of a replaced configuration stay permitted for 10 s; a request keeps those that it began under, an idle connection those of its last use, if they are wider; a kept connection uses the present ones.

--- /dev/null
+++ b/wagtailfront/forwarding/caller_limits.py
@@ -0,0 +1,53 @@
+"""Limits of callers that hold around a change of the configuration."""
+
+from wagtailfront.forwarding.routes import CallerLimits
+
+__all__ = ["LimitsInForce", "widest"]
+
+# Seconds after a change until all callers keep to the new limits.
+CHANGE_SECONDS = 10.0
+
+
+def widest(first, second):
+    """Return the CallerLimits that permit all that either of two permits.
+
+    Examples
+    --------
+    >>> widest(CallerLimits(1, 2, 3.0, 4.0), CallerLimits(2, 1, 3.0, 5.0))
+    CallerLimits(max_head=2, max_body=2, head_timeout=3.0, idle_timeout=5.0)
+    """
+    if first is second:
+        return first
+    return CallerLimits(*map(max, first, second))
+
+
+class LimitsInForce:
+    """Limits of the latest configurations that callers may know.
+
+    Examples
+    --------
+    >>> limits = LimitsInForce()
+    >>> limits.replace(CallerLimits(idle_timeout=9.0), now=0.0)
+    >>> limits.replace(CallerLimits(idle_timeout=1.0), now=5.0)
+    >>> [limits.at(now).idle_timeout for now in (6.0, 16.0)]
+    [9.0, 1.0]
+    """
+
+    def __init__(self):
+        self.latest = None
+        self.replaced = []  # CallerLimits, time until which they hold
+
+    def replace(self, limits, *, now):
+        """Use the limits of a new configuration."""
+        if self.latest not in (None, limits):
+            self.replaced.append((self.latest, now + CHANGE_SECONDS))
+        self.latest = limits
+
+    def at(self, now):
+        """Return the widest limits that hold at a time."""
+        if self.replaced:
+            self.replaced = [entry for entry in self.replaced if entry[1] > now]
+        limits = self.latest or CallerLimits()
+        for earlier, _until in self.replaced:
+            limits = widest(limits, earlier)
+        return limits
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -8,6 +8,7 @@
 
 from circuits import BaseComponent, Event, handler
 
+from wagtailfront.forwarding.caller_limits import widest
 from wagtailfront.forwarding.framing import (
     CONTINUE,
     LAST_CHUNK,
@@ -117,15 +118,25 @@
 class _CallerConnection:
     """State of one caller's socket; times in seconds."""
 
-    def __init__(self, *, sock, reader, now):
+    def __init__(self, *, sock, limits, now):
         self.sock = sock
-        self.reader = reader
+        self.limits = limits
+        self.reader = RequestReader(max_head=limits.max_head, max_body=limits.max_body)
         self.waiting = deque()
         self.task = None
         self.is_busy = False
         self.is_closing = False
         self.last_activity = now
 
+    def use_limits(self, limits):
+        """Use the present limits, and for a request those it began under."""
+        if limits is not self.limits:
+            if not self.reader.is_between_requests:
+                limits = widest(limits, self.limits)
+            self.limits = limits
+            self.reader.max_head = limits.max_head
+            self.reader.max_body = limits.max_body
+
 
 class ForwardServer(BaseComponent):
     """Accepts callers' connections and passes requests to the forwarder.
@@ -162,13 +173,14 @@
 
     def receive(self, sock, data):
         """Parse bytes received from a caller."""
+        now = self.clock()
+        limits = self.forwarder.limits.at(now)
         connection = self.connections.get(sock)
         if connection is None:
-            limits = self.forwarder.limits
-            reader = RequestReader(max_head=limits.max_head, max_body=limits.max_body)
-            connection = _CallerConnection(sock=sock, reader=reader, now=self.clock())
+            connection = _CallerConnection(sock=sock, limits=limits, now=now)
             self.connections[sock] = connection
-        connection.last_activity = self.clock()
+        connection.last_activity = now
+        connection.use_limits(limits)
         connection.waiting.extend(connection.reader.feed(data))
         if connection.reader.expects_continue:
             connection.reader.expects_continue = False
@@ -256,10 +268,11 @@
     @handler("sweep")
     def _on_sweep(self):
         now = self.clock()
-        limits = self.forwarder.limits
+        present = self.forwarder.limits.at(now)
         for connection in list(self.connections.values()):
             if connection.is_busy or connection.waiting or connection.is_closing:
                 continue
+            limits = widest(present, connection.limits)
             idle_time = now - connection.last_activity
             if not connection.reader.is_between_requests:
                 if idle_time > limits.head_timeout:
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -5,13 +5,14 @@
 from collections import defaultdict
 
 from wagtailfront.forwarding.attempt_budget import AttemptBudget
+from wagtailfront.forwarding.caller_limits import LimitsInForce
 from wagtailfront.forwarding.forward_task import (
     DEADLINE_GRACE,
     ForwardTask,
     time_limit,
 )
 from wagtailfront.forwarding.prefix_cache import PrefixCacheEstimate
-from wagtailfront.forwarding.routes import CallerLimits, RouteTable, choose_service
+from wagtailfront.forwarding.routes import RouteTable, choose_service
 
 __all__ = ["Forwarder", "AttemptBudgets", "PrefixCachesByService"]
 
@@ -61,6 +62,7 @@
 
     Attributes
     ----------
+    limits : LimitsInForce
     serves_until : float
         Time at which the instance stops; requests that may take longer are
         refused.
@@ -72,7 +74,7 @@
         self.config = None
         self.config_era = 0
         self.table = None
-        self.limits = CallerLimits()
+        self.limits = LimitsInForce()
         self.tasks = set()
 
     def apply_config(self, config, *, era=0):
@@ -98,7 +100,7 @@
             return False
         self.config, self.config_era = config, era
         self.table = RouteTable(config.routes)
-        self.limits = config.limits
+        self.limits.replace(config.limits, now=self.context.clock())
         self.context.prefix_caches.add_services(config.services)
         return True
 
