Close idle connections only without a request read or arrived

Callers saw: requests without an answer on kept connections, when an instance closed idle ones. A request in the socket's buffer of a busy instance was reset with its connection; a pipelined one that had been read was dropped between the answer before it and its turn, and with SIGTERM behind the first answer, which said Connection: close. Change: what has arrived is read before a connection is closed as idle or slow; a connection with a waiting request is not idle, and a response during a stop closes the connection only as the last one. CallerConnection moved to a module of its own. Measured: test_connection_end.py, four cases fail before, pass after.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -4,15 +4,14 @@
 import socket
 import struct
 import time
-from collections import deque
 
 from circuits import BaseComponent, Event, handler
 
+from wagtailfront.forwarding.caller_connection import CallerConnection
 from wagtailfront.forwarding.caller_limits import widest
 from wagtailfront.forwarding.framing import (
     CONTINUE,
     LAST_CHUNK,
-    RequestReader,
     encode_chunk,
     encode_head,
     status_line,
@@ -102,8 +101,9 @@
         self.abort()
 
     def _head(self, status, headers):
-        if self.server.is_draining or not self.keep_alive:
+        if self.server.is_draining and not self.connection.waiting:
             self.keep_alive = False
+        if not self.keep_alive:
             headers = [*headers, (b"Connection", b"close")]
         return encode_head(status_line(status), headers)
 
@@ -115,29 +115,6 @@
         self.server.end_reply(self.connection, self.keep_alive)
 
 
-class _CallerConnection:
-    """State of one caller's socket; times in seconds."""
-
-    def __init__(self, *, sock, limits, now):
-        self.sock = sock
-        self.limits = limits
-        self.reader = RequestReader(max_head=limits.max_head, max_body=limits.max_body)
-        self.waiting = deque()
-        self.task = None
-        self.is_busy = False
-        self.is_closing = False
-        self.last_activity = now
-
-    def use_limits(self, limits):
-        """Use the present limits, and for a request those it began under."""
-        if limits is not self.limits:
-            if not self.reader.is_between_requests:
-                limits = widest(limits, self.limits)
-            self.limits = limits
-            self.reader.max_head = limits.max_head
-            self.reader.max_body = limits.max_body
-
-
 class ForwardServer(BaseComponent):
     """Accepts callers' connections and passes requests to the forwarder.
 
@@ -177,7 +154,7 @@
         limits = self.forwarder.limits.at(now)
         connection = self.connections.get(sock)
         if connection is None:
-            connection = _CallerConnection(sock=sock, limits=limits, now=now)
+            connection = CallerConnection(sock=sock, limits=limits, now=now)
             self.connections[sock] = connection
         connection.last_activity = now
         connection.use_limits(limits)
@@ -239,7 +216,8 @@
 
     def _close(self, connection):
         connection.is_closing = True
-        self.listener.close(connection.sock)
+        if connection.sock in self.listener.clients:
+            self.listener.close(connection.sock)
 
     def reset(self, connection):
         """Close a connection with RST."""
@@ -267,18 +245,28 @@
 
     @handler("sweep")
     def _on_sweep(self):
-        now = self.clock()
-        present = self.forwarder.limits.at(now)
         for connection in list(self.connections.values()):
-            if connection.is_busy or connection.waiting or connection.is_closing:
-                continue
-            limits = widest(present, connection.limits)
-            idle_time = now - connection.last_activity
-            if not connection.reader.is_between_requests:
-                if idle_time > limits.head_timeout:
+            if self._is_overdue(connection) and not self._read_more(connection):
+                if connection.reader.is_between_requests:
+                    self._close(connection)
+                else:
                     self._answer_failure(connection, 408)
-            elif idle_time > limits.idle_timeout:
-                self._close(connection)
+
+    def _is_overdue(self, connection):
+        """Return whether a connection has been without bytes for too long."""
+        if connection.has_request or connection.is_closing:
+            return False
+        now = self.clock()
+        limits = widest(self.forwarder.limits.at(now), connection.limits)
+        is_idle = connection.reader.is_between_requests
+        limit = limits.idle_timeout if is_idle else limits.head_timeout
+        return now - connection.last_activity > limit
+
+    def _read_more(self, connection):
+        """Read what a busy event loop has left; return whether there was any."""
+        before = connection.reader.bytes_read
+        self.listener.read_now(connection.sock)
+        return connection.reader.bytes_read > before
 
     def start_draining(self):
         """Close each connection after its current request."""
@@ -287,5 +275,5 @@
     def close_idle(self):
         """Close the connections without a request in progress."""
         for connection in list(self.connections.values()):
-            if not connection.is_busy and connection.reader.is_between_requests:
+            if connection.is_idle and not self._read_more(connection):
                 self._close(connection)
--- a/wagtailfront/forwarding/framing.py
+++ b/wagtailfront/forwarding/framing.py
@@ -108,6 +108,8 @@
         Error that ended parsing; requests returned before it are complete.
     is_between_requests : bool
         Whether no request is partly received.
+    bytes_read : int
+        Bytes received so far.
 
     Examples
     --------
@@ -129,9 +131,11 @@
         self.expects_continue = False
         self.is_between_requests = True
         self.partial_head_bytes = 0
+        self.bytes_read = 0
 
     def feed(self, data):
         """Return the requests that `data` completes; sets `failure`."""
+        self.bytes_read += len(data)
         if self.failure is not None:
             return []
         try:
--- /dev/null
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -0,0 +1,76 @@
+"""Tests that a connection ends with no request that was read unanswered."""
+
+import time
+from threading import Event
+
+import pytest
+
+from wagtailfront.forwarding.tests.socket_instance import (
+    GET,
+    LIMITS,
+    echo,
+    read_until,
+    start_instances,
+)
+
+BUSY_SECONDS = LIMITS.idle_timeout + 0.2
+
+
+@pytest.fixture
+def instance():
+    """Return a running instance whose endpoint echoes requests."""
+    with start_instances() as begin:
+        yield begin(echo)
+
+
+def in_loop(instance, callback):
+    """Call a function in the instance's event loop; wait until it is done."""
+    done = Event()
+    instance.timers.after(0.0, lambda: (callback(), done.set()))
+    assert done.wait(10.0)
+
+
+@pytest.mark.parametrize("step", ["_on_sweep", "close_idle"])
+def test_a_request_that_has_arrived_is_served_before_its_connection_is_closed(
+    instance, step
+):
+    """Guards requests that arrive while the event loop is busy."""
+    with instance.connect() as caller:
+        caller.sendall(GET % b"r1")
+        read_until(caller, [b"r1/"])
+
+        def close_late():
+            caller.sendall(GET % b"r2")
+            time.sleep(BUSY_SECONDS)
+            getattr(instance.server, step)()
+
+        in_loop(instance, close_late)
+        assert b"r2/" in read_until(caller, [b"r2/"])
+
+
+def test_a_stopping_instance_answers_all_requests_it_has_read(instance):
+    """Guards pipelined requests behind the first answer of a stop."""
+    in_loop(instance, instance.server.start_draining)
+    with instance.connect() as caller:
+        caller.sendall(GET % b"r1" + GET % b"r2")
+        data = read_until(caller, [b"r2/"])
+        assert b"r1/" in data
+        assert b"r2/" in data
+        assert b"Connection: close" in data.partition(b"r1/")[2]
+        assert caller.recv(100) == b""
+
+
+def test_idle_connections_are_closed_only_without_a_request_waiting(
+    instance, monkeypatch
+):
+    """Guards a pipelined request between the answer before it and its turn."""
+    end_reply = instance.server.end_reply
+
+    def end_and_close_idle(connection, keep_alive):
+        end_reply(connection, keep_alive)
+        instance.server.close_idle()
+
+    monkeypatch.setattr(instance.server, "end_reply", end_and_close_idle)
+    with instance.connect() as caller:
+        caller.sendall(GET % b"r1" + GET % b"r2")
+        assert b"r2/" in read_until(caller, [b"r2/"])
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -102,6 +102,10 @@
         else:
             self._read(sock)
 
+    def read_now(self, sock):
+        """Read what has arrived and was not reported by the poller yet."""
+        self._read(sock)
+
     def _read(self, sock):
         while sock in self._clients:
             try:
