--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -26,7 +26,7 @@
 
 SWEEP_INTERVAL = 0.5  # seconds between checks for slow and idle callers
 BAD_GATEWAY = 502  # does not say whether the request has run
-MAX_PIPELINED = 8  # requests queued on one connection
+MAX_PIPELINED = 8  # requests queued on one connection until it is read on
 # SO_LINGER with a timeout of 0: close() sends RST instead of FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -163,17 +163,16 @@
             connection.reader.expects_continue = False
             self.listener.write(sock, CONTINUE)
         if len(connection.waiting) > MAX_PIPELINED:
-            logger.warning(
-                "[callers] Reset a connection with too many pipelined requests."
-            )
-            self.reset(connection)
-            return
+            self.listener.pause_reading(sock)
         self._serve_next(connection)
 
     def _serve_next(self, connection):
         while not connection.is_busy and not connection.is_closing:
             if connection.waiting:
-                self._serve(connection, connection.waiting.popleft())
+                request = connection.waiting.popleft()
+                if len(connection.waiting) == MAX_PIPELINED:
+                    self.listener.resume_reading(connection.sock)
+                self._serve(connection, request)
             elif connection.reader.failure is not None:
                 self._answer_failure(connection, connection.reader.failure.status)
             else:
@@ -263,7 +262,7 @@
         return now - connection.last_activity > limit
 
     def _read_more(self, connection):
-        """Read what a busy event loop has left; return whether there was any."""
+        """Read what has arrived; return whether there was anything."""
         before = connection.reader.bytes_read
         self.listener.read_now(connection.sock)
         return connection.reader.bytes_read > before
--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -74,3 +74,13 @@
     with instance.connect() as caller:
         caller.sendall(GET % b"r1" + GET % b"r2")
         assert b"r2/" in read_until(caller, [b"r2/"])
+
+
+def test_many_pipelined_requests_are_all_answered(instance):
+    """Guards a caller that sends faster than endpoints answer."""
+    with instance.connect() as caller:
+        for burst in range(3):
+            names = [b"r%d-%d." % (burst, number) for number in range(30)]
+            caller.sendall(b"".join(GET % name for name in names))
+            data = read_until(caller, [name + b"/" for name in names])
+            assert data.count(b"200 OK") == len(names)
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -106,6 +106,16 @@
         """Read what has arrived and was not reported by the poller yet."""
         self._read(sock)
 
+    def pause_reading(self, sock):
+        """Leave further bytes in the socket's buffer; reports no EOF."""
+        if self._poller.isReading(sock):
+            self._poller.removeReader(sock)
+
+    def resume_reading(self, sock):
+        """Read on after `pause_reading`."""
+        if sock in self._clients and not self._poller.isReading(sock):
+            self._poller.addReader(self, sock)
+
     def _read(self, sock):
         while sock in self._clients:
             try:
