--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -4,14 +4,14 @@
 import socket
 import struct
 import time
-from collections import deque
 
 from circuits import BaseComponent, Event, handler
 
+from wagtailfront.forwarding.caller_connection import CallerConnection
+from wagtailfront.forwarding.caller_limits import widest
 from wagtailfront.forwarding.framing import (
     CONTINUE,
     LAST_CHUNK,
-    RequestReader,
     encode_chunk,
     encode_head,
     status_line,
@@ -25,7 +25,8 @@
 logger = logging.getLogger(__name__)
 
 SWEEP_INTERVAL = 0.5  # seconds between checks for slow and idle callers
-MAX_PIPELINED = 8  # requests queued on one connection
+BAD_GATEWAY = 502  # does not say whether the request has run
+MAX_PIPELINED = 8  # requests queued on one connection until it is read on
 # SO_LINGER with a timeout of 0: close() sends RST instead of FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -100,8 +101,9 @@
         self.abort()
 
     def _head(self, status, headers):
-        if self.server.is_draining or not self.keep_alive:
+        if self.server.is_draining and not self.connection.waiting:
             self.keep_alive = False
+        if not self.keep_alive:
             headers = [*headers, (b"Connection", b"close")]
         return encode_head(status_line(status), headers)
 
@@ -113,19 +115,6 @@
         self.server.end_reply(self.connection, self.keep_alive)
 
 
-class _CallerConnection:
-    """State of one caller's socket; times in seconds."""
-
-    def __init__(self, *, sock, reader, now):
-        self.sock = sock
-        self.reader = reader
-        self.waiting = deque()
-        self.task = None
-        self.is_busy = False
-        self.is_closing = False
-        self.last_activity = now
-
-
 class ForwardServer(BaseComponent):
     """Accepts callers' connections and passes requests to the forwarder.
 
@@ -161,35 +150,35 @@
 
     def receive(self, sock, data):
         """Parse bytes received from a caller."""
+        now = self.clock()
+        limits = self.forwarder.limits.at(now)
         connection = self.connections.get(sock)
         if connection is None:
-            limits = self.forwarder.limits
-            reader = RequestReader(max_head=limits.max_head, max_body=limits.max_body)
-            connection = _CallerConnection(sock=sock, reader=reader, now=self.clock())
+            connection = CallerConnection(sock=sock, limits=limits, now=now)
             self.connections[sock] = connection
-        connection.last_activity = self.clock()
+        connection.last_activity = now
         if connection.is_closing:
             # The bytes may be a request that crossed the close.
             self.forwarder.context.log.decision(
                 "unserved", outcome="connection closes", size=len(data)
             )
             return
+        connection.use_limits(limits)
         connection.waiting.extend(connection.reader.feed(data))
         if connection.reader.expects_continue:
             connection.reader.expects_continue = False
             self.listener.write(sock, CONTINUE)
         if len(connection.waiting) > MAX_PIPELINED:
-            logger.warning(
-                "[callers] Reset a connection with too many pipelined requests."
-            )
-            self.reset(connection)
-            return
+            self.listener.pause_reading(sock)
         self._serve_next(connection)
 
     def _serve_next(self, connection):
         while not connection.is_busy and not connection.is_closing:
             if connection.waiting:
-                self._serve(connection, connection.waiting.popleft())
+                request = connection.waiting.popleft()
+                if len(connection.waiting) == MAX_PIPELINED:
+                    self.listener.resume_reading(connection.sock)
+                self._serve(connection, request)
             elif connection.reader.failure is not None:
                 self._answer_failure(connection, connection.reader.failure.status)
             else:
@@ -202,10 +191,11 @@
             task = self.forwarder.accept(request, reply)
         except Exception:
             # A fault in one request must not stop the whole server.
-            logger.exception(
-                "[callers] Failed to start a request; its connection is reset."
-            )
-            self.reset(connection)
+            logger.exception("[callers] Failed to start a request.")
+            if reply.is_started:
+                reply.abort()
+            else:
+                reply.answer(BAD_GATEWAY, [], b"")
             return
         # accept() may have ended the task and begun the next request.
         if task is not None and not reply.is_ended:
@@ -231,7 +221,8 @@
 
     def _close(self, connection):
         connection.is_closing = True
-        self.listener.close(connection.sock)
+        if connection.sock in self.listener.clients:
+            self.listener.close(connection.sock)
 
     def reset(self, connection):
         """Close a connection with RST."""
@@ -259,17 +250,28 @@
 
     @handler("sweep")
     def _on_sweep(self):
-        now = self.clock()
-        limits = self.forwarder.limits
         for connection in list(self.connections.values()):
-            if connection.is_busy or connection.waiting or connection.is_closing:
-                continue
-            idle_time = now - connection.last_activity
-            if not connection.reader.is_between_requests:
-                if idle_time > limits.head_timeout:
+            if self._is_overdue(connection) and not self._read_more(connection):
+                if connection.reader.is_between_requests:
+                    self._close(connection)
+                else:
                     self._answer_failure(connection, 408)
-            elif idle_time > limits.idle_timeout:
-                self._close(connection)
+
+    def _is_overdue(self, connection):
+        """Return whether a connection has been without bytes for too long."""
+        if connection.has_request or connection.is_closing:
+            return False
+        now = self.clock()
+        limits = widest(self.forwarder.limits.at(now), connection.limits)
+        is_idle = connection.reader.is_between_requests
+        limit = limits.idle_timeout if is_idle else limits.head_timeout
+        return now - connection.last_activity > limit
+
+    def _read_more(self, connection):
+        """Read what has arrived; return whether there was anything."""
+        before = connection.reader.bytes_read
+        self.listener.read_now(connection.sock)
+        return connection.reader.bytes_read > before
 
     def start_draining(self):
         """Close each connection after its current request."""
@@ -278,5 +280,5 @@
     def close_idle(self):
         """Close the connections without a request in progress."""
         for connection in list(self.connections.values()):
-            if not connection.is_busy and connection.reader.is_between_requests:
+            if connection.is_idle and not self._read_more(connection):
                 self._close(connection)
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -1,19 +1,23 @@
 """Routing of accepted requests to their tasks."""
 
+import logging
 import math
 from collections import defaultdict
 
 from wagtailfront.forwarding.attempt_budget import AttemptBudget
+from wagtailfront.forwarding.caller_limits import LimitsInForce
 from wagtailfront.forwarding.forward_task import (
     DEADLINE_GRACE,
     ForwardTask,
     time_limit,
 )
 from wagtailfront.forwarding.prefix_cache import PrefixCacheEstimate
-from wagtailfront.forwarding.routes import CallerLimits, RouteTable, choose_service
+from wagtailfront.forwarding.routes import RouteTable, choose_service
 
 __all__ = ["Forwarder", "AttemptBudgets", "PrefixCachesByService"]
 
+logger = logging.getLogger(__name__)
+
 UNCONFIGURED_RETRY_AFTER = 0.5  # seconds; about one read of the configuration
 STOPPING_RETRY_AFTER = 0.02  # seconds; other instances can serve it at once
 BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 400, 404, 503
@@ -58,6 +62,7 @@
 
     Attributes
     ----------
+    limits : LimitsInForce
     serves_until : float
         Time at which the instance stops; requests that may take longer are
         refused.
@@ -69,7 +74,7 @@
         self.config = None
         self.config_era = 0
         self.table = None
-        self.limits = CallerLimits()
+        self.limits = LimitsInForce()
         self.tasks = set()
 
     def apply_config(self, config, *, era=0):
@@ -95,7 +100,7 @@
             return False
         self.config, self.config_era = config, era
         self.table = RouteTable(config.routes)
-        self.limits = config.limits
+        self.limits.replace(config.limits, now=self.context.clock())
         self.context.prefix_caches.add_services(config.services)
         return True
 
@@ -108,6 +113,20 @@
 
     def accept(self, request, reply):
         """Start a request; return its task, or None if it was rejected."""
+        try:
+            task = self._make_task(request, reply)
+        except Exception:
+            # A fault in one request must not stop the others.
+            logger.exception("[forward] Failed to start a request.")
+            self._answer(reply, "", UNAVAILABLE, "fault of this instance")
+            return None
+        if task is not None:
+            self.tasks.add(task)
+            task.run(task.begin)
+        return task
+
+    def _make_task(self, request, reply):
+        """Return a request's task, or None if it was rejected."""
         try:
             fields = self.context.dialect.read_request(request.headers)
             path = request.target.partition(b"?")[0].decode("ascii")
@@ -135,7 +154,7 @@
                 retry_after=STOPPING_RETRY_AFTER,
             )
             return None
-        task = ForwardTask(
+        return ForwardTask(
             request=request,
             fields=fields,
             route=route,
@@ -145,9 +164,6 @@
             on_done=self._on_done,
             config_version=self.config.version,
         )
-        self.tasks.add(task)
-        task.begin()
-        return task
 
     def _answer(
         self, reply, request_id, status, reason, retry_after=UNCONFIGURED_RETRY_AFTER
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -61,7 +61,7 @@
         if now - last_response_at < timeout:
             remaining = max(MIN_RECHECK_DELAY, last_response_at + timeout - now)
             self._check_after(remaining, attempt, timeout)
-        elif not attempt.may_have_run:
+        elif attempt.is_prefill or (task.may_repeat() and not attempt.may_have_run):
             attempt.fail("silent")
         else:
             self._handle_silence(attempt, timeout)
