Catch deep nesting in what other processes wrote

One registration with a deeply nested field, in any field, made msgspec raise RecursionError, which the readers of rows did not catch. The exception left the reader of the HTTP connection, so the read was never answered and the instance stopped following the registry. It also counted as a failure of the connection pool: after five in a minute the supervisor ends the process. The same held for the configuration, lease rows, whole answers of the store, handles of prefills, lists of cached parts, load reports and chunks of streams.

`decoding.decode_json` and `decode_msgpack` now raise ProtocolError for all that the decoders raise; the function of `config_state` that did so moves there.

Tests: 7 of test_odd_rows.py fail before with RecursionError, pass after. The change in chunk_check.py and load_reporter.py has no test of its own. 519 tests of platform, membership, authority, endpoints and forwarding pass.

--- a/wagtailfront/authority/config_log.py
+++ b/wagtailfront/authority/config_log.py
@@ -9,9 +9,9 @@
     EMPTY,
     Change,
     apply_change,
-    decode_json,
     resources_touched,
 )
+from wagtailfront.decoding import decode_json
 from wagtailfront.exception import ConfigurationError
 from wagtailfront.stores.interfaces import Key, Put
 
--- a/wagtailfront/authority/config_state.py
+++ b/wagtailfront/authority/config_state.py
@@ -20,7 +20,7 @@
     Workspace,
 )
 from wagtailfront.authority.engine_marks import EngineTarget
-from wagtailfront.exception import ProtocolError
+from wagtailfront.decoding import decode_json
 
 __all__ = [
     "NonIdempotentRule",
@@ -293,10 +293,3 @@
         If `data` is not such JSON.
     """
     return decode_json(data, Change)
-
-
-def decode_json(data, kind):
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise ProtocolError(f"not a valid {kind}: {error}") from error
--- a/wagtailfront/endpoints/chunk_check.py
+++ b/wagtailfront/endpoints/chunk_check.py
@@ -60,7 +60,7 @@
             return None
         try:
             chunk = decode_chunk(payload)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise ProtocolError(f"unreadable chunk: {error}")
         return self._accept(chunk)
 
--- a/wagtailfront/endpoints/load_reporter.py
+++ b/wagtailfront/endpoints/load_reporter.py
@@ -4,12 +4,13 @@
 import logging
 import time
 
-import msgspec
 from circuits import BaseComponent, Event, handler
 
 from wagtailfront.authority.config_state import EMPTY
 from wagtailfront.decisions.work import LoadReport, Role
+from wagtailfront.decoding import decode_json
 from wagtailfront.endpoints.engine_protocol import EngineLoad
+from wagtailfront.exception import ProtocolError
 from wagtailfront.membership import messages
 from wagtailfront.transport.http_client import WholeResponse
 from wagtailfront.transport.http_exchange import split_address
@@ -213,8 +214,8 @@
 
 def _decode(body):
     try:
-        return msgspec.json.decode(body, type=EngineLoad)
-    except msgspec.DecodeError as error:
+        return decode_json(body, EngineLoad)
+    except ProtocolError as error:
         logger.warning("[load] Cannot read a load report: %s.", error)
         return None
 
--- a/wagtailfront/membership/member_list_poller.py
+++ b/wagtailfront/membership/member_list_poller.py
@@ -5,6 +5,7 @@
 import msgspec
 from circuits import BaseComponent, Event, handler
 
+from wagtailfront.decoding import decode_json
 from wagtailfront.exception import ProtocolError
 from wagtailfront.membership.heartbeats import instances_listed
 from wagtailfront.membership.member_list import ListedInstance
@@ -58,10 +59,7 @@
     """
     if len(body) > MAX_LIST_BYTES:
         raise ProtocolError(f"list of {len(body)} bytes is too large")
-    try:
-        listed = msgspec.json.decode(body, type=ListBody).instances
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise ProtocolError(f"list is not valid: {error}") from error
+    listed = decode_json(body, ListBody).instances
     return tuple(
         ListedInstance(
             entry.id,
--- a/wagtailfront/platform/engine_client.py
+++ b/wagtailfront/platform/engine_client.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from wagtailfront.decoding import decode_json
+from wagtailfront.exception import ProtocolError
 from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.headers import EXPECTED_ID, RATE_LIMIT, read_rate_limit
@@ -56,8 +58,8 @@
                 reply(None, describe_failure(status, body))
                 return
             try:
-                entries = msgspec.json.decode(body, type=_CachedPartList).held
-            except msgspec.MsgspecError as error:
+                entries = decode_json(body, _CachedPartList).held
+            except ProtocolError as error:
                 reply(None, f"unreadable list of cached parts: {error}")
                 return
             parts = [PromptPart(part_id, tokens) for _, part_id, tokens, _ in entries]
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from wagtailfront.decoding import decode_json
+from wagtailfront.exception import ProtocolError
 from wagtailfront.forwarding.framing import find_header
 from wagtailfront.forwarding.interfaces import (
     PromptPart,
@@ -121,8 +123,8 @@
             If the body is malformed.
         """
         try:
-            handle = msgspec.json.decode(body, type=_Handle).handle
-        except msgspec.MsgspecError as error:
+            handle = decode_json(body, _Handle).handle
+        except ProtocolError as error:
             raise ValueError(f"unreadable handle: {error}")
         return f"{address}/{handle}"
 
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from wagtailfront.decoding import decode_json
+from wagtailfront.exception import ProtocolError
 from wagtailfront.forwarding.endpoint_directory import EndpointRecord
 from wagtailfront.forwarding.routes import (
     CallerLimits,
@@ -118,8 +120,8 @@
 def read_rows(body):
     """Decode the store's response to a read; ValueError if it is malformed."""
     try:
-        return msgspec.json.decode(body, type=StoreRows)
-    except msgspec.MsgspecError as error:
+        return decode_json(body, StoreRows)
+    except ProtocolError as error:
         raise ValueError(f"unreadable rows: {error}")
 
 
@@ -141,14 +143,14 @@
     for row in rows:
         try:
             records.append(_read_endpoint(row))
-        except (ValueError, msgspec.MsgspecError) as error:
+        except (ValueError, ProtocolError) as error:
             skipped[row.key] = str(error)
     return records
 
 
 def _read_endpoint(row):
     data = base64.b64decode(row.value, validate=True)
-    wire = msgspec.json.decode(data, type=_Registration)
+    wire = decode_json(data, _Registration)
     host, colon, port = wire.address.rpartition(":")
     if wire.state not in (READY, DRAINING):
         raise ValueError(f"unknown state {wire.state!r}")
@@ -183,14 +185,14 @@
         return None
     try:
         data = base64.b64decode(row.value, validate=True)
-        wire = msgspec.json.decode(data, type=_Config)
+        wire = decode_json(data, _Config)
         return RoutingConfig(
             version=wire.version,
             routes=tuple(_read_route(route) for route in wire.routes),
             services={s.name: _read_service(s) for s in wire.services},
             limits=_read_limits(wire.limits),
         )
-    except (ValueError, KeyError, msgspec.MsgspecError) as error:
+    except (ValueError, KeyError, ProtocolError) as error:
         raise ValueError(f"unreadable configuration: {error!r}")
 
 
--- a/wagtailfront/platform/store_table.py
+++ b/wagtailfront/platform/store_table.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from wagtailfront.decoding import decode_json, decode_msgpack
+from wagtailfront.exception import ProtocolError
 from wagtailfront.platform.calls import describe_failure
 from wagtailfront.platform.rows import read_rows
 from wagtailfront.stores.interfaces import (
@@ -76,8 +78,8 @@
                     reply(Missing(era=self.client.era))
                     return
                 data = base64.b64decode(rows[0].value, validate=True)
-                stored = msgspec.msgpack.decode(data, type=_Value)
-            except (ValueError, msgspec.MsgspecError) as error:
+                stored = decode_msgpack(data, _Value)
+            except (ValueError, ProtocolError) as error:
                 reply(Unavailable(reason=f"unreadable row: {error}"))
                 return
             self.versions[key] = (stored.version, self.client.position(rows[0].ver))
@@ -108,8 +110,8 @@
                 reply(Unknown(reason=f"the store was restored after {position}"))
             elif status == 200:
                 try:
-                    written = msgspec.json.decode(body, type=_Written).ver
-                except msgspec.MsgspecError as error:
+                    written = decode_json(body, _Written).ver
+                except ProtocolError as error:
                     reply(Unknown(reason=f"unreadable response: {error}"))
                     return
                 written_at = self.client.position(written)
--- /dev/null
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -0,0 +1,180 @@
+"""Tests of rows and answers that another writer left unreadable."""
+
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+
+from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
+from wagtailfront.forwarding.fleet_pace import FleetPace
+from wagtailfront.forwarding.registry_follower import RegistryFollower
+from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
+from wagtailfront.forwarding.tests.builders import (
+    LogLines,
+    VirtualTimers,
+    make_record,
+)
+from wagtailfront.platform.engine_client import EngineClient
+from wagtailfront.platform.headers import PlatformDialect
+from wagtailfront.platform.rows import read_registry, read_routing
+from wagtailfront.platform.store_client import (
+    REGISTRY_TABLE,
+    StoreClient,
+    StoreRegistry,
+)
+from wagtailfront.platform.store_table import StoreTable
+from wagtailfront.platform.tests.builders import (
+    make_config,
+    make_registration,
+    make_row,
+)
+from wagtailfront.platform.tests.store_pool import StorePool
+from wagtailfront.platform.tests.test_engine_client import EnginePool
+from wagtailfront.stores.interfaces import Key, Unavailable
+
+DEPTH = 100_000  # nested lists, far above the limit of recursion
+LEASES = "leases"
+
+
+def nest(depth=DEPTH):
+    """Return nested lists as JSON."""
+    return b"[" * depth + b"]" * depth
+
+
+def with_nested_field(value):
+    """Return an object as JSON, with a further field of nested lists."""
+    return msgspec.json.encode(value)[:-1] + b',"odd":' + nest() + b"}"
+
+
+NUMBERS = st.integers(-(2**70), 2**70) | st.sampled_from([10**400, -(10**400)])
+JSON = st.recursive(
+    st.none() | st.booleans() | NUMBERS | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+ODD_REGISTRATIONS = st.one_of(
+    st.binary(max_size=40),
+    JSON.map(msgspec.json.encode),
+    st.integers(1, 3000).map(nest),
+    st.dictionaries(st.sampled_from(sorted(make_registration())), JSON, min_size=1).map(
+        lambda changes: msgspec.json.encode(make_registration(**changes))
+    ),
+    st.sampled_from(
+        [
+            with_nested_field(make_registration()),
+            b'{"service":"s","address":"10.0.0.8:80","state":"ready","slots":1e400}',
+            b'{"service":"\\ud800","address":"10.0.0.8:80","state":"ready"}',
+        ]
+    ),
+)
+
+
+class Fleet:
+    """A registry that an instance follows, in virtual time."""
+
+    def __init__(self):
+        self.pool = StorePool()
+        self.timers = VirtualTimers()
+        self.log = LogLines()
+        self.directory = EndpointDirectory()
+        follower = RegistryFollower(
+            directory=self.directory,
+            on_change=lambda change: None,
+            log=self.log,
+            timers=self.timers,
+            clock=self.timers.clock,
+        )
+        client = StoreClient(pool=self.pool, host="10.0.0.1", port=80)
+        self.watcher = StoreWatcher(
+            table="registry",
+            source=StoreRegistry(client=client, log=self.log),
+            on_read=follower.apply_read,
+            versions=StoreVersions(tables=("registry",)),
+            pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
+            timers=self.timers,
+            log=self.log,
+            min_gap=0.05,
+        )
+
+    def write(self, key, value):
+        """Write a registration, as bytes or a value for JSON."""
+        self.pool.write(REGISTRY_TABLE, key, make_row(key, value).value)
+
+    def follow(self):
+        """Let the instance follow what was written."""
+        if self.watcher.call_number == 0:
+            self.watcher._on_started(None)
+        self.timers.advance(0.3)
+
+    def sound(self):
+        """Return the ids of the endpoints whose entries are sound."""
+        return sorted(key for key in self.directory.records if key != "odd")
+
+
+@given(odd=ODD_REGISTRATIONS)
+def test_an_instance_follows_the_registry_beside_any_odd_entry(odd):
+    """Guards against one entry that ends the following of all others."""
+    fleet = Fleet()
+    fleet.write("i-1", make_registration())
+    fleet.write("odd", odd)
+    fleet.follow()
+    assert fleet.sound() == ["i-1"]
+    fleet.write("i-2", make_registration(address="10.0.0.7:80"))
+    fleet.write("odd", odd)
+    fleet.follow()
+    assert fleet.sound() == ["i-1", "i-2"]
+
+
+@given(odd=ODD_REGISTRATIONS)
+def test_sound_registrations_are_read_as_without_an_odd_one(odd):
+    """Guards against an entry that changes how others are read."""
+    rows = [make_row("i-1", make_registration()), make_row("i-2", make_registration())]
+    records = read_registry([rows[0], make_row("odd", odd), rows[1]])
+    assert [r for r in records if r.endpoint_id != "odd"] == read_registry(rows)
+
+
+def test_a_deeply_nested_configuration_is_an_error():
+    """Guards against an exception that ends the process."""
+    with pytest.raises(ValueError, match="unreadable configuration"):
+        read_routing([make_row("config", with_nested_field(make_config()))])
+
+
+def test_a_deeply_nested_answer_of_the_store_is_a_failed_read():
+    """Guards against a read that is never answered, so that none follows."""
+    pool, reads = StorePool(), []
+    pool.respond = lambda sink, *rest: EnginePool(
+        200, with_nested_field({"rows": [], "ver": 3})
+    ).request(sink=sink)
+    client = StoreClient(pool=pool, host="10.0.0.1", port=80)
+    StoreRegistry(client=client, log=LogLines()).read(reads.append)
+    assert [read.is_known for read in reads] == [False]
+
+
+def test_a_deeply_nested_lease_is_unavailable():
+    """Guards against a lease row that ends the process."""
+    pool, replies = StorePool(), []
+    value = b"\x93\x01\xc4\x01a" + b"\x91" * DEPTH + b"\x01"
+    pool.write(LEASES, "stages", make_row("stages", value).value)
+    client = StoreClient(pool=pool, host="10.0.0.1", port=80)
+    StoreTable(client=client).get(key=Key("lease", "stages"), reply=replies.append)
+    assert [type(reply) for reply in replies] == [Unavailable]
+
+
+def test_a_deeply_nested_handle_is_an_error():
+    """Guards against a prefill's response that breaks the connection pool."""
+    with pytest.raises(ValueError, match="unreadable handle"):
+        PlatformDialect().read_handle("h", with_nested_field({"handle": "a"}))
+
+
+def test_a_deeply_nested_list_of_cached_parts_is_a_failure():
+    """Guards against an inquiry that is never answered."""
+    replies = []
+    pool = EnginePool(200, with_nested_field({"held": []}))
+    EngineClient(pool=pool, instance="a").read_cached_parts(
+        make_record("i-1"), lambda *reply: replies.append(reply)
+    )
+    assert [parts for parts, _reason in replies] == [None]
