Skip rows of instances without a usable address

A row of `instances` that was not base64 raised in the reader of the HTTP connection, so the peers were not read, and each read failed a supervised component. One whose text was no address reached ZeroMQ's connect, which raised in every broadcast: the peers after it got no loads, and five failures in a minute end the process.

Such rows are skipped, with one log line for each row and reason (SkippedRows, also for registrations, which logged a row once even if its reason changed). An address must be an IP number and a port in the usual notation. The bus itself drops messages to an address that it cannot connect to, and logs that once.

--- a/wagtailfront/membership/peer_bus.py
+++ b/wagtailfront/membership/peer_bus.py
@@ -156,6 +156,7 @@
         self.poller = None
         self.context = zmq.Context()
         self.dealers = {}
+        self.unusable = set()  # addresses that cannot be connected to
         self.by_descriptor = {}
         self.dropped = 0
         self.rejected = 0
@@ -197,7 +198,13 @@
         return socket
 
     def _connect(self, address):
-        """Connect to a peer; returns None at the limit or without its key."""
+        """Connect to a peer.
+
+        Returns None at the limit, without its key, or if its address cannot
+        be connected to.
+        """
+        if address in self.unusable:
+            return None
         server_key = self.keys.server_key(address) if self.keys else None
         if len(self.dealers) >= MAX_PEERS or (self.keys and server_key is None):
             return None
@@ -208,7 +215,13 @@
         socket.connect_timeout = CONNECT_TIMEOUT_MS
         if self.keys:
             socket.curve_serverkey = server_key
-        socket.connect(f"tcp://{address}")
+        try:
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            logger.warning("[bus] cannot connect to %.80r: %s", address, error)
+            self.unusable.add(address)
+            socket.close()
+            return None
         self.dealers[address] = socket
         self._watch(socket, address)
         return socket
@@ -382,6 +395,7 @@
 
     @handler("peers_changed")
     def _on_peers_changed(self, addresses):
+        self.unusable.intersection_update(addresses)
         for address in set(self.dealers) - set(addresses):
             self._close(self.dealers.pop(address))
 
--- a/wagtailfront/membership/tests/test_peer_bus.py
+++ b/wagtailfront/membership/tests/test_peer_bus.py
@@ -10,6 +10,7 @@
 from wagtailfront.membership.peer_bus import (
     PeerBus,
     Source,
+    peer_broadcast,
     peer_reply,
     peer_send,
     peers_changed,
@@ -123,6 +124,19 @@
     close(instances)
 
 
+def test_an_odd_address_does_not_hide_the_peers_after_it(caplog):
+    """Guards against broadcasts that each fail and restart the bus."""
+    instances = first, second = Instance(), Instance()
+    connect(first, second, instances)
+    addresses = ("", "a\0b:80", "engine", second.bus.address)
+    for number in range(3):
+        message = messages.ConfigFetch(after=number)
+        first.loop.fire(peer_broadcast(addresses, message), "peer_bus")
+    run(instances, lambda: len(second.received) == 3)
+    assert len([r for r in caplog.records if "cannot connect" in r.message]) == 3
+    close(instances)
+
+
 def test_peer_that_restarts_at_its_address_is_reached_again():
     """Guards against an address that stays bound, and a lost connection."""
     instances = first, second = Instance(), Instance()
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from wagtailfront.decoding import decode_json
+from wagtailfront.decoding import decode_address, decode_json
 from wagtailfront.exception import ProtocolError
 from wagtailfront.forwarding.endpoint_directory import EndpointRecord
 from wagtailfront.forwarding.routes import (
@@ -18,7 +18,13 @@
     ServiceShare,
 )
 
-__all__ = ["StoreRows", "read_rows", "read_registry", "read_routing"]
+__all__ = [
+    "StoreRows",
+    "read_rows",
+    "read_registry",
+    "read_instance_address",
+    "read_routing",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -169,6 +175,13 @@
     )
 
 
+def read_instance_address(row):
+    """Return the address in an instance's row; ValueError if it has none."""
+    address = base64.b64decode(row.value, validate=True).decode("ascii")
+    decode_address(address)
+    return address
+
+
 def read_routing(rows):
     """Return the latest RoutingConfig in the rows, or None if there is none.
 
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -15,10 +15,12 @@
 from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.rows import (
     StoreRows,
+    read_instance_address,
     read_registry,
     read_routing,
     read_rows,
 )
+from wagtailfront.platform.skipped_rows import SkippedRows
 
 __all__ = ["StoreClient", "StoreMembership", "StoreRegistry", "StoreRouting"]
 
@@ -212,8 +214,8 @@
 
     Attributes
     ----------
-    skipped : dict
-        Reasons by key of the malformed registrations in the latest read.
+    skipped : SkippedRows
+        Malformed registrations in the latest read.
     rows : dict of str to StoreRow
         Registrations by key.
     read_to : StorePosition
@@ -222,8 +224,7 @@
 
     def __init__(self, *, client, log):
         self.client = client
-        self.log = log
-        self.skipped = {}
+        self.skipped = SkippedRows(kind="registration_skipped", log=log)
         self.rows = {}
         self.read_to = StorePosition()
 
@@ -267,9 +268,7 @@
     def _registry_read(self, rows):
         skipped = {}
         records = tuple(read_registry(self.rows.values(), skipped=skipped))
-        for key in skipped.keys() - self.skipped.keys():
-            self.log.decision("registration_skipped", outcome=key, reason=skipped[key])
-        self.skipped = skipped
+        self.skipped.replace(skipped)
         return RegistryRead(
             True,
             records=records,
@@ -324,6 +323,7 @@
     def __init__(self, *, client, log):
         self.client = client
         self.log = log
+        self.skipped = SkippedRows(kind="instance_skipped", log=log)
 
     def announce(self, row, reply):
         """Write an instance's address."""
@@ -344,11 +344,19 @@
                 self.log.decision("instances", outcome="unknown", reason=reason)
                 reply(None)
             else:
-                reply([self._read_instance(row) for row in rows.rows])
+                reply(self._read_instances(rows.rows))
 
         self.client.read_table(INSTANCE_TABLE, on_rows)
 
-    def _read_instance(self, row):
-        address = base64.b64decode(row.value).decode("ascii", "replace")
-        version = self.client.position(row.ver)
-        return InstanceRow(instance=row.key, address=address, version=version)
+    def _read_instances(self, rows):
+        instances, skipped = [], {}
+        for row in rows:
+            try:
+                address = read_instance_address(row)
+            except ValueError as error:
+                skipped[row.key] = str(error)
+                continue
+            version = self.client.position(row.ver)
+            instances.append(InstanceRow(row.key, address, version))
+        self.skipped.replace(skipped)
+        return instances
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -19,8 +19,10 @@
 from wagtailfront.platform.headers import PlatformDialect
 from wagtailfront.platform.rows import read_registry, read_routing
 from wagtailfront.platform.store_client import (
+    INSTANCE_TABLE,
     REGISTRY_TABLE,
     StoreClient,
+    StoreMembership,
     StoreRegistry,
 )
 from wagtailfront.platform.store_table import StoreTable
@@ -178,3 +180,55 @@
         make_record("i-1"), lambda *reply: replies.append(reply)
     )
     assert [parts for parts, _reason in replies] == [None]
+
+
+ODD_ADDRESSES = (
+    "",
+    ":80",
+    "10.0.0.8",
+    "10.0.0.8:0",
+    "10.0.0.8:65536",
+    "10.0.0.8:080",
+    "10.0.0.8:8²",
+    "10.0.0.8:٣",
+    "10.0.0.8:" + "1" * 5000,
+    "10.0.0:80",
+    "10.0.0.256:80",
+    "0.0.0.0:80",
+    "engine.example:80",
+    "::1:80",
+    "a\0b:80",
+    "x" * 3000 + ":80",
+)
+
+
+def read_instances(membership):
+    """Return the addresses of the instances in one read of their table."""
+    reads = []
+    membership.read(reads.append)
+    return [row.address for row in reads[0]]
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_an_instance_row_with_an_odd_address_is_skipped(address):
+    """Guards against a connection to an address that cannot be parsed."""
+    pool = StorePool()
+    membership = StoreMembership(
+        client=StoreClient(pool=pool, host="10.0.0.1", port=80), log=LogLines()
+    )
+    pool.write(INSTANCE_TABLE, "a", make_row("a", b"10.0.0.2:7").value)
+    pool.write(INSTANCE_TABLE, "odd", make_row("odd", address.encode()).value)
+    assert read_instances(membership) == ["10.0.0.2:7"]
+
+
+@given(value=st.text(max_size=20) | st.sampled_from(["=", "A", "A===", "AAAA="]))
+def test_instances_are_found_beside_a_row_of_any_text(value):
+    """Guards against a row that is not base64 and hides all instances."""
+    pool, log = StorePool(), LogLines()
+    membership = StoreMembership(
+        client=StoreClient(pool=pool, host="10.0.0.1", port=80), log=log
+    )
+    pool.write(INSTANCE_TABLE, "a", make_row("a", b"10.0.0.2:7").value)
+    pool.write(INSTANCE_TABLE, "odd", value)
+    assert [read_instances(membership) for _ in range(3)] == [["10.0.0.2:7"]] * 3
+    assert [(kind, key) for kind, key, _ in log] == [("instance_skipped", "odd")]
