Skip registrations with an odd address, id, stage or number

An entry of another writer in the registry could name an endpoint that fails in use. A host that is no IP number makes connect_ex raise (gaierror, UnicodeError, ValueError) or look the name up while all requests wait. A key with a line break wrote headers of its own into requests, as the id is sent in one. Slots and start times of any size were accepted, and went into loads and messages to peers.

An entry is an endpoint's only if its fields have the types and values that the registry names. The optional fields `sequence` and `cold-remaining-ms` are checked too, since one of another type shows another writer; unknown fields may hold anything that can be read. Reasons in the log are cut to 160 characters.

Some of the odd fields were rejected already.

--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -2,7 +2,8 @@
 
 import base64
 import logging
-from typing import Annotated
+import re
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -29,7 +30,12 @@
 logger = logging.getLogger(__name__)
 
 MS_PER_SECOND = 1000
-READY, DRAINING = "ready", "draining"
+DRAINING = "draining"
+MAX_SLOTS = 100_000
+MAX_REASON = 160  # characters of a reason in the log
+MAX_NUMBER = 2**53
+# Ids are sent as a header's value.
+ENDPOINT_ID = re.compile(r"[!-~]+")
 ROUTING_KEY = "config"
 KINDS = {
     "safe": RequestKind.SAFE,
@@ -37,6 +43,7 @@
     "streaming": RequestKind.STREAMING,
 }
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -66,17 +73,20 @@
 
     `zone` is its data centre, `slots` how many requests it processes
     concurrently, and `born` its start time in Unix milliseconds. The fields
-    `version`, of its software, and `sequence`, a count of its orders, are
-    ignored.
+    `version`, of its software, `sequence`, a count of its orders, and
+    `cold-remaining-ms` are not used. An entry with a field of another type
+    is not an endpoint's own.
     """
 
     service: NonEmpty
     address: NonEmpty
-    zone: str = ""
-    slots: Annotated[int, msgspec.Meta(ge=1)] = 1
-    state: str
-    stage: str = ""
-    born: int = 0
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    stage: Literal["prefill", "decode", ""] = ""
+    born: Number = 0
+    cold_remaining_ms: float = 0.0
+    sequence: Number = 0
 
 
 class _Share(_Wire, kw_only=True):
@@ -150,23 +160,21 @@
         try:
             records.append(_read_endpoint(row))
         except (ValueError, ProtocolError) as error:
-            skipped[row.key] = str(error)
+            skipped[row.key] = str(error)[:MAX_REASON]
     return records
 
 
 def _read_endpoint(row):
     data = base64.b64decode(row.value, validate=True)
     wire = decode_json(data, _Registration)
-    host, colon, port = wire.address.rpartition(":")
-    if wire.state not in (READY, DRAINING):
-        raise ValueError(f"unknown state {wire.state!r}")
-    if not colon or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"unreadable address {wire.address!r}")
+    host, port = decode_address(wire.address)
+    if not ENDPOINT_ID.fullmatch(row.key):
+        raise ValueError(f"unreadable id {row.key!r:.80}")
     return EndpointRecord(
         endpoint_id=row.key,
         service=wire.service,
         host=host,
-        port=int(port),
+        port=port,
         data_centre=wire.zone,
         slots=wire.slots,
         is_leaving=wire.state == DRAINING,
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from wagtailfront.decoding import decode_address
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.fleet_pace import FleetPace
 from wagtailfront.forwarding.registry_follower import RegistryFollower
@@ -17,7 +18,7 @@
 )
 from wagtailfront.platform.engine_client import EngineClient
 from wagtailfront.platform.headers import PlatformDialect
-from wagtailfront.platform.rows import read_registry, read_routing
+from wagtailfront.platform.rows import MAX_SLOTS, read_registry, read_routing
 from wagtailfront.platform.store_client import (
     INSTANCE_TABLE,
     REGISTRY_TABLE,
@@ -232,3 +233,69 @@
     pool.write(INSTANCE_TABLE, "odd", value)
     assert [read_instances(membership) for _ in range(3)] == [["10.0.0.2:7"]] * 3
     assert [(kind, key) for kind, key, _ in log] == [("instance_skipped", "odd")]
+
+
+ODD_KEYS = ("", " ", "a b", "a\r\nX-Stage: prefill", "a\0", "é", "i\u2028", "\x7f")
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        *({"address": address} for address in ODD_ADDRESSES),
+        *({"slots": slots} for slots in (0, -1, 2**63, 10**400, 1.5, True, None)),
+        *({"born": born} for born in (-1, 2**63, 10**400, 1.5, "5")),
+        *({field: 7} for field in ("service", "zone", "state", "stage")),
+        {"stage": "other"},
+        {"state": "stopped"},
+        {"sequence": "4"},
+        {"sequence": 10**400},
+        {"cold-remaining-ms": []},
+    ],
+)
+def test_a_registration_with_an_odd_field_names_no_endpoint(changes):
+    """Guards against requests, orders and reports that name no engine."""
+    skipped = {}
+    row = make_row("odd", make_registration(**changes))
+    assert read_registry([row], skipped=skipped) == []
+    assert list(skipped) == ["odd"]
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
+def test_a_registration_without_a_field_names_no_endpoint(field):
+    """Guards against values that another writer did not state."""
+    value = make_registration()
+    del value[field]
+    assert read_registry([make_row("odd", value)]) == []
+
+
+@pytest.mark.parametrize("key", ODD_KEYS)
+def test_a_registration_under_an_odd_key_names_no_endpoint(key):
+    """Guards against headers that are written into the id's header."""
+    rows = [make_row(key, make_registration()), make_row("i-1", make_registration())]
+    assert [record.endpoint_id for record in read_registry(rows)] == ["i-1"]
+
+
+@given(key=st.text(max_size=8) | st.sampled_from(ODD_KEYS), odd=ODD_REGISTRATIONS)
+def test_every_endpoint_that_is_read_can_be_connected_to(key, odd):
+    """Guards against an address or a header that fails in a request."""
+    for record in read_registry([make_row(key, odd)]):
+        assert decode_address(record.address) == (record.host, record.port)
+        assert record.endpoint_id.isascii() and record.endpoint_id.isprintable()
+        assert 1 <= record.slots <= MAX_SLOTS
+
+
+@pytest.mark.parametrize("changes", [{"slots": 0}, {"address": "1" * 9000}])
+def test_an_odd_entry_is_logged_once_for_each_reason(changes):
+    """Guards against a line, or a long one, with each read."""
+    fleet = Fleet()
+    fleet.write("odd", {})
+    for number in range(4):
+        fleet.write("i-1", make_registration(slots=1 + number))
+        fleet.follow()
+    fleet.write("odd", make_registration(**changes))
+    fleet.follow()
+    lines = [
+        fields for kind, _key, fields in fleet.log if kind == "registration_skipped"
+    ]
+    assert len(lines) == 2
+    assert all(len(fields["reason"]) < 200 for fields in lines)
