Accept names of endpoints as long as keys of the store

A digest that names one endpoint with an id of more than about 114 characters was dropped by all peers as a whole, with the loads of all other endpoints: the limit on texts was 128 characters, while a key of the store may have 200 bytes, and the name of an incarnation has its start time too.

Test: test_loads_of_an_endpoint_with_a_long_id_reach_the_peers fails before, passes after.

--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -39,7 +39,9 @@
 MAX_SMALL_MESSAGE_BYTES = 96 * 1024
 MAX_NUMBER = 2**53
 
-Text = Annotated[str, msgspec.Meta(max_length=128)]
+# The name of an incarnation is a key of the store, of up to 200 bytes, and
+# the time of its start.
+Text = Annotated[str, msgspec.Meta(max_length=256)]
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Age = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 Count = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -16,6 +16,12 @@
     VirtualTimers,
     make_record,
 )
+from wagtailfront.membership.messages import (
+    EndpointPending,
+    PlacementDigest,
+    decode_message,
+    encode_message,
+)
 from wagtailfront.platform.engine_client import EngineClient
 from wagtailfront.platform.headers import PlatformDialect
 from wagtailfront.platform.rows import MAX_SLOTS, read_registry, read_routing
@@ -299,3 +305,11 @@
     ]
     assert len(lines) == 2
     assert all(len(fields["reason"]) < 200 for fields in lines)
+
+
+def test_loads_of_an_endpoint_with_a_long_id_reach_the_peers():
+    """Guards against an id that makes peers drop all loads of a digest."""
+    (record,) = read_registry([make_row("i" * 200, make_registration(born=2**53))])
+    load = EndpointPending(endpoint=record.incarnation, outstanding=1, pending=())
+    digest = PlacementDigest(incarnation="a", loads=(load,), prompts=())
+    assert decode_message(encode_message(digest)) == digest
