Keep callers' odd prompts out of the messages to peers

A prompt of more than 16 shared parts, or with a long id, made every peer drop the whole digest, with the loads of all endpoints. A number of tokens above 2**53, or below 0, did so too, and one above 2**64 made the encoder raise OverflowError in the bus, which five times in a minute ends the process. A time limit "nan" or "1e400" was taken as a number of seconds.

A digest names the first 16 parts, up to one with a long id. A request whose numbers are out of range is malformed (400).

Tests: 15 new cases in test_odd_rows.py fail before, pass after; 369 tests of platform and forwarding (test_f*, test_p*, relays) pass.

--- a/wagtailfront/forwarding/fleet_load.py
+++ b/wagtailfront/forwarding/fleet_load.py
@@ -4,6 +4,8 @@
 from collections import Counter
 
 from wagtailfront.membership.messages import (
+    MAX_PARTS,
+    MAX_TEXT,
     EndpointPending,
     PlacedPrompt,
     PlacementDigest,
@@ -81,8 +83,16 @@
         return bool(self.health.states) or self.has_peer_requests
 
     def record_placement(self, endpoint, parts):
-        """Record the placement of a prompt for the next digest."""
-        shared = tuple((part.part_id, part.tokens) for part in parts[:-1])
+        """Record the placement of a prompt for the next digest.
+
+        Peers learn of the first parts that a digest may hold.
+        """
+        shared = tuple(
+            (part.part_id, part.tokens)
+            for part in itertools.takewhile(
+                lambda part: len(part.part_id) <= MAX_TEXT, parts[:-1][:MAX_PARTS]
+            )
+        )
         if shared and len(self.prompts) < MAX_PROMPTS:
             self.prompts.append(PlacedPrompt(endpoint, shared))
 
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -29,6 +29,8 @@
     "Leaving",
     "Message",
     "MAX_MESSAGE_BYTES",
+    "MAX_PARTS",
+    "MAX_TEXT",
     "encode_message",
     "decode_message",
 ]
@@ -41,7 +43,9 @@
 
 # The name of an incarnation is a key of the store, of up to 200 bytes, and
 # the time of its start.
-Text = Annotated[str, msgspec.Meta(max_length=256)]
+MAX_TEXT = 256  # characters
+MAX_PARTS = 16  # parts of one prompt
+Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT)]
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Age = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 Count = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
@@ -179,7 +183,9 @@
     """
 
     endpoint: Text
-    parts: Annotated[tuple[tuple[Text, Number], ...], msgspec.Meta(max_length=16)]
+    parts: Annotated[
+        tuple[tuple[Text, Number], ...], msgspec.Meta(max_length=MAX_PARTS)
+    ]
 
 
 class EndpointRate(msgspec.Struct, frozen=True, array_like=True):
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -36,6 +36,7 @@
 PREFILL = b"prefill"
 LOWEST_PRIORITY = 9  # largest value of PRIORITY; 0 is the most urgent
 MS_PER_SECOND = 1000
+MAX_TOKENS = 2**32  # so that sums over all requests stay exact in messages
 
 # Only the system sets these headers; they are removed from callers' requests.
 SYSTEM_HEADERS = frozenset(
@@ -71,13 +72,12 @@
         def text(name):
             return values.get(name.lower(), b"").decode("latin-1")
 
-        deadline = text(DEADLINE)
         last_event = text(LAST_EVENT)
         prompt_tokens, max_output = _read_tokens(text(TOKENS))
         return RequestFields(
             request_id=text(REQUEST_ID),
             host=text(HOST).partition(":")[0],
-            time_left=float(deadline) / MS_PER_SECOND if deadline else None,
+            time_left=_read_time_limit(text(DEADLINE)),
             model=text(MODEL),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output,
@@ -151,11 +151,29 @@
 
 def _read_tokens(text):
     prompt, _comma, output = text.partition(",")
-    return int(prompt or 0), int(output or 0)
+    return _read_count(prompt or 0), _read_count(output or 0)
 
 
 def _read_parts(text):
     pairs = (entry.partition(":") for entry in text.split(",") if entry.strip())
     return tuple(
-        PromptPart(part_id.strip(), int(tokens)) for part_id, _colon, tokens in pairs
+        PromptPart(part_id.strip(), _read_count(tokens))
+        for part_id, _colon, tokens in pairs
     )
+
+
+def _read_count(text):
+    count = int(text)
+    if not 0 <= count <= MAX_TOKENS:
+        raise ValueError(f"number of tokens {count} is out of range")
+    return count
+
+
+def _read_time_limit(text):
+    """Return a time limit in seconds, or None without one."""
+    if not text:
+        return None
+    time_left = float(text) / MS_PER_SECOND
+    if not math.isfinite(time_left):
+        raise ValueError(f"time limit {text:.40} is not a number")
+    return time_left
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -8,7 +8,10 @@
 
 from wagtailfront.decoding import decode_address
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
+from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.fleet_pace import FleetPace
+from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
 from wagtailfront.forwarding.tests.builders import (
@@ -313,3 +316,42 @@
     load = EndpointPending(endpoint=record.incarnation, outstanding=1, pending=())
     digest = PlacementDigest(incarnation="a", loads=(load,), prompts=())
     assert decode_message(encode_message(digest)) == digest
+
+
+@pytest.mark.parametrize("number", ["-1", str(2**53 + 1), str(10**30)])
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"X-Token-Count", "%s,8"),
+        (b"X-Token-Count", "8,%s"),
+        (b"X-Prompt-Prefix", "a:%s"),
+    ],
+)
+def test_a_number_of_tokens_that_no_message_holds_is_an_error(name, value, number):
+    """Guards against a request whose load cannot be sent to the peers."""
+    with pytest.raises(ValueError, match="tokens"):
+        PlatformDialect().read_request([(name, (value % number).encode())])
+
+
+@pytest.mark.parametrize("value", [b"nan", b"inf", b"1e400", b"-inf"])
+def test_a_time_limit_that_is_no_number_is_an_error(value):
+    """Guards against timers that are never due or in no order."""
+    with pytest.raises(ValueError, match="time limit"):
+        PlatformDialect().read_request([(b"X-Deadline-Ms", value)])
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [PromptPart(f"p{number}", 8) for number in range(40)],
+        [PromptPart("p" * 300, 8), PromptPart("q", 8)],
+    ],
+)
+def test_a_prompt_of_many_or_long_parts_does_not_hide_loads(parts):
+    """Guards against a prompt that makes peers drop the whole digest."""
+    load = FleetLoad(incarnation="a", address="10.0.0.1:1", health=EndpointHealth())
+    load.record_placement("e1/1", parts)
+    load.record_placement("e1/1", [PromptPart("r", 8), PromptPart("s", 8)])
+    digest = load.make_digest(full=True)
+    assert decode_message(encode_message(digest)) == digest
+    assert digest.prompts[-1].parts == (("r", 8),)
