Read on past a lease row that cannot be decoded

A lease row that is no lease, or has a number too large, raised in the lease machine of each instance that wanted it (ValidationError, RecursionError; OverflowError when the next number was written). After five such failures in a minute the process ends.

Such a row is neither held nor taken over, since fencing numbers must not start anew; it is read again later and logged once for each version. Numbers in lease rows have the limits of those in messages.

Test: test_an_odd_lease_row_is_neither_taken_nor_the_end_of_others fails before, passes after; 169 tests of authority, of the store's clients and of stages pass.

--- a/wagtailfront/authority/lease.py
+++ b/wagtailfront/authority/lease.py
@@ -1,6 +1,7 @@
 """Leases with fencing numbers, stored as table rows."""
 
-from typing import NamedTuple
+import logging
+from typing import Annotated, NamedTuple
 
 import msgspec
 import xxhash
@@ -11,6 +12,8 @@
     StartTimer,
     WriteRows,
 )
+from wagtailfront.decoding import decode_msgpack
+from wagtailfront.exception import ProtocolError
 from wagtailfront.stores.interfaces import (
     Committed,
     Found,
@@ -21,12 +24,17 @@
 
 __all__ = ["Lease", "LeaseTimes", "Grant", "LeaseMachine", "lease_key", "candidates"]
 
+logger = logging.getLogger(__name__)
+
 NO_HOLDER = ""
+MAX_NUMBER = 2**53
 # Era of a store that has never come back from an older copy; 0 if it does not
 # say. In any later one a lease may have been lost.
 FIRST_ERA = 1
 FENCING_NUMBERS_PER_ERA = 2**20
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class Lease(msgspec.Struct, frozen=True):
     """Value of a lease row.
@@ -45,9 +53,9 @@
     """
 
     holder: str
-    fencing: int
-    beat: int
-    era: int = 0
+    fencing: Number
+    beat: Number
+    era: Number = 0
 
 
 class LeaseTimes(NamedTuple):
@@ -164,6 +172,7 @@
         self.wanted = False
         self.era = None
         self.has_predecessor = True
+        self.unreadable = None  # latest version of the row that was not read
         self.row = None  # version and Lease of the last known row
         self.seen_at = None  # when that version was first read or written
         self.until = float("-inf")
@@ -264,7 +273,10 @@
         version, lease = 0, Lease(NO_HOLDER, 0, 0, min(reply.era, FIRST_ERA))
         if isinstance(reply, Found):
             version = reply.row.version
-            lease = msgspec.msgpack.decode(reply.row.value, type=Lease)
+            try:
+                lease = decode_msgpack(reply.row.value, Lease)
+            except ProtocolError as error:
+                return self._on_unreadable(now, version, error)
         if self.row is None or self.row[0] != version or self.era != reply.era:
             self.seen_at = now
         self.row, self.era = (version, lease), reply.era
@@ -285,6 +297,14 @@
         self.next_step = min(now + self.times.renew_every, self._takeover_at())
         return self._sleep()
 
+    def _on_unreadable(self, now, version, error):
+        """Read later again: fencing numbers must not start anew."""
+        if version != self.unreadable:
+            self.unreadable = version
+            logger.warning("[lease] row of %s skipped: %.160s", self.group, error)
+        self.next_step = now + self.times.retry_after
+        return self._sleep()
+
     def _takeover_at(self):
         return self.seen_at + self.times.lifetime + self.times.margin
 
--- a/wagtailfront/platform/store_table.py
+++ b/wagtailfront/platform/store_table.py
@@ -1,6 +1,7 @@
 """TableStore on rows of the platform's store."""
 
 import base64
+from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
@@ -22,6 +23,7 @@
 __all__ = ["StoreTable"]
 
 TABLE = "leases"
+MAX_VERSION = 2**53
 CONDITION_FAILED = 412
 REJECTED_STATUSES = (429, 503)  # the store states that nothing was written
 
@@ -29,7 +31,7 @@
 class _Value(msgspec.Struct, frozen=True, array_like=True):
     """Contents of a row; `version` counts the row's writes from 1."""
 
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=1, le=MAX_VERSION)]
     value: bytes
 
 
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -6,6 +6,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from wagtailfront.authority.lease import Lease
+from wagtailfront.authority.lease_manager import LeaseManager
 from wagtailfront.decoding import decode_address
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
@@ -27,7 +29,11 @@
 )
 from wagtailfront.platform.engine_client import EngineClient
 from wagtailfront.platform.headers import PlatformDialect
-from wagtailfront.platform.rows import MAX_SLOTS, read_registry, read_routing
+from wagtailfront.platform.rows import (
+    MAX_SLOTS,
+    read_registry,
+    read_routing,
+)
 from wagtailfront.platform.store_client import (
     INSTANCE_TABLE,
     REGISTRY_TABLE,
@@ -355,3 +361,44 @@
     digest = load.make_digest(full=True)
     assert decode_message(encode_message(digest)) == digest
     assert digest.prompts[-1].parts == (("r", 8),)
+
+
+BIG = 2**64 - 1
+ODD_LEASES = st.one_of(
+    st.binary(max_size=30),
+    JSON.map(msgspec.json.encode),
+    st.sampled_from(
+        [
+            b"\x91" * DEPTH + b"\x01",
+            msgspec.msgpack.encode(Lease("b", BIG, 1)),
+            msgspec.msgpack.encode(Lease("b", 1, -1)),
+        ]
+    ),
+)
+
+
+@given(
+    value=ODD_LEASES,
+    version=st.integers(-(2**63), BIG) | st.sampled_from([1, BIG]),
+)
+def test_an_odd_lease_row_is_neither_taken_nor_the_end_of_others(value, version):
+    """Guards against a lease row that ends the process of each candidate."""
+    pool = StorePool()
+    client = StoreClient(pool=pool, host="10.0.0.1", port=80)
+    now = 0.0
+    managers = {
+        name: LeaseManager(
+            group=name, instance="a", store=StoreTable(client=client), clock=lambda: now
+        )
+        for name in ("odd", "stages")
+    }
+    row = msgspec.msgpack.encode([version, value])
+    pool.write(LEASES, "odd", make_row("odd", row).value)
+    for manager in managers.values():
+        manager.want(True)
+    for _ in range(60):
+        now += 0.5
+        for manager in managers.values():
+            manager.wake_if_due(now)
+    assert managers["stages"].grant() is not None
+    assert managers["odd"].grant() is None
