Read the other rows of an answer with an unreadable one

One row of an answer of the store with a field of another type, or a version out of range, made the whole read fail, and so again with each try: an instance that starts would find no endpoints.

After such an error the rows are decoded one by one. One with a printable key is kept without a value, at the answer's version, so that its table skips it and names it in the log; one without is left out and logged once. Deep nesting outside of a row's value still fails the read, which is tried again: the store takes only rows of texts, so that another writer cannot cause it.

--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -1,6 +1,8 @@
 """Decoding of the store's rows that endpoints and operators write."""
 
 import base64
+import functools
+import json
 import logging
 import re
 from typing import Annotated, Literal
@@ -31,6 +33,7 @@
 
 MS_PER_SECOND = 1000
 DRAINING = "draining"
+READ_ERRORS = (ValueError, OverflowError, msgspec.ValidationError)
 MAX_SLOTS = 100_000
 MAX_REASON = 160  # characters of a reason in the log
 MAX_NUMBER = 2**53
@@ -56,7 +59,7 @@
 
     key: str
     value: str = ""
-    ver: int = 0
+    ver: Number = 0
     removed: bool = False
 
 
@@ -64,7 +67,7 @@
     """Response to a read; `ver` is the latest version of the whole store."""
 
     rows: list[StoreRow]
-    ver: int
+    ver: Number
     has_more: bool = False
 
 
@@ -134,11 +137,49 @@
 
 
 def read_rows(body):
-    """Decode the store's response to a read; ValueError if it is malformed."""
+    """Decode the store's response to a read.
+
+    A row of another form that has a key is taken as changed and has no value;
+    one without a printable key is left out.
+
+    Raises
+    ------
+    ValueError
+        If the response is malformed.
+    """
     try:
         return decode_json(body, StoreRows)
     except ProtocolError as error:
+        return _read_sound_rows(body, error)
+
+
+def _read_sound_rows(body, error):
+    """Decode the rows of a response one by one after an error."""
+    try:
+        answer = json.loads(body)
+        found = msgspec.convert({**answer, "rows": []}, StoreRows)
+        values = list(answer["rows"])
+    except (*READ_ERRORS, KeyError, TypeError, RecursionError):
         raise ValueError(f"unreadable rows: {error}")
+    rows = []
+    for value in values:
+        try:
+            row = msgspec.convert(value, StoreRow)
+            (row.key + row.value).encode()  # raises for lone surrogates
+            rows.append(row)
+        except READ_ERRORS as error:
+            key = value.get("key") if isinstance(value, dict) else None
+            _log_unreadable(f"{key!r:.80}", f"{error!s:.160}")
+            if isinstance(key, str) and key.isprintable():
+                rows.append(StoreRow(key=key, ver=found.ver))
+    found.rows = rows
+    return found
+
+
+@functools.lru_cache(maxsize=256)
+def _log_unreadable(key, reason):
+    """Log an unreadable row, once for each key and reason."""
+    logger.warning("[store] row %s is unreadable: %s", key, reason)
 
 
 def read_registry(rows, *, skipped=None):
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -33,6 +33,7 @@
     MAX_SLOTS,
     read_registry,
     read_routing,
+    read_rows,
 )
 from wagtailfront.platform.store_client import (
     INSTANCE_TABLE,
@@ -402,3 +403,37 @@
             manager.wake_if_due(now)
     assert managers["stages"].grant() is not None
     assert managers["odd"].grant() is None
+
+
+ODD_ROWS = JSON | st.fixed_dictionaries(
+    {}, optional={name: JSON for name in ("key", "value", "ver", "removed")}
+)
+
+
+def answer_with(*rows):
+    """Return an answer of the store with these rows, as JSON."""
+    return b'{"rows":[' + b",".join(rows) + b'],"ver":9}'
+
+
+@given(
+    odd=ODD_ROWS.map(msgspec.json.encode) | st.sampled_from([b"1e400", b'"\\ud800"'])
+)
+def test_rows_are_read_beside_one_of_another_form(odd):
+    """Guards against one row that hides all others of an answer."""
+    sound = [msgspec.json.encode(make_row(key, {}, ver=3)) for key in ("a", "b")]
+    rows = read_rows(answer_with(sound[0], odd, sound[1]))
+    assert [rows.rows[0], rows.rows[-1]] == [make_row(key, {}, ver=3) for key in "ab"]
+    assert rows.ver == 9
+    assert len(rows.rows) <= 3
+    assert all(0 <= row.ver <= 2**53 for row in rows.rows)
+
+
+@pytest.mark.parametrize(
+    "field", ['"value":3', '"ver":1e400', '"ver":-1', '"removed":[]']
+)
+def test_a_row_with_an_odd_field_has_no_value_and_is_new(field):
+    """Guards the change to a row that can be named but not read."""
+    odd = b'{"key":"odd","value":"e30=",%s}' % field.encode()
+    odd = odd.replace(b'"value":"e30=","value"', b'"value"')
+    (row,) = read_rows(answer_with(odd)).rows
+    assert (row.key, row.value, row.removed, row.ver) == ("odd", "", False, 9)
