--- a/wagtailfront/endpoints/tests/test_load_reporter.py
+++ b/wagtailfront/endpoints/tests/test_load_reporter.py
@@ -1,17 +1,22 @@
 """Tests of reading and sharing load reports."""
 
 import msgspec
+import pytest
 
 from wagtailfront.bench.slope_fleet import make_fleet
 from wagtailfront.callers.tests.fakes import FakePool
+from wagtailfront.endpoints.chunk_check import ChunkCheck
 from wagtailfront.endpoints.engine_protocol import EngineLoad
 from wagtailfront.endpoints.load_reporter import (
     DIGEST_MISSING,
     MAX_DIRECT_READS,
     LoadReporter,
+    _decode,
 )
+from wagtailfront.exception import ProtocolError
 
 ENGINES = 30
+DEEP = b'{"odd":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 LOAD = EngineLoad(
     running=3,
     waiting=1,
@@ -79,3 +84,15 @@
     assert (digest.group, digest.fencing_number) == ("brum/0", 7)
     assert digest.loads[0].running == 3
     assert digest.loads[0].age >= 0.5
+
+
+def test_a_deeply_nested_report_is_not_read():
+    """Guards against a report that ends the reading of all others."""
+    assert _decode(DEEP) is None
+
+
+def test_a_deeply_nested_chunk_is_a_protocol_error():
+    """Guards against a chunk that ends more than its own stream."""
+    check = ChunkCheck(request_id="r", attempt=1, next_token=0)
+    with pytest.raises(ProtocolError, match="unreadable chunk"):
+        check.feed(b"data: " + DEEP + b"\n\n")
