Check handles, eras and counts of tokens that others state

An engine's handle went into a request's header as it was, so that one with a line break wrote further headers into it. The era in an answer of the store could have any number of digits: 5,000 raised in the reader of the connection, and 30 went into messages that peers cannot decode. Counts of cached tokens could be negative or of any size.

--- a/wagtailfront/platform/engine_client.py
+++ b/wagtailfront/platform/engine_client.py
@@ -1,6 +1,7 @@
 """Calls to engines outside of callers' requests."""
 
 import time
+from typing import Annotated
 
 import msgspec
 
@@ -8,7 +9,12 @@
 from wagtailfront.exception import ProtocolError
 from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.platform.calls import call, describe_failure
-from wagtailfront.platform.headers import EXPECTED_ID, RATE_LIMIT, read_rate_limit
+from wagtailfront.platform.headers import (
+    EXPECTED_ID,
+    MAX_TOKENS,
+    RATE_LIMIT,
+    read_rate_limit,
+)
 
 __all__ = ["EngineClient"]
 
@@ -19,6 +25,9 @@
 ACCEPTED_STATUSES = (202, 200)
 
 
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+
+
 class _CachedPartList(msgspec.Struct):
     """Response with the prompt parts that an engine has in its cache.
 
@@ -28,7 +37,7 @@
         For each part an empty string, its id, its tokens and the model.
     """
 
-    held: list[tuple[str, str, int, str]]
+    held: list[tuple[str, str, Tokens, str]]
 
 
 class EngineClient:
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from typing import Annotated
 
 import msgspec
 
@@ -14,7 +15,13 @@
     ResponseFields,
 )
 
-__all__ = ["EXPECTED_ID", "RATE_LIMIT", "PlatformDialect", "read_rate_limit"]
+__all__ = [
+    "EXPECTED_ID",
+    "MAX_TOKENS",
+    "RATE_LIMIT",
+    "PlatformDialect",
+    "read_rate_limit",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -59,7 +66,8 @@
 class _Handle(msgspec.Struct):
     """Body of a prefill response; `handle` names the KV cache to fetch."""
 
-    handle: str
+    # It is sent in a header's value.
+    handle: Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}\Z")]
 
 
 class PlatformDialect:
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import base64
 import logging
+import re
 from urllib.parse import quote
 
 import msgspec
@@ -29,6 +30,7 @@
 CALL_TIMEOUT = 1.0  # seconds; a healthy store responds within milliseconds
 WATCH_MARGIN = 0.6  # seconds by which a watch's timeout exceeds its wait
 ERA = "Store-Era"  # rises each time the store comes back from an older copy
+ERA_NUMBER = re.compile("[0-9]{1,15}")
 GONE = 410  # the store no longer has the history after the cursor
 MS_PER_SECOND = 1000
 REGISTRY_TABLE = "servers"
@@ -189,7 +191,7 @@
 def _read_era(headers):
     """Return the store's era in the headers of an answer, or None."""
     value = headers.get(ERA)
-    if value is not None and not value.isdecimal():
+    if value is not None and not ERA_NUMBER.fullmatch(value):
         logger.warning("[store] unreadable era %.40r", value)
         return None
     return None if value is None else int(value)
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -437,3 +437,30 @@
     odd = odd.replace(b'"value":"e30=","value"', b'"value"')
     (row,) = read_rows(answer_with(odd)).rows
     assert (row.key, row.value, row.removed, row.ver) == ("odd", "", False, 9)
+
+
+@pytest.mark.parametrize("handle", ["", "a\r\nX-Stage: prefill", "a b", "é", "a" * 300])
+def test_an_odd_handle_is_an_error(handle):
+    """Guards against headers that are written into a handle's header."""
+    with pytest.raises(ValueError, match="unreadable handle"):
+        PlatformDialect().read_handle("h", msgspec.json.encode({"handle": handle}))
+
+
+@pytest.mark.parametrize("era", ["٣", "1" * 5000, str(10**30), "-1"])
+def test_an_odd_era_is_ignored(era):
+    """Guards against an era that no message to the peers holds."""
+    client, replies = StoreClient(pool=None, host="10.0.0.1", port=80), []
+    client.pool = EnginePool(200, headers=[("Store-Era", era)])
+    client.get("/", lambda *reply: replies.append(reply))
+    assert (client.era, len(replies)) == (0, 1)
+
+
+@pytest.mark.parametrize("tokens", [-1, 10**30])
+def test_an_odd_number_of_cached_tokens_is_a_failure(tokens):
+    """Guards against costs of prompts that are no sound numbers."""
+    replies = []
+    body = msgspec.json.encode({"held": [["", "p", 5, "m"], ["", "q", tokens, "m"]]})
+    EngineClient(pool=EnginePool(200, body), instance="a").read_cached_parts(
+        make_record("i-1"), lambda *reply: replies.append(reply)
+    )
+    assert [parts for parts, _reason in replies] == [None]
