Close the socket of any address that cannot be connected to

An address with a lone surrogate raises UnicodeEncodeError rather than ZMQError. The socket then stayed open.

The supervisor restarts the bus after the first such address, and closing the bus waits in zmq's term() for ever, since the socket whose connect failed was never closed.

Test: test_an_odd_address_does_not_hide_the_peers_after_it, with such an address, hangs before (killed after 60 s), passes after.

--- a/wagtailfront/membership/peer_bus.py
+++ b/wagtailfront/membership/peer_bus.py
@@ -217,7 +217,7 @@
             socket.curve_serverkey = server_key
         try:
             socket.connect(f"tcp://{address}")
-        except zmq.ZMQError as error:
+        except (zmq.ZMQError, ValueError) as error:
             logger.warning("[bus] cannot connect to %.80r: %s", address, error)
             self.unusable.add(address)
             socket.close()
--- a/wagtailfront/membership/tests/test_peer_bus.py
+++ b/wagtailfront/membership/tests/test_peer_bus.py
@@ -128,7 +128,7 @@
     """Guards against broadcasts that each fail and restart the bus."""
     instances = first, second = Instance(), Instance()
     connect(first, second, instances)
-    addresses = ("", "a\0b:80", "engine", second.bus.address)
+    addresses = ("", "a\0b:80", "\ud800:80", second.bus.address)
     for number in range(3):
         message = messages.ConfigFetch(after=number)
         first.loop.fire(peer_broadcast(addresses, message), "peer_bus")
