--- a/wagtailfront/platform/engine_client.py
+++ b/wagtailfront/platform/engine_client.py
@@ -1,12 +1,20 @@
 """Calls to engines outside of callers' requests."""
 
 import time
+from typing import Annotated
 
 import msgspec
 
+from wagtailfront.decoding import decode_json
+from wagtailfront.exception import ProtocolError
 from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.platform.calls import call, describe_failure
-from wagtailfront.platform.headers import EXPECTED_ID, RATE_LIMIT, read_rate_limit
+from wagtailfront.platform.headers import (
+    EXPECTED_ID,
+    MAX_TOKENS,
+    RATE_LIMIT,
+    read_rate_limit,
+)
 
 __all__ = ["EngineClient"]
 
@@ -17,6 +25,9 @@
 ACCEPTED_STATUSES = (202, 200)
 
 
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+
+
 class _CachedPartList(msgspec.Struct):
     """Response with the prompt parts that an engine has in its cache.
 
@@ -26,7 +37,7 @@
         For each part an empty string, its id, its tokens and the model.
     """
 
-    held: list[tuple[str, str, int, str]]
+    held: list[tuple[str, str, Tokens, str]]
 
 
 class EngineClient:
@@ -56,8 +67,8 @@
                 reply(None, describe_failure(status, body))
                 return
             try:
-                entries = msgspec.json.decode(body, type=_CachedPartList).held
-            except msgspec.MsgspecError as error:
+                entries = decode_json(body, _CachedPartList).held
+            except ProtocolError as error:
                 reply(None, f"unreadable list of cached parts: {error}")
                 return
             parts = [PromptPart(part_id, tokens) for _, part_id, tokens, _ in entries]
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -2,9 +2,12 @@
 
 import logging
 import math
+from typing import Annotated
 
 import msgspec
 
+from wagtailfront.decoding import decode_json
+from wagtailfront.exception import ProtocolError
 from wagtailfront.forwarding.framing import find_header
 from wagtailfront.forwarding.interfaces import (
     PromptPart,
@@ -12,7 +15,13 @@
     ResponseFields,
 )
 
-__all__ = ["EXPECTED_ID", "RATE_LIMIT", "PlatformDialect", "read_rate_limit"]
+__all__ = [
+    "EXPECTED_ID",
+    "MAX_TOKENS",
+    "RATE_LIMIT",
+    "PlatformDialect",
+    "read_rate_limit",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -34,6 +43,7 @@
 PREFILL = b"prefill"
 LOWEST_PRIORITY = 9  # largest value of PRIORITY; 0 is the most urgent
 MS_PER_SECOND = 1000
+MAX_TOKENS = 2**32  # so that sums over all requests stay exact in messages
 
 # Only the system sets these headers; they are removed from callers' requests.
 SYSTEM_HEADERS = frozenset(
@@ -56,7 +66,8 @@
 class _Handle(msgspec.Struct):
     """Body of a prefill response; `handle` names the KV cache to fetch."""
 
-    handle: str
+    # It is sent in a header's value.
+    handle: Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}\Z")]
 
 
 class PlatformDialect:
@@ -69,13 +80,12 @@
         def text(name):
             return values.get(name.lower(), b"").decode("latin-1")
 
-        deadline = text(DEADLINE)
         last_event = text(LAST_EVENT)
         prompt_tokens, max_output = _read_tokens(text(TOKENS))
         return RequestFields(
             request_id=text(REQUEST_ID),
             host=text(HOST).partition(":")[0],
-            time_left=float(deadline) / MS_PER_SECOND if deadline else None,
+            time_left=_read_time_limit(text(DEADLINE)),
             model=text(MODEL),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output,
@@ -121,8 +131,8 @@
             If the body is malformed.
         """
         try:
-            handle = msgspec.json.decode(body, type=_Handle).handle
-        except msgspec.MsgspecError as error:
+            handle = decode_json(body, _Handle).handle
+        except ProtocolError as error:
             raise ValueError(f"unreadable handle: {error}")
         return f"{address}/{handle}"
 
@@ -149,11 +159,29 @@
 
 def _read_tokens(text):
     prompt, _comma, output = text.partition(",")
-    return int(prompt or 0), int(output or 0)
+    return _read_count(prompt or 0), _read_count(output or 0)
 
 
 def _read_parts(text):
     pairs = (entry.partition(":") for entry in text.split(",") if entry.strip())
     return tuple(
-        PromptPart(part_id.strip(), int(tokens)) for part_id, _colon, tokens in pairs
+        PromptPart(part_id.strip(), _read_count(tokens))
+        for part_id, _colon, tokens in pairs
     )
+
+
+def _read_count(text):
+    count = int(text)
+    if not 0 <= count <= MAX_TOKENS:
+        raise ValueError(f"number of tokens {count} is out of range")
+    return count
+
+
+def _read_time_limit(text):
+    """Return a time limit in seconds, or None without one."""
+    if not text:
+        return None
+    time_left = float(text) / MS_PER_SECOND
+    if not math.isfinite(time_left):
+        raise ValueError(f"time limit {text:.40} is not a number")
+    return time_left
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -1,12 +1,16 @@
 """Decoding of the store's rows that endpoints and operators write."""
 
 import base64
-import ipaddress
+import functools
+import json
 import logging
-from typing import Annotated
+import re
+from typing import Annotated, Literal
 
 import msgspec
 
+from wagtailfront.decoding import decode_address, decode_json
+from wagtailfront.exception import ProtocolError
 from wagtailfront.forwarding.endpoint_directory import EndpointRecord
 from wagtailfront.forwarding.routes import (
     CallerLimits,
@@ -17,12 +21,24 @@
     ServiceShare,
 )
 
-__all__ = ["StoreRows", "read_rows", "read_registry", "read_routing"]
+__all__ = [
+    "StoreRows",
+    "read_rows",
+    "read_registry",
+    "read_instance_address",
+    "read_routing",
+]
 
 logger = logging.getLogger(__name__)
 
 MS_PER_SECOND = 1000
-READY, DRAINING = "ready", "draining"
+DRAINING = "draining"
+READ_ERRORS = (ValueError, OverflowError, msgspec.ValidationError)
+MAX_SLOTS = 100_000
+MAX_REASON = 160  # characters of a reason in the log
+MAX_NUMBER = 2**53
+# Ids are sent as a header's value.
+ENDPOINT_ID = re.compile(r"[!-~]+")
 ROUTING_KEY = "config"
 KINDS = {
     "safe": RequestKind.SAFE,
@@ -30,6 +46,7 @@
     "streaming": RequestKind.STREAMING,
 }
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -42,7 +59,7 @@
 
     key: str
     value: str = ""
-    ver: int = 0
+    ver: Number = 0
     removed: bool = False
 
 
@@ -50,7 +67,7 @@
     """Response to a read; `ver` is the latest version of the whole store."""
 
     rows: list[StoreRow]
-    ver: int
+    ver: Number
     has_more: bool = False
 
 
@@ -59,17 +76,20 @@
 
     `zone` is its data centre, `slots` how many requests it processes
     concurrently, and `born` its start time in Unix milliseconds. The fields
-    `version`, of its software, and `sequence`, a count of its orders, are
-    ignored.
+    `version`, of its software, `sequence`, a count of its orders, and
+    `cold-remaining-ms` are not used. An entry with a field of another type
+    is not an endpoint's own.
     """
 
     service: NonEmpty
     address: NonEmpty
-    zone: str = ""
-    slots: Annotated[int, msgspec.Meta(ge=1)] = 1
-    state: str
-    stage: str = ""
-    born: int = 0
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    stage: Literal["prefill", "decode", ""] = ""
+    born: Number = 0
+    cold_remaining_ms: float = 0.0
+    sequence: Number = 0
 
 
 class _Share(_Wire, kw_only=True):
@@ -117,11 +137,49 @@
 
 
 def read_rows(body):
-    """Decode the store's response to a read; ValueError if it is malformed."""
+    """Decode the store's response to a read.
+
+    A row of another form that has a key is taken as changed and has no value;
+    one without a printable key is left out.
+
+    Raises
+    ------
+    ValueError
+        If the response is malformed.
+    """
+    try:
+        return decode_json(body, StoreRows)
+    except ProtocolError as error:
+        return _read_sound_rows(body, error)
+
+
+def _read_sound_rows(body, error):
+    """Decode the rows of a response one by one after an error."""
     try:
-        return msgspec.json.decode(body, type=StoreRows)
-    except msgspec.MsgspecError as error:
+        answer = json.loads(body)
+        found = msgspec.convert({**answer, "rows": []}, StoreRows)
+        values = list(answer["rows"])
+    except (*READ_ERRORS, KeyError, TypeError, RecursionError):
         raise ValueError(f"unreadable rows: {error}")
+    rows = []
+    for value in values:
+        try:
+            row = msgspec.convert(value, StoreRow)
+            (row.key + row.value).encode()  # raises for lone surrogates
+            rows.append(row)
+        except READ_ERRORS as error:
+            key = value.get("key") if isinstance(value, dict) else None
+            _log_unreadable(f"{key!r:.80}", f"{error!s:.160}")
+            if isinstance(key, str) and key.isprintable():
+                rows.append(StoreRow(key=key, ver=found.ver))
+    found.rows = rows
+    return found
+
+
+@functools.lru_cache(maxsize=256)
+def _log_unreadable(key, reason):
+    """Log an unreadable row, once for each key and reason."""
+    logger.warning("[store] row %s is unreadable: %s", key, reason)
 
 
 def read_registry(rows, *, skipped=None):
@@ -142,25 +200,22 @@
     for row in rows:
         try:
             records.append(_read_endpoint(row))
-        except (ValueError, msgspec.MsgspecError) as error:
-            skipped[row.key] = str(error)
+        except (ValueError, ProtocolError) as error:
+            skipped[row.key] = str(error)[:MAX_REASON]
     return records
 
 
 def _read_endpoint(row):
     data = base64.b64decode(row.value, validate=True)
-    wire = msgspec.json.decode(data, type=_Registration)
-    host, colon, port = wire.address.rpartition(":")
-    if wire.state not in (READY, DRAINING):
-        raise ValueError(f"unknown state {wire.state!r}")
-    if not colon or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"unreadable address {wire.address!r}")
-    ipaddress.IPv4Address(host)  # resolving a name would block the event loop
+    wire = decode_json(data, _Registration)
+    host, port = decode_address(wire.address)
+    if not ENDPOINT_ID.fullmatch(row.key):
+        raise ValueError(f"unreadable id {row.key!r:.80}")
     return EndpointRecord(
         endpoint_id=row.key,
         service=wire.service,
         host=host,
-        port=int(port),
+        port=port,
         data_centre=wire.zone,
         slots=wire.slots,
         is_leaving=wire.state == DRAINING,
@@ -169,6 +224,13 @@
     )
 
 
+def read_instance_address(row):
+    """Return the address in an instance's row; ValueError if it has none."""
+    address = base64.b64decode(row.value, validate=True).decode("ascii")
+    decode_address(address)
+    return address
+
+
 def read_routing(rows):
     """Return the latest RoutingConfig in the rows, or None if there is none.
 
@@ -185,14 +247,14 @@
         return None
     try:
         data = base64.b64decode(row.value, validate=True)
-        wire = msgspec.json.decode(data, type=_Config)
+        wire = decode_json(data, _Config)
         return RoutingConfig(
             version=wire.version,
             routes=tuple(_read_route(route) for route in wire.routes),
             services={s.name: _read_service(s) for s in wire.services},
             limits=_read_limits(wire.limits),
         )
-    except (ValueError, KeyError, msgspec.MsgspecError) as error:
+    except (ValueError, KeyError, ProtocolError) as error:
         raise ValueError(f"unreadable configuration: {error!r}")
 
 
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import base64
 import logging
+import re
 from urllib.parse import quote
 
 import msgspec
@@ -15,10 +16,12 @@
 from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.rows import (
     StoreRows,
+    read_instance_address,
     read_registry,
     read_routing,
     read_rows,
 )
+from wagtailfront.platform.skipped_rows import SkippedRows
 
 __all__ = ["StoreClient", "StoreMembership", "StoreRegistry", "StoreRouting"]
 
@@ -27,6 +30,7 @@
 CALL_TIMEOUT = 1.0  # seconds; a healthy store responds within milliseconds
 WATCH_MARGIN = 0.6  # seconds by which a watch's timeout exceeds its wait
 ERA = "Store-Era"  # rises each time the store comes back from an older copy
+ERA_NUMBER = re.compile("[0-9]{1,15}")
 GONE = 410  # the store no longer has the history after the cursor
 MS_PER_SECOND = 1000
 REGISTRY_TABLE = "servers"
@@ -187,7 +191,7 @@
 def _read_era(headers):
     """Return the store's era in the headers of an answer, or None."""
     value = headers.get(ERA)
-    if value is not None and not value.isdecimal():
+    if value is not None and not ERA_NUMBER.fullmatch(value):
         logger.warning("[store] unreadable era %.40r", value)
         return None
     return None if value is None else int(value)
@@ -212,8 +216,8 @@
 
     Attributes
     ----------
-    skipped : dict
-        Reasons by key of the malformed registrations in the latest read.
+    skipped : SkippedRows
+        Malformed registrations in the latest read.
     rows : dict of str to StoreRow
         Registrations by key.
     read_to : StorePosition
@@ -222,8 +226,7 @@
 
     def __init__(self, *, client, log):
         self.client = client
-        self.log = log
-        self.skipped = {}
+        self.skipped = SkippedRows(kind="registration_skipped", log=log)
         self.rows = {}
         self.read_to = StorePosition()
 
@@ -267,9 +270,7 @@
     def _registry_read(self, rows):
         skipped = {}
         records = tuple(read_registry(self.rows.values(), skipped=skipped))
-        for key in skipped.keys() - self.skipped.keys():
-            self.log.decision("registration_skipped", outcome=key, reason=skipped[key])
-        self.skipped = skipped
+        self.skipped.replace(skipped)
         return RegistryRead(
             True,
             records=records,
@@ -324,6 +325,7 @@
     def __init__(self, *, client, log):
         self.client = client
         self.log = log
+        self.skipped = SkippedRows(kind="instance_skipped", log=log)
 
     def announce(self, row, reply):
         """Write an instance's address."""
@@ -344,11 +346,19 @@
                 self.log.decision("instances", outcome="unknown", reason=reason)
                 reply(None)
             else:
-                reply([self._read_instance(row) for row in rows.rows])
+                reply(self._read_instances(rows.rows))
 
         self.client.read_table(INSTANCE_TABLE, on_rows)
 
-    def _read_instance(self, row):
-        address = base64.b64decode(row.value).decode("ascii", "replace")
-        version = self.client.position(row.ver)
-        return InstanceRow(instance=row.key, address=address, version=version)
+    def _read_instances(self, rows):
+        instances, skipped = [], {}
+        for row in rows:
+            try:
+                address = read_instance_address(row)
+            except ValueError as error:
+                skipped[row.key] = str(error)
+                continue
+            version = self.client.position(row.ver)
+            instances.append(InstanceRow(row.key, address, version))
+        self.skipped.replace(skipped)
+        return instances
--- a/wagtailfront/platform/store_table.py
+++ b/wagtailfront/platform/store_table.py
@@ -1,10 +1,13 @@
 """TableStore on rows of the platform's store."""
 
 import base64
+from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
 
+from wagtailfront.decoding import decode_json, decode_msgpack
+from wagtailfront.exception import ProtocolError
 from wagtailfront.platform.calls import describe_failure
 from wagtailfront.platform.rows import read_rows
 from wagtailfront.stores.interfaces import (
@@ -20,6 +23,7 @@
 __all__ = ["StoreTable"]
 
 TABLE = "leases"
+MAX_VERSION = 2**53
 CONDITION_FAILED = 412
 REJECTED_STATUSES = (429, 503)  # the store states that nothing was written
 
@@ -27,7 +31,7 @@
 class _Value(msgspec.Struct, frozen=True, array_like=True):
     """Contents of a row; `version` counts the row's writes from 1."""
 
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=1, le=MAX_VERSION)]
     value: bytes
 
 
@@ -76,8 +80,8 @@
                     reply(Missing(era=self.client.era))
                     return
                 data = base64.b64decode(rows[0].value, validate=True)
-                stored = msgspec.msgpack.decode(data, type=_Value)
-            except (ValueError, msgspec.MsgspecError) as error:
+                stored = decode_msgpack(data, _Value)
+            except (ValueError, ProtocolError) as error:
                 reply(Unavailable(reason=f"unreadable row: {error}"))
                 return
             self.versions[key] = (stored.version, self.client.position(rows[0].ver))
@@ -108,8 +112,8 @@
                 reply(Unknown(reason=f"the store was restored after {position}"))
             elif status == 200:
                 try:
-                    written = msgspec.json.decode(body, type=_Written).ver
-                except msgspec.MsgspecError as error:
+                    written = decode_json(body, _Written).ver
+                except ProtocolError as error:
                     reply(Unknown(reason=f"unreadable response: {error}"))
                     return
                 written_at = self.client.position(written)
