Refuse an answer with transfer codings other than chunked

What callers saw: an endpoint's answer that broke off in the middle of its chunks came as a 200 with a short body and a Content-Length that fits, if its head had two Transfer-Encoding headers of which the last is chunked. With 'chunked, identity' or 'chunked;a=b' the chunk lines stood in the body.

Cause: the parser takes chunked from the last header, ResponseReader looked at the first, took the body for one that ends with its connection, and so took the end of the connection for the end of the answer.

Evidence: test_a_response_with_unclear_framing_is_never_complete, 5 of its 14 cases fail before this change (two headers in either order, 'gzip, chunked', 'chunked, identity', 'chunked;a=b').

Change: an answer has either no Transfer-Encoding or exactly one that is chunked; no other coding was asked for, as TE is not forwarded. Any other fails before its head is used, and the request gets what it gets after any failure. The other 9 cases (two lengths, length and chunks, folded or malformed lengths, bare CR or LF) were refused before.

--- a/wagtailfront/forwarding/framing.py
+++ b/wagtailfront/forwarding/framing.py
@@ -253,7 +253,8 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError) as error:
-            self.failure = FramingError(502, f"not an HTTP response: {error}")
+            reason = error.__context__ or error
+            self.failure = FramingError(502, f"not an HTTP response: {reason}")
         self.framing_bytes += len(data)
         if self.framing_bytes > MAX_FRAMING and self.failure is None:
             self.failure = FramingError(502, "response head or trailer too large")
@@ -278,9 +279,12 @@
         self.status = self.parser.get_status_code()
         if self.status < 200:
             return
+        codings = _transfer_codings(self.headers)
+        if codings not in ([], [b"chunked"]):
+            raise FramingError(502, "transfer codings other than chunked")
         self.is_close_delimited = (
             find_header(self.headers, b"content-length") is None
-            and not _is_chunked(self.headers)
+            and not codings
             and self.status not in BODILESS
         )
         self.parts.append(ResponseHead(self.status, self.headers))
@@ -299,9 +303,13 @@
         self.parts.append(ResponseEnd(keep_alive=keep_alive))
 
 
-def _is_chunked(headers):
-    value = find_header(headers, b"transfer-encoding")
-    return value is not None and value.lower().split(b",")[-1].strip() == b"chunked"
+def _transfer_codings(headers):
+    """Return the values of all Transfer-Encoding headers, in lower case."""
+    return [
+        value.strip().lower()
+        for key, value in headers
+        if key.lower() == b"transfer-encoding"
+    ]
 
 
 def find_header(headers, name):
--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -124,6 +124,32 @@
     assert not read_response([RESPONSES["close"]], ends=False)[2]
 
 
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"Transfer-Encoding: identity\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding: gzip, chunked",
+        b"Transfer-Encoding: chunked, identity",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        b"Transfer-Encoding: chunked;a=b",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 5",
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked",
+        b"Content-Length: 5\r\nContent-Length: 4",
+        b"Content-Length: 5\r\nContent-Length: 5",
+        b"Content-Length: 5\r\n 5",
+        b"Content-Length: -5",
+        b"Content-Length:",
+        b"X: a\n",
+        b"X: a\r",
+    ],
+)
+def test_a_response_with_unclear_framing_is_never_complete(lines):
+    """Guards against a cut body, or one with chunk lines, that looks whole."""
+    head = b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n\r\n"
+    for body in (b"", b"5\r\nhe", b"5\r\nhello\r\n0\r\n\r\n"):
+        assert read_response([head + body], ends=True) == ([], b"", False)
+
+
 def test_interim_responses_are_skipped():
     """Guards against a 1xx response that is treated as the final one."""
     data = b"HTTP/1.1 100 Continue\r\n\r\n" + RESPONSES["length"]
