--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -45,5 +45,11 @@
 
 def signed_response(request_id, body, *, extra=b""):
     """Return the bytes of a signed response with a length, and `extra`."""
-    head = b"HTTP/1.1 200 OK\r\n%b: %b\r\n%b: s\r\nContent-Length: %d\r\n\r\n"
-    return head % (REQUEST_ID, request_id, SIGNATURE, len(body)) + body + extra
+    head = signed_head(request_id, b"Content-Length: %d\r\n" % len(body))
+    return head + body + extra
+
+
+def signed_head(request_id, lines=b"", *, status=b"200 OK", version=b"1.1"):
+    """Return the head of a signed response with further header lines."""
+    head = b"HTTP/%b %b\r\n%b: %b\r\n%b: s\r\n%b\r\n"
+    return head % (version, status, REQUEST_ID, request_id, SIGNATURE, lines)
