Close a connection that holds the start of an extra response

What callers saw: the status of one answer with the headers and the body of another, such as a 200 for an answer that was a 404.

Cause: a connection was kept when the read that completed an answer also held the first bytes of an extra one, up to a header's value. These bytes yield no part yet, so nothing marked the connection as unreliable; the next answer's status line became the rest of that header's value.

Evidence: test_a_cut_head_after_an_answer_is_not_part_of_the_next fails before this change: 502 for 1 to 22 extra bytes, 200 with the body of the 404 for 23 and 24 (of a head cut after 'X-Own:').

Change: the connection is kept only if the reader has not begun another message.

--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -327,7 +327,9 @@
         elif connection.is_discarding:
             connection.is_discarding = False
         else:
-            connection.keep_alive = part.keep_alive and not connection.outgoing
+            # An open reader holds the start of a response to no request.
+            is_clean = not connection.outgoing and not connection.reader.is_open
+            connection.keep_alive = part.keep_alive and is_clean
             connection.exchange = None
             exchange.is_done = True
             exchange.sink.on_end()
--- a/wagtailfront/forwarding/tests/test_cut_answers.py
+++ b/wagtailfront/forwarding/tests/test_cut_answers.py
@@ -194,3 +194,24 @@
             assert (reply.is_complete, reply.is_aborted) == (is_whole, not is_whole)
         else:
             assert (reply.status, size < ends[0]) == (502, True)
+
+
+def test_a_cut_head_after_an_answer_is_not_part_of_the_next(monkeypatch):
+    """Guards against the status of an extra answer for the next request."""
+    extra = b"HTTP/1.1 200 OK\r\nX-Own: "
+    next_answer = signed_head(b"r1", length_line(2), status=b"404 Not Found") + b"no"
+    for size in range(1, len(extra) + 1):
+        timers = VirtualTimers()
+        pool = ScriptedPool(monkeypatch, timers=timers)
+        scene = Scene([make_record("e1")], timers=timers, pool=pool)
+        _task, earlier = scene.start(make_route(UNSAFE), request_id="r0")
+        pool.connect()
+        kept = pool.sock
+        pool.receive(EARLIER + extra[:size])
+        assert earlier.body == b"earlier"
+        _task, reply = scene.start(make_route(UNSAFE))
+        if pool.sock is not kept:
+            pool.connect()
+        pool.receive(next_answer)
+        assert (reply.status, reply.body) == (404, b"no")
+        assert kept.is_closed
