Fail a response whose framing is unclear in the own HTTP client

What callers saw: with two transfer codings a response that broke off in its chunks was read as a whole one, chunk lines included; with a length and chunks the body was cut at the length and its rest left on a connection that was used again; a negative length made an empty whole body. Two lengths raised in the parser, so the request hung until its timeout.

Cause: circuits' parser uses chunks only for the exact value 'chunked', takes any integer as a length, a length before chunks, and fails with TypeError without either; Exchange relied on it.

Evidence: test_a_response_with_unclear_framing_fails, 22 of 22 cases fail before this change. The tests of every cut point in the same module, and those of the store clients, passed before.

Change: Exchange accepts a head with either one decimal length, the coding chunked, or neither, and turns errors of the parser into a failure.

Measured: test_cut_responses.py passes, and so do the tests of transport, stores, platform, endpoints, callers and operators.

--- a/wagtailfront/transport/http_exchange.py
+++ b/wagtailfront/transport/http_exchange.py
@@ -126,9 +126,13 @@
         data = self.first_line.feed(data)
         if not data:
             return None
-        self.parser.execute(data, len(data))
+        try:
+            self.parser.execute(data, len(data))
+        except (TypeError, ValueError) as error:
+            # circuits' parser raises these on malformed lengths and escapes.
+            return self.fail(f"invalid response: {error}")
         if not self.head_received and self.parser.is_headers_complete():
-            if self.parser.get_status_code() is None:
+            if not self._is_head_valid():
                 return self.fail("invalid response head")
             self.head_received = True
             self.sink.on_head(self.parser.get_status_code(), self.parser.get_headers())
@@ -145,6 +149,17 @@
             self.finish()
         return None
 
+    def _is_head_valid(self):
+        """Return whether there is a status, and at most one valid framing."""
+        headers = self.parser.get_headers()
+        coding = headers.get("transfer-encoding")
+        length = headers.get("content-length")
+        if self.parser.get_status_code() is None:
+            return False
+        if coding is not None:
+            return length is None and coding.lower() == "chunked"
+        return length is None or (length.isascii() and length.isdigit())
+
     def _is_complete(self):
         bodiless = self.parser.get_status_code() in (204, 304)
         return bodiless or self.parser.is_message_complete()
