Cut bytes after a response off its body in the own HTTP client

What callers saw: a body of a service or a store with the first bytes of an extra response at its end, and the rest of these bytes before the response to the next request on the same connection.

Cause: circuits' parser passes on all bytes received, also those after Content-Length, and the connection was kept.

Evidence: test_bytes_after_a_response_are_no_part_of_it_or_the_next fails before this change (body 'hello!' for a length of 5, connection kept).

Change: Exchange counts the bytes left of the length, drops those after it, and closes the connection. For chunks the parser drops the excess itself and does not report it; such a connection is still kept, if no further bytes wait on it when it is used again.

--- a/wagtailfront/transport/http_exchange.py
+++ b/wagtailfront/transport/http_exchange.py
@@ -1,5 +1,6 @@
 """One HTTP request on one connection, and the state of its response."""
 
+import math
 import time
 from collections import deque
 from typing import Protocol
@@ -102,6 +103,8 @@
         self.first_line = FirstLineBuffer()
         self.parser = HttpParser(1, False)
         self.framing_bytes = 0
+        self.body_left = math.inf
+        self.has_excess = False
         self.last_progress = time.monotonic()
 
     def cancel(self):
@@ -135,13 +138,15 @@
             if not self._is_head_valid():
                 return self.fail("invalid response head")
             self.head_received = True
+            length = self.parser.get_headers().get("content-length", math.inf)
+            self.body_left = float(length)
             self.sink.on_head(self.parser.get_status_code(), self.parser.get_headers())
         if self.done:
             return None
         if self.parser.errno is not None and not self.head_received:
             return self.fail("invalid response head")
         if self.parser.is_partial_body():
-            body = self.parser.recv_body()
+            body = self._cut_excess(self.parser.recv_body())
             if body:
                 self.framing_bytes = 0
                 self.sink.on_data(body)
@@ -160,6 +165,13 @@
             return length is None and coding.lower() == "chunked"
         return length is None or (length.isascii() and length.isdigit())
 
+    def _cut_excess(self, data):
+        """Return `data` up to Content-Length, which the parser ignores."""
+        self.has_excess = len(data) > self.body_left
+        body = data[: int(self.body_left)] if self.has_excess else data
+        self.body_left -= len(body)
+        return body
+
     def _is_complete(self):
         bodiless = self.parser.get_status_code() in (204, 304)
         return bodiless or self.parser.is_message_complete()
@@ -167,7 +179,8 @@
     def finish(self):
         """Release the connection and report the end of the response."""
         self.done = True
-        self.pool.release(self, reusable=self.parser.should_keep_alive())
+        is_reusable = self.parser.should_keep_alive() and not self.has_excess
+        self.pool.release(self, reusable=is_reusable)
         self.sink.on_end()
 
     def handle_eof(self):
--- a/wagtailfront/transport/tests/test_cut_responses.py
+++ b/wagtailfront/transport/tests/test_cut_responses.py
@@ -95,3 +95,12 @@
     for body in (b"", b"5\r\nhe", b"5\r\nhello\r\n0\r\n\r\n"):
         data = OK + lines + b"\r\n\r\n" + body
         assert receive(SPLITS[split](data), ends=True)[0] is None
+
+
+def test_bytes_after_a_response_are_no_part_of_it_or_the_next():
+    """Guards against extra bytes in a body, or on a kept connection."""
+    whole = RESPONSES["length"]
+    assert receive([whole], ends=False) == (200, b"hello", True)
+    for extra in (b"!", b"HTTP/1.1 200 OK\r\nX-Own: "):
+        assert receive([whole + extra], ends=False) == (200, b"hello", False)
+        assert receive([whole[:-1], b"o" + extra], ends=False)[1:] == (b"hello", False)
