--- a/wagtailfront/forwarding/tests/test_sockets.py
+++ b/wagtailfront/forwarding/tests/test_sockets.py
@@ -230,6 +230,76 @@
         assert b"early" in read_until(connection, [b"early"])
 
 
+def end_by_fin(connection):
+    """End a connection in order."""
+
+
+def end_by_reset(connection):
+    """Let the end of a connection be a reset."""
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def end_by_late_reset(connection):
+    """Reset a connection after all bytes on it have been read."""
+    time.sleep(0.05)
+    end_by_reset(connection)
+
+
+@pytest.mark.parametrize("end", [end_by_fin, end_by_reset, end_by_late_reset])
+@pytest.mark.parametrize(
+    ("mark", "after"),
+    [
+        (b"HTTP/1.1 200 OK", 0),
+        (b"HTTP/1.1 200 OK\r\n", 0),
+        (b"Content-Length: 1", 0),
+        (b"\r\n\r\n", -2),
+        (b"\r\n\r\n", -1),
+        (b"\r\n\r\n", 0),
+        (b"\r\n\r\n", 5),
+    ],
+)
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"])
+def test_an_answer_that_is_cut_is_no_success(start, interim, mark, after, end):
+    """Guards an answer on a new and on a kept connection to an endpoint."""
+
+    def cut(connection, request_id, request):
+        whole = answer(request_id, b"whole answer")
+        if request_id == b"r1":
+            connection.sendall(whole)
+            return True
+        size = whole.index(mark) + len(mark) + after
+        connection.sendall(interim + whole[:size])
+        end(connection)
+        return False
+
+    instance = start(cut)
+    for kept in (b"", GET % b"r1"):
+        with instance.connect() as connection:
+            connection.sendall(kept + GET % b"r2")
+            data = read_until(connection, [b"502 "])
+        assert (b"whole answer" in data) is bool(kept)
+        assert data.rpartition(b"HTTP/1.1 ")[2].startswith(b"502 ")
+
+
+@pytest.mark.parametrize("end", [end_by_fin, end_by_reset, end_by_late_reset])
+@pytest.mark.parametrize("body", [b"", b"part"])
+def test_a_head_without_length_is_whole_only_after_an_orderly_end(start, body, end):
+    """Guards against a reset right after a complete head."""
+
+    def close(connection, request_id, request):
+        respond_without_length(connection, request_id, body)
+        end(connection)
+        return False
+
+    instance = start(close)
+    with instance.connect() as connection:
+        connection.sendall(GET % b"r1")
+        data = read_until(connection, [b"\r\n\r\n"])
+    status = b"200" if end is end_by_fin else b"502"
+    assert data.startswith(b"HTTP/1.1 %b " % status)
+
+
 def respond_without_length(connection, request_id, body, *, extra=b""):
     """Send a signed response whose body ends with its connection."""
     head = answer(request_id, b"").replace(b"Content-Length: 0\r\n", extra)
@@ -297,8 +367,7 @@
 
     def reset(connection, request_id, request):
         respond_without_length(connection, request_id, b"first part")
-        linger = struct.pack("ii", 1, 0)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        end_by_reset(connection)
         return False
 
     instance = start(reset)
--- a/wagtailfront/stores/tests/test_truncated_replies.py
+++ b/wagtailfront/stores/tests/test_truncated_replies.py
@@ -10,6 +10,7 @@
     Key,
     Missing,
     Put,
+    Rows,
     Unavailable,
     Unknown,
 )
@@ -104,6 +105,10 @@
     replies = replies_to_truncations("table.get", chunked(b"{}"), key=KEY)
     assert {type(item) for item in replies[:-1]} == {Unavailable}
     assert replies[-1] == Missing()
+    arguments = {"partition": "config", "after": "", "limit": 10}
+    replies = replies_to_truncations("table.query", reply(b'{"Items":[]}'), **arguments)
+    assert {type(item) for item in replies[:-1]} == {Unavailable}
+    assert replies[-1] == Rows(rows=())
     tag = b"ETag: " + entity_tag(b"data").encode()
     replies = replies_to_truncations("objects.get", reply(b"data", tag), name="a")
     assert {type(item) for item in replies[:-1]} == {Unavailable}
