Refuse an answer with a status below 100

What callers saw: the body of an answer with status 000 or 099 before the body of the next one, as one answer with the next one's head.

Cause: each status below 200 counted as interim, but the parser reads a body for statuses below 100.

Evidence: test_the_body_of_an_interim_response_is_not_that_of_the_final_one fails before this change (b'abchello', complete).

Change: such a status fails the connection. No engine is known to send one.

Measured: the test passes, and so do test_{cut_answers,faulty_answers}.py.

--- a/wagtailfront/forwarding/framing.py
+++ b/wagtailfront/forwarding/framing.py
@@ -277,6 +277,9 @@
     def on_headers_complete(self):
         super().on_headers_complete()
         self.status = self.parser.get_status_code()
+        if self.status < 100:
+            # Unlike an interim response, it would have a body.
+            raise FramingError(502, f"invalid status {self.status}")
         if self.status < 200:
             return
         codings = _transfer_codings(self.headers)
--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -156,6 +156,16 @@
     assert read_response([data], ends=False) == ([200], b"hello", True)
 
 
+@pytest.mark.parametrize("status", [b"000", b"099"])
+def test_the_body_of_an_interim_response_is_not_that_of_the_final_one(status):
+    """Guards against bytes that were sent before the head of a response."""
+    interim = b"HTTP/1.1 %b X\r\nContent-Length: 3\r\n\r\nabc" % status
+    _heads, body, is_complete = read_response(
+        [interim + RESPONSES["length"]], ends=False
+    )
+    assert (body, is_complete) == (b"", False)
+
+
 ENDLESS = {
     "status line": (b"HTTP/1.1 200 ", b"a" * 1000),
     "header": (b"HTTP/1.1 200 OK\r\nX: ", b"a" * 1000),
