Let a caller that still sends read its early refusal

Callers saw: a reset in place of 400, 408, 413 or 431 while they were still sending the request. Cause: the connection was closed with unread bytes, so that the kernel sent RST, which also discards the answer on its way. Change: after such an answer only the sending side is closed; what arrives is read and discarded until the caller closes, for at most 1 s.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -26,6 +26,8 @@
 
 SWEEP_INTERVAL = 0.5  # seconds between checks for slow and idle callers
 BAD_GATEWAY = 502  # does not say whether the request has run
+# Seconds in which a caller reads the refusal of a request that it still sends.
+LINGER_SECONDS = 1.0
 MAX_PIPELINED = 8  # requests queued on one connection until it is read on
 # SO_LINGER with a timeout of 0: close() sends RST instead of FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -153,6 +155,8 @@
         now = self.clock()
         limits = self.forwarder.limits.at(now)
         connection = self.connections.get(sock)
+        if connection is not None and connection.is_closing:
+            return
         if connection is None:
             connection = CallerConnection(sock=sock, limits=limits, now=now)
             self.connections[sock] = connection
@@ -198,7 +202,12 @@
     def _answer_failure(self, connection, status):
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         self.listener.write(connection.sock, encode_head(status_line(status), headers))
-        self._close(connection)
+        connection.is_closing = True
+        # Closing with unread bytes would reset it, answer included.
+        self.listener.end_writing(connection.sock)
+        self.forwarder.context.timers.after(
+            LINGER_SECONDS, lambda: self._close(connection)
+        )
 
     def end_reply(self, connection, keep_alive):
         """Serve the connection's next request, or close the connection."""
--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -9,8 +9,10 @@
     GET,
     LIMITS,
     echo,
+    make_config,
     read_until,
     start_instances,
+    wait_for,
 )
 
 BUSY_SECONDS = LIMITS.idle_timeout + 0.2
@@ -84,3 +86,23 @@
             caller.sendall(b"".join(GET % name for name in names))
             data = read_until(caller, [name + b"/" for name in names])
             assert data.count(b"200 OK") == len(names)
+
+
+def test_an_early_refusal_can_be_read_by_a_caller_that_sends_on(instance):
+    """Guards the answer against the reset that unread bytes cause."""
+    limits = LIMITS._replace(max_body=1000)
+    config = make_config(instance.forwarder.config.routes[0], version=2, limits=limits)
+    instance.forwarder.apply_config(config)
+    instance.forwarder.limits.replaced.clear()
+    size = 3_000_000
+    for _ in range(5):
+        with instance.connect() as caller:
+            caller.sendall(
+                b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+            )
+            sent = 0
+            while sent < size:
+                caller.sendall(b"x" * 100_000)
+                sent += 100_000
+            assert read_until(caller, [b"413"]).startswith(b"HTTP/1.1 413 ")
+    wait_for(lambda: not instance.server.connections)
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -116,6 +116,15 @@
         if sock in self._clients and not self._poller.isReading(sock):
             self._poller.addReader(self, sock)
 
+    def end_writing(self, sock):
+        """Send FIN after what was written; further bytes are still read."""
+        # Queued bytes are followed by FIN when the connection is closed.
+        if sock in self._clients and not self._buffers[sock]:
+            try:
+                sock.shutdown(socket.SHUT_WR)
+            except OSError as error:
+                logger.info("[http] The peer has closed a connection: %s", error)
+
     def _read(self, sock):
         while sock in self._clients:
             try:
