Send an interim response only between two answers

Callers saw: "100 Continue" inside a stream, if a pipelined request behind it expected that; the stream was then unreadable. Cause: the interim response was written as soon as the head had been read. Change: it is written when the connection has no request in progress. Measured: test_an_expected_continue_waits_for_the_answer_before_it fails before (the interim response comes before the end of the stream), passes after.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -163,9 +163,6 @@
         connection.last_activity = now
         connection.use_limits(limits)
         connection.waiting.extend(connection.reader.feed(data))
-        if connection.reader.expects_continue:
-            connection.reader.expects_continue = False
-            self.listener.write(sock, CONTINUE)
         if len(connection.waiting) > MAX_PIPELINED:
             self.listener.pause_reading(sock)
         self._serve_next(connection)
@@ -179,6 +176,9 @@
                 self._serve(connection, request)
             elif connection.reader.failure is not None:
                 self._answer_failure(connection, connection.reader.failure.status)
+            elif connection.reader.expects_continue:
+                connection.reader.expects_continue = False
+                self.listener.write(connection.sock, CONTINUE)
             else:
                 return
 
--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from wagtailfront.forwarding.framing import LAST_CHUNK
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     LIMITS,
@@ -14,6 +15,7 @@
     start_instances,
     wait_for,
 )
+from wagtailfront.platform.tests.wire import signed_response
 
 BUSY_SECONDS = LIMITS.idle_timeout + 0.2
 
@@ -106,3 +108,33 @@
                 sent += 100_000
             assert read_until(caller, [b"413"]).startswith(b"HTTP/1.1 413 ")
     wait_for(lambda: not instance.server.connections)
+
+
+def test_an_expected_continue_waits_for_the_answer_before_it():
+    """Guards an answer against an interim response within its body."""
+    is_begun, may_end = Event(), Event()
+
+    def stream(connection, request_id, request):
+        head = signed_response(request_id, b"").replace(
+            b"Content-Length: 0", b"Content-Type: text/event-stream"
+        )
+        connection.sendall(head + b"id: 1\ndata: a\n\n")
+        is_begun.set()
+        may_end.wait(10.0)
+        return False
+
+    with start_instances() as begin, begin(stream).connect() as caller:
+        caller.sendall(GET % b"r1")
+        assert is_begun.wait(10.0)
+        read_until(caller, [b"data: a"])
+        caller.sendall(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\n"
+            b"Content-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+        )
+        caller.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            caller.recv(100)
+        may_end.set()
+        caller.settimeout(10.0)
+        data = read_until(caller, [b"100 Continue"])
+        assert data.startswith(LAST_CHUNK + b"HTTP/1.1 100 Continue")
