Log SIGHUP from the event loop instead of the signal handler

Callers saw nothing, operators a garbled log: lines written twice or in part when SIGHUP came within a write of the log. Cause: the handler, which Python calls between any two steps, wrote to the log's buffer while a write was changing it. Change: the handler only starts a timer, which logs in the event loop. Measured: test_a_reload_within_a_write_does_not_garble_the_log fails before ("first" twice, "second" later), passes after; 20 signals in a row during a stop end no request (passed before too).

--- a/wagtailfront/forwarding/shutdown.py
+++ b/wagtailfront/forwarding/shutdown.py
@@ -48,6 +48,10 @@
         signal.signal(signal.SIGHUP, self._on_hangup)
 
     def _on_hangup(self, number, frame):
+        # Called between any two steps of the program, also within the log.
+        self.timers.after(0.0, self._log_hangup)
+
+    def _log_hangup(self):
         # Settings are flags and environment variables, fixed at the start.
         self.log.decision("reload", outcome="settings unchanged until a restart")
 
