Ignore SIGHUP from the start of the forwarding program

Operators saw: an instance that was told to reload within the first 0.35 s of its start ended (default action of the signal). Cause: the handler is installed with the last component; the imports before it take 0.34 s.

--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -1,10 +1,8 @@
 """The `wagtailfront-forward` program: a forwarding instance."""
 
+import signal
 import sys
 
-from wagtailfront.observe.decision_log import standard_output_log
-from wagtailfront.observe.log import start_logging
-from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
 from wagtailfront.programs.settings import (
     Address,
     Count,
@@ -14,7 +12,6 @@
     Share,
     run,
 )
-from wagtailfront.transport.supervisor import make_root
 
 __all__ = ["main", "forward"]
 
@@ -72,6 +69,12 @@
     max_descriptors : Count
         File descriptors that the process may open.
     """
+    # These imports take most of the time of a start; main() is called first.
+    from wagtailfront.observe.decision_log import standard_output_log
+    from wagtailfront.observe.log import start_logging
+    from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
+    from wagtailfront.transport.supervisor import make_root
+
     start_logging(level="warning", form="json")
     settings = ForwardSettings(
         instance=instance,
@@ -97,6 +100,8 @@
 
 def main():
     """Run the program `wagtailfront-forward`."""
+    # The default action would end a program that is not set up yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.exit(run(forward, prog="wagtailfront-forward"))
 
 
