Send a request elsewhere when its kept connection was just reset

Callers saw: a reset for a whole request, which the instance had read, if the kept connection to its endpoint had been reset and the poller had not reported that yet. Cause: send() on such a connection raises at once, and the pool reported the failure to its sink before EndpointPool.send() had returned. The attempt had no exchange then; dropping it raised AttributeError, and ForwardServer reset the caller's connection. Besides, a send that raises has taken no byte, but counted as sent, so that an unsafe request got 502. Change: an exchange reports its failure once send() has returned it; is_sent is set by bytes that the kernel has taken. Measured: test_a_kept_connection_that_was_just_reset_costs_no_request, on a reset (safe) and a reset behind 502 (unsafe), with AttributeError in the log; after, both are answered by the endpoint on another connection.

--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -89,6 +89,8 @@
         on it cannot be one to an earlier request.
     is_sent : bool
         Whether a byte of the request may have reached the endpoint.
+    is_returned : bool
+        Whether `send` has returned it, so that its failure may be reported.
     """
 
     def __init__(self, *, pool, record, payload, sink):
@@ -99,6 +101,7 @@
         self.connection = None
         self.is_first = True
         self.is_sent = False
+        self.is_returned = False
         self.is_done = False
 
     def cancel(self):
@@ -110,7 +113,10 @@
 
     def fail(self, reason):
         """Report a failure unless the exchange has ended."""
-        if not self.is_done:
+        if not self.is_returned:
+            # The sink does not know its exchange before send() has returned.
+            self.pool.timers.after(0.0, lambda: self.fail(reason))
+        elif not self.is_done:
             self.is_done = True
             self.sink.on_failure(reason, self.is_sent)
 
@@ -197,22 +203,22 @@
             Connections that must not be used.
         """
         exchange = Exchange(pool=self, record=record, payload=payload, sink=sink)
-        connection = self._take_idle(record, avoid)
-        if connection is None:
-            try:
-                connection = self._open(record)
-            except (OSError, ValueError) as error:
-                # The sink must not be called before send() has returned.
-                reason = f"open: {error}"
-                self.timers.after(0.0, lambda: exchange.fail(reason))
-                return exchange
+        try:
+            connection = self._take_idle(record, avoid) or self._open(record)
+        except (OSError, ValueError) as error:
+            exchange.fail(f"open: {error}")
+        else:
+            self._start(exchange, connection)
+        exchange.is_returned = True
+        return exchange
+
+    def _start(self, exchange, connection):
         exchange.is_first, connection.is_new = connection.is_new, False
         exchange.connection = connection
         connection.exchange = exchange
-        connection.outgoing = payload
+        connection.outgoing = exchange.payload
         if connection.is_open:
             self._flush(connection)
-        return exchange
 
     def _take_idle(self, record, avoid):
         idle = self.idle[record.incarnation]
@@ -271,10 +277,10 @@
         sock = connection.sock
         try:
             while connection.outgoing:
-                # Set before the call: a failing send may have written bytes.
+                # A call that raises has taken no byte.
+                count = sock.send(connection.outgoing)
                 if connection.exchange is not None:
                     connection.exchange.is_sent = True
-                count = sock.send(connection.outgoing)
                 connection.outgoing = connection.outgoing[count:]
         except BlockingIOError:
             if not self.poller.isWriting(sock):
--- a/wagtailfront/forwarding/tests/test_faults.py
+++ b/wagtailfront/forwarding/tests/test_faults.py
@@ -2,6 +2,9 @@
 
 import errno
 import socket
+import struct
+import threading
+import time
 
 import pytest
 
@@ -12,6 +15,7 @@
 from wagtailfront.forwarding.routes import RouteTable
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.tests.builders import (
+    SAFE,
     UNSAFE,
     Scene,
     make_record,
@@ -20,6 +24,7 @@
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     echo,
+    make_config,
     read_until,
     start_instances,
     wait_for,
@@ -128,3 +133,38 @@
     scene.pool.last.fail()
     assert reply.status == 502
     assert scene.done == [task]
+
+
+@pytest.mark.parametrize("kind", [SAFE, UNSAFE])
+def test_a_kept_connection_that_was_just_reset_costs_no_request(kind):
+    """Guards a request sent before the reset is read from the socket."""
+    may_reset, is_reset = threading.Event(), threading.Event()
+
+    def reset_after_first(connection, request_id, request):
+        echo(connection, request_id, request)
+        if request_id == b"r1":
+            may_reset.wait(10.0)
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.close()
+            is_reset.set()
+        return request_id != b"r1"
+
+    with start_instances() as begin:
+        instance = begin(reset_after_first)
+        route = make_route(kind, timeout=3.0)
+        instance.forwarder.apply_config(make_config(route, version=2))
+        with instance.connect() as caller:
+            caller.sendall(GET % b"r1")
+            read_until(caller, [b"r1/"])
+
+            def read_request_first():
+                may_reset.set()
+                is_reset.wait(10.0)
+                caller.sendall(GET % b"r2")
+                time.sleep(0.05)
+                (sock,) = instance.server.connections
+                instance.server.listener._read(sock)
+
+            instance.timers.after(0.0, read_request_first)
+            assert b"r2/" in read_until(caller, [b"r2/", b"HTTP/1.1 50"])
