--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -26,6 +26,8 @@
 
 SWEEP_INTERVAL = 0.5  # seconds between checks for slow and idle callers
 BAD_GATEWAY = 502  # does not say whether the request has run
+# Seconds in which a caller reads the refusal of a request that it still sends.
+LINGER_SECONDS = 1.0
 MAX_PIPELINED = 8  # requests queued on one connection until it is read on
 # SO_LINGER with a timeout of 0: close() sends RST instead of FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -165,9 +167,6 @@
             return
         connection.use_limits(limits)
         connection.waiting.extend(connection.reader.feed(data))
-        if connection.reader.expects_continue:
-            connection.reader.expects_continue = False
-            self.listener.write(sock, CONTINUE)
         if len(connection.waiting) > MAX_PIPELINED:
             self.listener.pause_reading(sock)
         self._serve_next(connection)
@@ -181,6 +180,9 @@
                 self._serve(connection, request)
             elif connection.reader.failure is not None:
                 self._answer_failure(connection, connection.reader.failure.status)
+            elif connection.reader.expects_continue:
+                connection.reader.expects_continue = False
+                self.listener.write(connection.sock, CONTINUE)
             else:
                 return
 
@@ -204,7 +206,12 @@
     def _answer_failure(self, connection, status):
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         self.listener.write(connection.sock, encode_head(status_line(status), headers))
-        self._close(connection)
+        connection.is_closing = True
+        # Closing with unread bytes would reset it, answer included.
+        self.listener.end_writing(connection.sock)
+        self.forwarder.context.timers.after(
+            LINGER_SECONDS, lambda: self._close(connection)
+        )
 
     def end_reply(self, connection, keep_alive):
         """Serve the connection's next request, or close the connection."""
--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -5,13 +5,17 @@
 
 import pytest
 
+from wagtailfront.forwarding.framing import LAST_CHUNK
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     LIMITS,
     echo,
+    make_config,
     read_until,
     start_instances,
+    wait_for,
 )
+from wagtailfront.platform.tests.wire import signed_response
 
 BUSY_SECONDS = LIMITS.idle_timeout + 0.2
 
@@ -84,3 +88,53 @@
             caller.sendall(b"".join(GET % name for name in names))
             data = read_until(caller, [name + b"/" for name in names])
             assert data.count(b"200 OK") == len(names)
+
+
+def test_an_early_refusal_can_be_read_by_a_caller_that_sends_on(instance):
+    """Guards the answer against the reset that unread bytes cause."""
+    limits = LIMITS._replace(max_body=1000)
+    config = make_config(instance.forwarder.config.routes[0], version=2, limits=limits)
+    instance.forwarder.apply_config(config)
+    instance.forwarder.limits.replaced.clear()
+    size = 3_000_000
+    for _ in range(5):
+        with instance.connect() as caller:
+            caller.sendall(
+                b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+            )
+            sent = 0
+            while sent < size:
+                caller.sendall(b"x" * 100_000)
+                sent += 100_000
+            assert read_until(caller, [b"413"]).startswith(b"HTTP/1.1 413 ")
+    wait_for(lambda: not instance.server.connections)
+
+
+def test_an_expected_continue_waits_for_the_answer_before_it():
+    """Guards an answer against an interim response within its body."""
+    is_begun, may_end = Event(), Event()
+
+    def stream(connection, request_id, request):
+        head = signed_response(request_id, b"").replace(
+            b"Content-Length: 0", b"Content-Type: text/event-stream"
+        )
+        connection.sendall(head + b"id: 1\ndata: a\n\n")
+        is_begun.set()
+        may_end.wait(10.0)
+        return False
+
+    with start_instances() as begin, begin(stream).connect() as caller:
+        caller.sendall(GET % b"r1")
+        assert is_begun.wait(10.0)
+        read_until(caller, [b"data: a"])
+        caller.sendall(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\n"
+            b"Content-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+        )
+        caller.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            caller.recv(100)
+        may_end.set()
+        caller.settimeout(10.0)
+        data = read_until(caller, [b"100 Continue"])
+        assert data.startswith(LAST_CHUNK + b"HTTP/1.1 100 Continue")
