--- a/wagtailfront/forwarding/tests/test_cut_answers.py
+++ b/wagtailfront/forwarding/tests/test_cut_answers.py
@@ -15,7 +15,14 @@
     make_route,
 )
 from wagtailfront.forwarding.tests.scripted_socket import FIN, RST, ScriptedPool
-from wagtailfront.platform.tests.wire import resume_line, signed_head, signed_response
+from wagtailfront.platform.tests.wire import (
+    HANDLE,
+    KV_SOURCE,
+    PREFILL_LINE,
+    resume_line,
+    signed_head,
+    signed_response,
+)
 
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in (1, 2, 3)]
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
@@ -215,3 +222,25 @@
         pool.receive(next_answer)
         assert (reply.status, reply.body) == (404, b"no")
         assert kept.is_closed
+
+
+@pytest.mark.parametrize("framing", ["length", "no length"])
+def test_a_cut_prefill_is_not_used(monkeypatch, framing):
+    """Guards against a KV source that is cut, or that does not exist."""
+    lines = length_line(len(HANDLE)) if framing == "length" else b""
+    whole = signed_head(b"r1", lines) + HANDLE
+    for size, end in itertools.product(range(len(whole) + 1), [FIN, RST]):
+        timers = VirtualTimers()
+        pool = ScriptedPool(monkeypatch, timers=timers)
+        engines = [make_record(stage, stage=stage) for stage in ("prefill", "decode")]
+        scene = Scene(engines, is_model=True, timers=timers, pool=pool)
+        route = make_route(STREAMING, is_resumable=True)
+        scene.start(route, prompt_tokens=20_000)
+        pool.connect()
+        prefill = pool.sock
+        assert PREFILL_LINE in prefill.sent
+        pool.receive(whole[:size], end)
+        assert pool.sock is not prefill
+        pool.connect()
+        is_whole = size == len(whole) and (end is FIN or framing == "length")
+        assert (KV_SOURCE in pool.sock.sent) is is_whole
