Choose engines that decode again if only others that prefill are left

Cause: engines that were tried, pause or fail often are left out while there are others, and engines that only prefill counted as others. Change: if no chosen engine decodes, the choice is made again among those that do.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -10,8 +10,9 @@
 )
 from wagtailfront.forwarding.relay_groups import MAX_DIRECT_INSTANCES
 
-__all__ = ["EndpointChoice"]
+__all__ = ["DECODE_STAGES", "EndpointChoice"]
 
+DECODE_STAGES = ("decode", "")  # stages of engines that decode
 MOST_URGENT = -1  # more urgent than any route's priority
 
 
@@ -50,9 +51,16 @@
             if (stages is None or record.stage in stages)
             and self.wait(record) < math.inf
         ]
+        chosen = self._usable(records, without)
+        if stages is None and all(r.stage not in DECODE_STAGES for r in chosen):
+            # Engines that only prefill are no others to those that decode.
+            decoding = [r for r in records if r.stage in DECODE_STAGES]
+            chosen += self._usable(decoding, without)
+        return [self._view(record) for record in chosen]
+
+    def _usable(self, records, without):
         others = [r for r in records if r.incarnation not in without]
-        usable = self.context.health.usable(others or records, now=self.context.clock())
-        return [self._view(record) for record in usable]
+        return self.context.health.usable(others or records, now=self.context.clock())
 
     def _view(self, record):
         now, load = self.context.clock(), self.context.load
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -10,7 +10,7 @@
     RunAttempt,
     end_to_end_headers,
 )
-from wagtailfront.forwarding.endpoint_choice import EndpointChoice
+from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES, EndpointChoice
 from wagtailfront.forwarding.request_log import RequestLog
 from wagtailfront.forwarding.request_sender import MIN_TIME_LEFT, RequestSender
 from wagtailfront.forwarding.send_credit import SendCredit
@@ -26,7 +26,6 @@
 RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
 POISON_RETRY_AFTER = 5.0  # seconds; for requests that crash endpoints
 RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
-DECODE_STAGES = ("decode", "")  # stages of engines that decode
 TOO_MANY, SERVER_ERROR = 429, 500
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
 
