Count a request at the state of its endpoint that it began with

What callers saw: a second run of a stream that flowed, or on its reset, within a second of its engine's entry leaving the registry. Cause: the state of an endpoint that is gone is forgotten; an attempt looked its state up anew and found one without any response, so that the engine counted as silent since the attempt's start, and the count of outstanding requests went below 0. Change: an attempt keeps the state that it began with.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -45,6 +45,8 @@
         self.exchange = None
         self.is_dropped = False
         self.has_arrived = False
+        # Kept, as the state of an endpoint whose entry is gone is forgotten.
+        self.health = self.context.health.state(record.incarnation)
         self.is_broken_off = False
         self.status = 0
         self.headers = []
@@ -52,11 +54,6 @@
         self.chunks = []
         self.size = 0
 
-    @property
-    def health(self):
-        """Return the EndpointState of the attempt's endpoint."""
-        return self.context.health.state(self.record.incarnation)
-
     @property
     def body(self):
         """Return the bytes of the body received so far."""
