Keep at most two runs of a request open, and charge each

What callers would see: with three or more attempts and two silent engines, events of two runs in one stream; budgets that were overspent; a request refused though its prefill was only late; two engines at work on one stream for longer than 0.4 s. Cause: a second silence replaced the attempt that was kept, which then belonged to nobody; a run that was dropped for the silent one was not charged; prefills were failed for silence without asking whether they could be sent again; endpoints were compared by their whole entries; each check of a silence counted as one more failure of its endpoint. Change: no third run while two are open; a dropped run that was sent is charged; a silent prefill is waited for unless sends, budget and another engine are there; endpoints are compared by incarnation; a silence counts once; the kept run ends 0.3 s after the head of the stream that replaces it.

--- a/wagtailfront/decisions/tests/test_silence.py
+++ b/wagtailfront/decisions/tests/test_silence.py
@@ -87,3 +87,13 @@
 
 
 TestConnections = Connections.TestCase
+
+
+def test_engine_that_pauses_and_goes_on_keeps_its_connections():
+    """Guards a sound engine: the answer to a probe may come first."""
+    engine = EndpointSilence()
+    engine.open("c1", gap=0.1, now=0.0)
+    assert engine.poll(now=0.7)
+    # The whole engine is silent until 1.3 s; c1's next token is due at 1.35 s.
+    assert engine.probe_answered(now=1.3) == ()
+    assert engine.record_progress("c1", gap=0.1, now=1.35)
--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -45,6 +45,7 @@
         self.exchange = None
         self.is_dropped = False
         self.has_arrived = False
+        self.is_silent = False
         # Kept, as the state of an endpoint whose entry is gone is forgotten.
         self.health = self.context.health.state(record.incarnation)
         self.is_broken_off = False
@@ -98,6 +99,8 @@
         if not self.is_dropped:
             self.is_dropped = True
             if self.exchange is not None:
+                if self.exchange.is_sent:
+                    self.record_arrival()
                 self.exchange.cancel()
             self.health.outstanding -= 1
             self.context.body_memory.release(self.size)
@@ -174,6 +177,7 @@
         self.task.run(self.task.handle_failure, self, reason, sent)
 
     def _record_progress(self):
+        self.is_silent = False
         self.health.last_response_at = self.context.clock()
 
 
@@ -271,6 +275,7 @@
         is_stream = content_type.lower().startswith(EVENT_STREAM)
         if status == OK and is_stream and self.is_trusted:
             self.splitter = EventSplitter(after=self.task.stream.last_event_id)
+            self.task.silence.handle_head(self)
         return True
 
     def on_data(self, data):
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -214,7 +214,8 @@
         """
         views = self.choice.views(without=self.tried)
         held = self.silence.held
-        return [v for v in views if held is None or v.record != held.record]
+        incarnation = held and held.record.incarnation
+        return [v for v in views if v.record.incarnation != incarnation]
 
     def _dispatch_model(self, views):
         may_split = self.stream.last_event_id is None and not self.runs
@@ -327,7 +328,9 @@
             self.context.health.record_error(attempt.record)
             self.log.decision("error", str(status), endpoint=attempt.record.endpoint_id)
             self._repeat(attempt)
-        elif not (is_error and self.silence.resume(f"another answered {status}")):
+        elif is_error and self.silence.resume(f"another answered {status}"):
+            self.context.health.record_error(attempt.record)
+        else:
             self._forward_answer(attempt)
 
     def _find_fault(self, attempt):
@@ -413,9 +416,25 @@
 
     def may_try_besides(self, attempt):
         """Return whether another endpoint may run the request too."""
-        views = self.choice.views(without={*self.tried, attempt.record.incarnation})
-        is_alone = all(view.record == attempt.record for view in views)
-        return self.may_repeat() and not is_alone and self._reserve(1)
+        return (
+            self.may_repeat()
+            and self._has_other(attempt, DECODE_STAGES)
+            and self._reserve(1)
+        )
+
+    def may_prefill_again(self, attempt):
+        """Return whether another engine may prefill the prompt."""
+        return (
+            self.sends < MAX_SENDS
+            and self._has_other(attempt, None)
+            and self._reserve(2)  # the one that arrived, and the next
+        )
+
+    def _has_other(self, attempt, stages):
+        own = attempt.record.incarnation
+        stages = stages if self.service.is_model else None
+        views = self.choice.views(without={*self.tried, own}, stages=stages)
+        return any(view.record.incarnation != own for view in views)
 
     def dispatch_besides(self, attempt):
         """Send the request to another endpoint; `attempt` stays open."""
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -12,6 +12,9 @@
 # Multiple of the expected prefill time that is allowed for queueing.
 QUEUE_FACTOR = 2.0
 MIN_RECHECK_DELAY = 0.02  # seconds; avoids checks in quick succession
+# Seconds for which two engines may work on one stream once the second one has
+# begun to answer.
+HANDOVER_SECONDS = 0.3
 
 
 class SilenceWatch:
@@ -61,6 +64,8 @@
         if now - last_response_at < timeout:
             remaining = max(MIN_RECHECK_DELAY, last_response_at + timeout - now)
             self._check_after(remaining, attempt, timeout)
+        elif attempt.is_prefill and not task.may_prefill_again(attempt):
+            self._check_after(timeout, attempt, timeout)
         elif attempt.is_prefill or (task.may_repeat() and not attempt.may_have_run):
             attempt.fail("silent")
         else:
@@ -68,9 +73,14 @@
 
     def _handle_silence(self, attempt, timeout):
         task = self.task
-        task.context.health.record_failure(attempt.record, now=task.context.clock())
-        attempt.record_arrival()
-        is_replaced = task.may_try_besides(attempt)
+        if not attempt.is_silent:
+            attempt.is_silent = True
+            now = task.context.clock()
+            task.context.health.record_failure(attempt.record, now=now)
+        if attempt.may_have_run:
+            attempt.record_arrival()
+        # A third open run could go on beside the other two.
+        is_replaced = self.held is None and task.may_try_besides(attempt)
         task.log.decision(
             "silent",
             "another endpoint is tried" if is_replaced else "it is waited for",
@@ -82,6 +92,15 @@
         else:
             self._check_after(timeout, attempt, timeout)
 
+    def handle_head(self, attempt):
+        """End the held attempt soon, as another endpoint streams an answer."""
+        if self.held is not None and attempt is not self.held:
+            self.task.after(HANDOVER_SECONDS, lambda: self._end_handover(attempt))
+
+    def _end_handover(self, attempt):
+        if self.task.attempt is attempt:
+            self.release("another endpoint has begun to answer")
+
     def settle(self, attempt):
         """End the other open attempt, as `attempt` has made progress."""
         if self.held is None:
--- a/wagtailfront/forwarding/tests/test_silent_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_silent_endpoints.py
@@ -5,40 +5,21 @@
 
 from wagtailfront.forwarding.tests.builders import (
     SAFE,
-    STREAMING,
     Scene,
-    make_parts,
     make_record,
     make_route,
 )
-from wagtailfront.platform.tests.wire import EVENT_STREAM, HANDLE, NOT_RUN, SIGNED
-
-RESUMABLE = make_route(STREAMING, is_resumable=True, gap_target=0.25)
-SILENCE = 1.3  # seconds; longer than the limit for a silent engine
-
-
-def event(number):
-    """Return an event of a stream."""
-    return b"id: %d\ndata: x\n\n" % number
-
-
-def make_engines(count):
-    """Return engines that decode, and one that prefills."""
-    decoding = [make_record(f"d{i}", stage="decode") for i in range(count)]
-    return [make_record("p1", stage="prefill"), *decoding]
+from wagtailfront.forwarding.tests.open_runs import (
+    begin_stream,
+    event,
+    make_engines,
+    resumable,
+)
+from wagtailfront.platform.tests.wire import EVENT_STREAM, NOT_RUN, SIGNED
 
+RESUMABLE = resumable(2, timeout=5.0)
 
-def begin_stream(scene, route=RESUMABLE):
-    """Start a request whose first event has been forwarded."""
-    _task, reply = scene.start(
-        route, prompt_tokens=20_000, parts=make_parts("a", 19_000, 1000)
-    )
-    if scene.pool.last.record.stage == "prefill":
-        scene.pool.last.respond(200, [], HANDLE)
-    run = scene.pool.last
-    run.sink.on_head(200, EVENT_STREAM)
-    run.sink.on_data(event(1))
-    return run, reply
+SILENCE = 1.3  # seconds; longer than the limit for a silent engine
 
 
 def end_stream(run, *numbers):
@@ -52,7 +33,8 @@
 def test_begun_stream_is_not_reset_when_it_cannot_be_resumed(engines, slack):
     """Guards a sound engine's stream without a repeat or another engine."""
     scene = Scene(make_engines(engines), is_model=True, slack=slack)
-    run, reply = begin_stream(scene)
+    _task, reply = begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
     scene.timers.advance(SILENCE)
     assert not reply.is_aborted
     end_stream(run, 2)
@@ -62,7 +44,8 @@
 def test_begun_stream_is_not_reset_when_other_engines_refuse():
     """Guards a sound engine's stream against those that are full."""
     scene = Scene(make_engines(4), is_model=True, slack=9)
-    run, reply = begin_stream(scene)
+    _task, reply = begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
     scene.timers.advance(SILENCE)
     while scene.pool.last is not run and not scene.pool.last.status:
         scene.pool.last.respond(503, NOT_RUN)
@@ -84,7 +67,8 @@
 def test_silent_engine_that_goes_on_first_keeps_the_stream():
     """Guards against events of two engines in one stream."""
     scene = Scene(make_engines(3), is_model=True, slack=5)
-    run, reply = begin_stream(scene)
+    _task, reply = begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
     scene.timers.advance(SILENCE)
     other = scene.pool.last
     assert other is not run
@@ -98,7 +82,8 @@
 def test_engine_that_resumes_a_stream_ends_the_silent_run():
     """Guards against two engines that go on with one stream."""
     scene = Scene(make_engines(3), is_model=True, slack=5)
-    run, reply = begin_stream(scene)
+    _task, reply = begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
     scene.timers.advance(SILENCE)
     other = scene.pool.last
     other.sink.on_head(200, EVENT_STREAM)
@@ -112,7 +97,8 @@
 def test_silent_run_that_breaks_off_leaves_the_other_engine_the_stream():
     """Guards a resumed stream against the failure of the run before it."""
     scene = Scene(make_engines(3), is_model=True, slack=5)
-    run, reply = begin_stream(scene)
+    _task, reply = begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
     scene.timers.advance(SILENCE)
     other = scene.pool.last
     run.fail()
@@ -125,7 +111,8 @@
 def test_end_of_a_request_cancels_both_of_its_runs(ending):
     """Guards against engines that work for a request that has ended."""
     scene = Scene(make_engines(3), is_model=True, slack=5)
-    run, _reply = begin_stream(scene)
+    _task, _reply = begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
     scene.timers.advance(SILENCE)
     if ending == "caller":
         run.sink.task.cancel()
@@ -149,7 +136,8 @@
 ):
     """Guards a stream that pauses against any failure at other engines."""
     scene = Scene(make_engines(engines), is_model=True, slack=slack)
-    run, reply = begin_stream(scene)
+    _task, reply = begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
     scene.timers.advance(SILENCE)
     for outcome in outcomes:
         other = scene.pool.last
