--- a/wagtailfront/programs/tests/forward_site.py
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -12,9 +12,10 @@
 from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
 from wagtailfront.programs.setting_values import HostPort
 
-__all__ = ["REQUEST", "ForwardSite", "free_port", "read_answer"]
+__all__ = ["REQUEST", "SERVICES", "ForwardSite", "free_port", "read_answer"]
 
 TIMEOUT = 10.0  # seconds
+SERVICES = ("s", "t")  # of the endpoints in turn
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\n\r\n"
 
 
@@ -56,10 +57,12 @@
         self.version = 0
         self.endpoints = [ScriptedEndpoint(script) for script in scripts]
         for number, endpoint in enumerate(self.endpoints):
-            address = f"127.0.0.1:{endpoint.port}"
-            self.store.write(
-                "servers", f"e{number}", make_registration(address=address, stage="")
+            registration = make_registration(
+                address=f"127.0.0.1:{endpoint.port}",
+                service=SERVICES[number % len(SERVICES)],
+                stage="",
             )
+            self.store.write("servers", f"e{number}", registration)
         self.ports = {
             name: free_port() for name in ("callers", "status", "peers", "metrics")
         }
@@ -73,7 +76,7 @@
             "host": "h",
             "prefix": "/",
             "kind": "safe",
-            "service": "s",
+            "service": SERVICES[0],
             "timeout-ms": 5000,
             "target-latency-ms": 2000,
             **route,
@@ -81,7 +84,7 @@
         config = {
             "version": self.version,
             "routes": [fields],
-            "services": [{"name": "s", "max-connections": 500}],
+            "services": [{"name": name, "max-connections": 500} for name in SERVICES],
             "limits": limits or {},
         }
         self.store.write("op", "config", config)
