Log the software version of engines and resumptions of streams

Callers saw streams go on at engines of another software version, and the log could not tell why: `sent` and `first_event` did not name the version, and nothing said which stream an attempt resumes.

The registrations' `version` and the callers' `Resumes` are decoded; an unreadable version is unknown, and its engine is kept. Lines `sent`, `first_event` and `endpoint_*` carry the version; a new line `resumption` names the attempt that began the stream. No decision uses them yet.

--- a/wagtailfront/forwarding/endpoint_directory.py
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -32,6 +32,8 @@
     started_ms : int
         Start time in Unix milliseconds; distinguishes incarnations with the
         same id.
+    software_version : str
+        Empty if it is not known.
     """
 
     endpoint_id: str
@@ -43,6 +45,7 @@
     is_leaving: bool
     stage: str
     started_ms: int
+    software_version: str = ""
 
     @property
     def address(self):
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -107,6 +107,12 @@
         """Start the deadline and send the request to a first endpoint."""
         self.after(self.deadline - self.received + DEADLINE_GRACE, self._expire)
         self.credit.budget.record_request(now=self.received)
+        if self.fields.is_resumption:
+            self.log.decision(
+                "resumption",
+                self.fields.resumes or "unnamed",
+                after=self.fields.last_event_id,
+            )
         placement = self.context.evidence.place(
             self.fingerprint, endpoints=(), live=(), now=self.received
         )
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -44,6 +44,8 @@
         Parts of the prompt in order; the last one is the request's own.
     last_event_id : int or None
         Event after which the caller resumes a stream.
+    resumes : str or None
+        Id of the caller's attempt that got the first event of that stream.
     """
 
     request_id: str
@@ -54,6 +56,12 @@
     max_output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
+    resumes: str | None = None
+
+    @property
+    def is_resumption(self):
+        """Return whether the caller resumes a stream."""
+        return self.resumes is not None or self.last_event_id is not None
 
     @property
     def shared_parts(self):
--- a/wagtailfront/forwarding/registry_follower.py
+++ b/wagtailfront/forwarding/registry_follower.py
@@ -55,6 +55,7 @@
                     service=record.service,
                     address=record.address,
                     stage=record.stage,
+                    version=record.software_version,
                 )
         if any(change):
             self.on_change(change)
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -89,6 +89,7 @@
             kind,
             endpoint=record.endpoint_id,
             service=task.service.name,
+            version=record.software_version,
             outstanding=attempt.health.outstanding,
             unread=uncached_tokens,
             expected=round(expected, 4),
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -59,6 +59,9 @@
             "first_event_seconds", now - task.received, service=task.service.name
         )
         task.log.decision(
-            "first_event", "passed on", endpoint=attempt.record.endpoint_id
+            "first_event",
+            "passed on",
+            endpoint=attempt.record.endpoint_id,
+            version=attempt.record.software_version,
         )
         task.reply.start(attempt.status, end_to_end_headers(attempt.headers))
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -71,6 +71,7 @@
         "is_leaving": False,
         "stage": "",
         "started_ms": 1,
+        "software_version": "v1",
     }
     return EndpointRecord(**{**fields, **changes})
 
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -22,6 +22,7 @@
 TOKENS = b"X-Token-Count"  # prompt tokens, then the limit of output tokens
 PROMPT_PARTS = b"X-Prompt-Prefix"  # all parts; the request's own is last
 LAST_EVENT = b"Last-Event-Id"
+RESUMES = b"Resumes"  # the attempt of the caller that began the stream
 SIGNATURE = b"X-Response-Stamp"  # proof that an engine produced the response
 NOT_RUN = b"X-Not-Executed"
 RATE_LIMIT = b"Server-Limit"  # requests per second of all instances together
@@ -81,6 +82,7 @@
             max_output_tokens=max_output,
             parts=_read_parts(text(PROMPT_PARTS)),
             last_event_id=int(last_event) if last_event.isdigit() else None,
+            resumes=text(RESUMES) or None,
         )
 
     def endpoint_headers(self, headers, options):
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -2,7 +2,7 @@
 
 import base64
 import logging
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
@@ -21,6 +21,7 @@
 logger = logging.getLogger(__name__)
 
 MS_PER_SECOND = 1000
+MAX_VERSION = 100  # characters of a software version
 READY, DRAINING = "ready", "draining"
 ROUTING_KEY = "config"
 KINDS = {
@@ -57,9 +58,9 @@
     """Registration of an engine or of an endpoint of a plain service.
 
     `zone` is its data centre, `slots` how many requests it processes
-    concurrently, and `born` its start time in Unix milliseconds. The fields
-    `version`, of its software, and `sequence`, a count of its orders, are
-    ignored.
+    concurrently, and `born` its start time in Unix milliseconds. The field
+    `sequence`, a count of its orders, is ignored. A `version` of its software
+    that is no short text is unknown.
     """
 
     service: NonEmpty
@@ -69,6 +70,7 @@
     state: str
     stage: str = ""
     born: int = 0
+    version: Any = ""
 
 
 class _Share(_Wire, kw_only=True):
@@ -164,9 +166,15 @@
         is_leaving=wire.state == DRAINING,
         stage=wire.stage,
         started_ms=wire.born,
+        software_version=_read_version(wire.version),
     )
 
 
+def _read_version(value):
+    is_usable = isinstance(value, str) and len(value) <= MAX_VERSION
+    return value if is_usable else ""
+
+
 def read_routing(rows):
     """Return the latest RoutingConfig in the rows, or None if there is none.
 
--- a/wagtailfront/platform/tests/test_rows.py
+++ b/wagtailfront/platform/tests/test_rows.py
@@ -29,6 +29,14 @@
     assert (record.data_centre, record.slots, record.stage) == ("a", 8, "decode")
     assert record.is_leaving
     assert record.incarnation == "i-1/5"
+    assert record.software_version == "v1"
+
+
+@pytest.mark.parametrize("version", [None, 2, ["v1"], {}, "v" * 200])
+def test_an_engine_of_an_unreadable_version_is_kept(version):
+    """Guards against a loss of engines, and versions that match by chance."""
+    (record,) = read_registry([make_row("i-1", make_registration(version=version))])
+    assert record.software_version == ""
 
 
 @pytest.mark.parametrize(
