--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -1,5 +1,7 @@
 """Headers and bodies in the platform's format, for the tests of forwarding."""
 
+import re
+
 REQUEST_ID = b"X-Request-Id"
 SIGNATURE = b"X-Response-Stamp"
 DEADLINE = b"X-Deadline-Ms"
@@ -47,3 +49,38 @@
     """Return the bytes of a signed response with a length, and `extra`."""
     head = b"HTTP/1.1 200 OK\r\n%b: %b\r\n%b: s\r\nContent-Length: %d\r\n\r\n"
     return head % (REQUEST_ID, request_id, SIGNATURE, len(body)) + body + extra
+
+
+def event_stream_headers(request_id):
+    """Return the headers of a signed event stream."""
+    return [
+        (REQUEST_ID, request_id),
+        (SIGNATURE, b"s"),
+        (b"Content-Type", b"text/event-stream"),
+    ]
+
+
+def refusal_headers(request_id):
+    """Return the headers of a named refusal."""
+    return [(REQUEST_ID, request_id), (b"X-Not-Executed", b"1")]
+
+
+def caller_headers(request_id, *, seconds=5.0, resumes=None, after=None, tokens=0):
+    """Return a caller's headers; with `after`, those that resume a stream."""
+    optional = [
+        (b"Resumes", resumes),
+        (b"Last-Event-Id", None if after is None else b"%d" % after),
+        (b"X-Token-Count", b"%d,10" % tokens if tokens else None),
+    ]
+    return [
+        (b"Host", b"h"),
+        (REQUEST_ID, request_id),
+        (DEADLINE, b"%d" % round(seconds * 1000)),
+        *(header for header in optional if header[1] is not None),
+    ]
+
+
+def resumed_event(payload):
+    """Return the id of the event after which a request resumes, or 0."""
+    found = re.findall(rb"Last-Event-Id: (\d+)", payload)
+    return int(found[-1]) if found else 0
