Continue a broken stream only at the software version that began it

The engine of the first event now fixes the version; later sends of the request choose among engines of that version, also those that a rate limit delayed. An engine whose version is unknown may begin a stream and matches no other. Without one the stream is cut, so that the caller sees that it is incomplete.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -10,8 +10,9 @@
 )
 from wagtailfront.forwarding.relay_groups import MAX_DIRECT_INSTANCES
 
-__all__ = ["EndpointChoice"]
+__all__ = ["RATE_LIMITED", "EndpointChoice"]
 
+RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
 MOST_URGENT = -1  # more urgent than any route's priority
 
 
@@ -24,13 +25,21 @@
     service : Service
     route : Route
     fields : RequestFields
+    software_version : str, optional
+        Version that began the stream, if it has begun.
+
+    Attributes
+    ----------
+    software_version : str or None
+        Only endpoints of this version may be chosen; None for any.
     """
 
-    def __init__(self, *, context, service, route, fields):
+    def __init__(self, *, context, service, route, fields, software_version=None):
         self.context = context
         self.service = service
         self.route = route
         self.fields = fields
+        self.software_version = software_version
 
     def views(self, *, without=(), stages=None):
         """Return views of the endpoints that may be chosen.
@@ -47,13 +56,31 @@
         records = [
             record
             for record in self.context.directory.find(self.service.name)
-            if (stages is None or record.stage in stages)
+            if self.fits(record)
+            and (stages is None or record.stage in stages)
             and self.wait(record) < math.inf
         ]
         others = [r for r in records if r.incarnation not in without]
         usable = self.context.health.usable(others or records, now=self.context.clock())
         return [self._view(record) for record in usable]
 
+    def fits(self, record):
+        """Return whether an endpoint may add to the stream.
+
+        One whose version is not known may only begin one.
+        """
+        version = self.software_version
+        return version is None or bool(version) and record.software_version == version
+
+    def reason_for_none(self):
+        """Return why there are no views."""
+        records = self.context.directory.find(self.service.name)
+        if not records:
+            return "no endpoint is registered"
+        if any(map(self.fits, records)):
+            return RATE_LIMITED
+        return f"no endpoint has software version {self.software_version!r}"
+
     def _view(self, record):
         now, load = self.context.clock(), self.context.load
         incarnation, urgency = record.incarnation, self.route.priority
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -8,7 +8,7 @@
     RunAttempt,
     end_to_end_headers,
 )
-from wagtailfront.forwarding.endpoint_choice import EndpointChoice
+from wagtailfront.forwarding.endpoint_choice import RATE_LIMITED, EndpointChoice
 from wagtailfront.forwarding.request_log import RequestLog
 from wagtailfront.forwarding.request_sender import MIN_TIME_LEFT, RequestSender
 from wagtailfront.forwarding.send_credit import SendCredit
@@ -21,7 +21,6 @@
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
 RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
 POISON_RETRY_AFTER = 5.0  # seconds; for requests that crash endpoints
-RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
 DECODE_STAGES = ("decode", "")  # stages of engines that decode
 TOO_MANY, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 429, 502, 503, 504
 
@@ -184,9 +183,7 @@
             return
         views = self.choice.views(without=self.tried)
         if not views:
-            is_registered = self.context.directory.find(self.service.name)
-            reason = RATE_LIMITED if is_registered else "no endpoint is registered"
-            self._give_up(reason, RETRY_AFTER)
+            self._give_up(self.choice.reason_for_none(), RETRY_AFTER)
         elif self.service.is_model:
             self._dispatch_model(views)
         else:
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -58,7 +58,8 @@
         return min(longest, self.task.deadline - now - MIN_TIME_LEFT)
 
     def _launch_later(self, attempt_type, record, *prompt):
-        if not self.task.context.directory.is_current(record):
+        is_current = self.task.context.directory.is_current(record)
+        if not is_current or not self.task.choice.fits(record):
             self.task.dispatch()
         elif not self.task.give_up_on_crashing_part():
             self._launch(attempt_type, record, *prompt)
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -49,6 +49,7 @@
         task, context = self.task, self.task.context
         self.is_started = True
         task.may_have_run = True
+        task.choice.software_version = attempt.record.software_version
         now = context.clock()
         if attempt.uncached_tokens:
             took = now - attempt.started
