Resume callers' streams only at the version that began them

Callers that resumed a stream after a broken connection got 200 with text of another software version, also after all instances had restarted and the old version's engines had left. An attempt that resumes a stream was placed like a new request: nothing read `Resumes`, nor kept what began a stream.

A resumption goes only to the service and version of its stream. One that is not remembered goes on only where its service has had a single version for as long as the stream may be old, as seen by this instance or a peer without a gap; any other gets 503, not run. An instance that finds its first peers sends a full digest at once, so that they notice it. Metric resumptions_refused_total; the line `resumption` says from what the version is known.

The tests' builders now end the tasks of an instance that is killed, and callers ask again after a refusal: both hid what the new code does.

--- a/wagtailfront/forwarding/endpoint_directory.py
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from wagtailfront.forwarding.version_history import VersionHistory
+
 __all__ = ["EndpointRecord", "DirectoryChange", "EndpointDirectory"]
 
 # Seconds after an outage within which live endpoints register again, according
@@ -110,6 +112,7 @@
         self.era = 0
         self.departed = {}  # _Departure by incarnation
         self.ghosts_until = 0.0
+        self.versions = VersionHistory()
 
     def replace(self, records, *, now, era=0, is_after_failure=False):
         """Replace the entries by those of a full read of the registry.
@@ -155,6 +158,9 @@
         before = self.records
         self.records = {**retained, **present}
         self._index()
+        self.versions.update(
+            self.records.values(), now=now, is_gap=is_after_failure or is_restored
+        )
         change = DirectoryChange(
             added=tuple(
                 record
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -21,6 +21,7 @@
     crashing_parts: Any
     prefix_caches: Any
     load: Any
+    streams: Any
     limits: Any
     log: Any
     metrics: Any
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -47,6 +47,8 @@
         Called with the task when it has ended.
     config_version : int, optional
         Version of the configuration that `route` comes from.
+    software_version : str, optional
+        Version that began the stream, if the caller resumes one.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         context,
         on_done,
         config_version=0,
+        software_version=None,
     ):
         self.request = request
         self.fields = fields
@@ -91,7 +94,11 @@
             budget=context.budgets[service.name], clock=context.clock
         )
         self.choice = EndpointChoice(
-            context=context, service=service, route=route, fields=fields
+            context=context,
+            service=service,
+            route=route,
+            fields=fields,
+            software_version=software_version,
         )
         self.sender = RequestSender(task=self)
         self.silence = SilenceWatch(task=self)
@@ -106,12 +113,6 @@
         """Start the deadline and send the request to a first endpoint."""
         self.after(self.deadline - self.received + DEADLINE_GRACE, self._expire)
         self.credit.budget.record_request(now=self.received)
-        if self.fields.is_resumption:
-            self.log.decision(
-                "resumption",
-                self.fields.resumes or "unnamed",
-                after=self.fields.last_event_id,
-            )
         placement = self.context.evidence.place(
             self.fingerprint, endpoints=(), live=(), now=self.received
         )
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -10,6 +10,11 @@
     time_limit,
 )
 from wagtailfront.forwarding.prefix_cache import PrefixCacheEstimate
+from wagtailfront.forwarding.resumption import (
+    find_origin,
+    is_resumption,
+    refusal,
+)
 from wagtailfront.forwarding.routes import CallerLimits, RouteTable, choose_service
 
 __all__ = ["Forwarder", "AttemptBudgets", "PrefixCachesByService"]
@@ -121,7 +126,15 @@
         if route is None:
             self._answer(reply, fields.request_id, NOT_FOUND, "no route")
             return None
-        service = self.config.services.get(choose_service(route, rng=self.context.rng))
+        origin = None
+        if is_resumption(fields, route):
+            origin = find_origin(fields, route, self.context)
+            if not self._may_resume(origin, fields, route, reply):
+                return None
+        name = origin.service if origin else None
+        service = self.config.services.get(
+            name or choose_service(route, rng=self.context.rng)
+        )
         if service is None:
             self._answer(reply, fields.request_id, UNAVAILABLE, "no such service")
             return None
@@ -144,11 +157,37 @@
             context=self.context,
             on_done=self._on_done,
             config_version=self.config.version,
+            software_version=origin.software_version if origin else None,
         )
         self.tasks.add(task)
         task.begin()
         return task
 
+    def _may_resume(self, origin, fields, route, reply):
+        """Return whether a stream may go on; refuse the request otherwise."""
+        self.context.log.decision(
+            "resumption",
+            request=fields.request_id,
+            outcome=origin.source if origin else "unknown",
+            stream=fields.resumes,
+            after=fields.last_event_id,
+            service=origin and origin.service,
+            version=origin and origin.software_version,
+            began=origin and origin.age,
+        )
+        refused = refusal(origin, route, self.context)
+        if refused is None:
+            return True
+        self.context.metrics.count("resumptions_refused_total", reason=refused.kind)
+        self._answer(
+            reply,
+            fields.request_id,
+            UNAVAILABLE,
+            refused.reason,
+            retry_after=refused.retry_after,
+        )
+        return False
+
     def _answer(
         self, reply, request_id, status, reason, retry_after=UNCONFIGURED_RETRY_AFTER
     ):
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -58,11 +58,6 @@
     last_event_id: int | None = None
     resumes: str | None = None
 
-    @property
-    def is_resumption(self):
-        """Return whether the caller resumes a stream."""
-        return self.resumes is not None or self.last_event_id is not None
-
     @property
     def shared_parts(self):
         """Return the ids of the parts that other requests may share."""
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -16,6 +16,7 @@
     PlacementDigest,
     PromptPartReport,
     RelayedReports,
+    StreamReport,
 )
 from wagtailfront.membership.peer_bus import peer_broadcast, peers_changed
 from wagtailfront.transport.ticker import Ticker
@@ -77,6 +78,8 @@
     prefix_caches : PrefixCachesByService
     evidence : CrashEvidence
     crashing_parts : CrashingParts
+    streams : StreamMemory
+    history : VersionHistory
     versions : StoreVersions
     pace : FleetPace
     find_service : callable
@@ -104,6 +107,8 @@
         prefix_caches,
         evidence,
         crashing_parts,
+        streams,
+        history,
         versions,
         pace,
         find_service,
@@ -119,6 +124,8 @@
         self.prefix_caches = prefix_caches
         self.evidence = evidence
         self.crashing_parts = crashing_parts
+        self.streams = streams
+        self.history = history
         self.versions = versions
         self.pace = pace
         self.find_service = find_service
@@ -204,6 +211,9 @@
         }
         self.load.instances = len(self.last_seen) + 1
         if self.addresses != before:
+            if not before:
+                # Peers that hear of this instance send it what it missed.
+                self.full_digest_due = now
             self.targets = relay_targets(self.addresses, self.row.address)
             self.log.decision(
                 "peers",
@@ -242,6 +252,11 @@
         digest = self.load.make_digest(
             full=full or bool(rates) or known != self.sent_versions
         )
+        begun = self.streams.take_report()
+        if digest is None and begun:
+            digest = PlacementDigest(
+                incarnation=self.load.incarnation, loads=(), prompts=()
+            )
         if digest is not None:
             self.sent_versions = known
             reports.append(
@@ -251,6 +266,7 @@
                     era=self.versions.era,
                     versions=self.versions.known,
                     rates=rates,
+                    streams=begun,
                 )
             )
         items = self._own_evidence(now, repeat=full)
@@ -284,6 +300,19 @@
             report = CrashReport(incarnation=self.load.incarnation, items=items)
             self._send((address,), report)
 
+    def _send_streams(self, address, now):
+        """Send begun streams and versions to an instance that starts."""
+        if address not in newcomer_targets(self.targets, self.row.address):
+            return
+        services = self.history.make_report(now=now)
+        parts = self.streams.history(now=now) or ([()] if services else [])
+        for part in parts:
+            report = StreamReport(
+                incarnation=self.load.incarnation, streams=part, services=services
+            )
+            self._send((address,), report)
+            services = ()
+
     def _send(self, addresses, message):
         if addresses:
             self.fire(peer_broadcast(addresses, message), "peer_bus")
@@ -296,6 +325,11 @@
         if isinstance(message, RelayedReports):
             for report in message.reports:
                 self._handle_report(report, now)
+        elif isinstance(message, StreamReport):
+            for begun in message.streams:
+                self.streams.merge(begun, now=now)
+            for seen in message.services:
+                self.history.merge(seen, now=now)
         elif isinstance(message, (PlacementDigest, CrashReport, PromptPartReport)):
             self._handle_report(message, now)
             if self.targets.others:
@@ -320,12 +354,15 @@
         self.versions.handle_peer_versions(report.era, report.versions)
         for prompt in report.prompts:
             self._record_prompt(prompt)
+        for begun in report.streams:
+            self.streams.merge(begun, now=now)
         if report.address in self.last_seen:
             self.last_seen[report.address] = now
         elif report.address and report.address != self.row.address:
             self._update_last_seen({**self.last_seen, report.address: now}, now)
         if is_newcomer:
             self._send_refused(report.address, now)
+            self._send_streams(report.address, now)
 
     def _record_prompt(self, prompt):
         prefix_cache = self.prefix_caches.get(self.find_service(prompt.endpoint))
--- a/wagtailfront/forwarding/registry_follower.py
+++ b/wagtailfront/forwarding/registry_follower.py
@@ -31,6 +31,7 @@
 
     def apply_read(self, read):
         """Apply a RegistryRead; without records the last ones stay valid."""
+        self.directory.versions.is_current = read.is_known
         if not read.is_known:
             self.has_failed_read = True
             return
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -51,6 +51,12 @@
         task.may_have_run = True
         task.choice.software_version = attempt.record.software_version
         now = context.clock()
+        context.streams.record(
+            task.fields.resumes or task.fields.request_id,
+            task.service.name,
+            attempt.record.software_version,
+            now=now,
+        )
         if attempt.uncached_tokens:
             took = now - attempt.started
             attempt.health.record_prefill_time(expected=attempt.expected, took=took)
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -10,6 +10,7 @@
 from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.admission import AdmissionLimits
 from wagtailfront.forwarding.attempt_budget import SLACK_IN_USE
+from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.endpoint_directory import (
     EndpointDirectory,
@@ -296,6 +297,7 @@
             crashing_parts=crashing_parts or CrashingParts(source="i"),
             prefix_caches=prefix_caches,
             load=load,
+            streams=StreamMemory(),
             limits=AdmissionLimits(),
             log=self.log,
             metrics=Metrics(),
--- a/wagtailfront/forwarding/tests/fleet.py
+++ b/wagtailfront/forwarding/tests/fleet.py
@@ -5,6 +5,7 @@
 
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
+from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.fleet_pace import FleetPace
@@ -14,6 +15,7 @@
 from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.store_watcher import StoreVersions
 from wagtailfront.forwarding.tests.builders import LogLines, VirtualTimers
+from wagtailfront.forwarding.version_history import VersionHistory
 from wagtailfront.membership.messages import decode_message, encode_message
 
 
@@ -35,7 +37,9 @@
         """Start an instance, also again."""
         self.starts += 1
         row = InstanceRow(name, f"{name}:7", StorePosition(1, self.starts))
-        load, rate_limits = self._make_state(row, f"{name}#{self.starts}")
+        load, rate_limits, streams, history = self._make_state(
+            row, f"{name}#{self.starts}"
+        )
         exchange = LoadExchange(
             row=row,
             store=None,
@@ -44,6 +48,8 @@
             prefix_caches=PrefixCachesByService(),
             evidence=CrashEvidence(),
             crashing_parts=CrashingParts(source=load.incarnation),
+            streams=streams,
+            history=history,
             versions=StoreVersions(tables=("routing",)),
             pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
             find_service=lambda endpoint: "s",
@@ -58,11 +64,12 @@
         return exchange
 
     def _make_state(self, row, incarnation):
-        """Return the loads and the rate limits of an instance."""
+        """Return what an instance exchanges with others."""
         load = FleetLoad(
             incarnation=incarnation, address=row.address, health=EndpointHealth()
         )
-        return load, RateLimits(fleet=load, log=LogLines())
+        limits = RateLimits(fleet=load, log=LogLines())
+        return load, limits, StreamMemory(), VersionHistory()
 
     def discover_peers(self):
         """Give all instances the rows of all."""
--- a/wagtailfront/forwarding/tests/limited_fleet.py
+++ b/wagtailfront/forwarding/tests/limited_fleet.py
@@ -152,7 +152,13 @@
         )
         scene.context.rng.seed(incarnation)
         self.scenes[name] = scene
-        return scene.context.load, scene.context.rate_limits
+        context = scene.context
+        return (
+            context.load,
+            context.rate_limits,
+            context.streams,
+            context.directory.versions,
+        )
 
     def serve(self, seconds):
         """Let callers send requests for some seconds."""
--- a/wagtailfront/forwarding/tests/test_announcements.py
+++ b/wagtailfront/forwarding/tests/test_announcements.py
@@ -4,6 +4,7 @@
 
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
+from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.fleet_pace import FleetPace
@@ -19,6 +20,7 @@
     LogLines,
     VirtualTimers,
 )
+from wagtailfront.forwarding.version_history import VersionHistory
 
 ERA = 3
 
@@ -55,6 +57,8 @@
         prefix_caches=PrefixCachesByService(),
         evidence=CrashEvidence(),
         crashing_parts=CrashingParts(source="a"),
+        streams=StreamMemory(),
+        history=VersionHistory(),
         versions=StoreVersions(tables=("routing", "registry")),
         pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
         find_service=lambda endpoint: None,
--- a/wagtailfront/forwarding/tests/test_stream_versions.py
+++ b/wagtailfront/forwarding/tests/test_stream_versions.py
@@ -29,7 +29,7 @@
     """Let callers whose streams broke resume them, also after refusals."""
     for _attempt in range(3):
         for number, caller in enumerate(callers):
-            if caller.is_ended and not caller.replies[-1].is_complete:
+            if caller.is_ended and not is_whole(caller):
                 caller.ask(name or fleet.names[(number + 1) % len(fleet.names)])
         fleet.serve(0.4)
 
@@ -165,7 +165,7 @@
     fleet.register(make_versions(v1=2, v2=1))
     fleet.serve(1.0)
     for caller in (Caller(fleet, b"d"), Caller(fleet, b"e")):
-        caller.begun_by = b"unrecorded"
+        caller.begun_by = b"unrecorded too"
         assert caller.ask(fleet.names[0]).status == 503
 
 
@@ -249,7 +249,7 @@
 def test_a_prompt_is_prefilled_by_the_version_that_decodes_it(engines):
     """Guards against a KV cache of one version that another one reads."""
     engines = [*engines, make_engine("d9", "v9", stage="decode")]
-    fleet = VersionedFleet(1, engines, is_model=True, target_latency=2.0)
+    fleet = VersionedFleet(1, engines, is_model=True)
     callers = begin_streams(fleet, 8, tokens=20_000)
     assert all(caller.events for caller in callers)
     assert all(prefill == decode for prefill, decode in sources(fleet))
@@ -267,7 +267,7 @@
             for number, version in enumerate(("v1", "v1", "v2", "v2"))
         ),
     ]
-    fleet = VersionedFleet(1, engines, is_model=True, target_latency=2.0)
+    fleet = VersionedFleet(1, engines, is_model=True)
     callers = [Caller(fleet, b"c%d" % n, tokens=20_000) for n in range(8)]
     for caller in callers:
         caller.ask(fleet.names[0])
@@ -283,7 +283,7 @@
         make_engine("p1", "v1", stage="prefill"),
         make_engine("d1", "v1", stage="decode"),
     ]
-    fleet = VersionedFleet(3, engines, is_model=True, target_latency=2.0)
+    fleet = VersionedFleet(3, engines, is_model=True)
     callers = begin_streams(fleet, 6, tokens=20_000)
     others = [
         make_engine("p2", "v2", stage="prefill"),
--- a/wagtailfront/forwarding/tests/versioned_fleet.py
+++ b/wagtailfront/forwarding/tests/versioned_fleet.py
@@ -159,7 +159,9 @@
         self.engines = list(engines)
         self.alive = {engine.endpoint_id for engine in engines}
         self.is_model = is_model
-        self.route = make_route(STREAMING, is_resumable=True, **route)
+        self.route = make_route(
+            STREAMING, **{"is_resumable": True, "target_latency": 2.0, **route}
+        )
         self.scenes, self.forwarders, self.replies = {}, {}, {}
         super().__init__(size)
         self.discover_peers()
@@ -194,7 +196,13 @@
         self.scenes[row.instance] = scene
         self.forwarders[row.instance] = forwarder
         self.replies[row.instance] = []
-        return scene.context.load, scene.context.rate_limits
+        context = scene.context
+        return (
+            context.load,
+            context.rate_limits,
+            context.streams,
+            context.directory.versions,
+        )
 
     def accept(self, name, request, reply, attempt):
         """Give a request to an instance."""
@@ -246,8 +254,8 @@
         for reply in self.replies[name]:
             if not reply.is_complete:
                 reply.is_aborted = True
-        for exchange in self.scenes[name].pool.exchanges:
-            exchange.cancel()
+        for task in list(self.forwarders[name].tasks):
+            task.cancel()
 
     def restart(self, name):
         """Start an instance again; it knows the others a little later."""
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -24,11 +24,15 @@
     "EndpointPending",
     "PlacedPrompt",
     "EndpointRate",
+    "BegunStreams",
+    "SeenVersions",
+    "StreamReport",
     "PlacementDigest",
     "RelayedReports",
     "Leaving",
     "Message",
     "MAX_MESSAGE_BYTES",
+    "MAX_TEXT",
     "encode_message",
     "decode_message",
 ]
@@ -39,7 +43,9 @@
 MAX_SMALL_MESSAGE_BYTES = 96 * 1024
 MAX_NUMBER = 2**53
 
-Text = Annotated[str, msgspec.Meta(max_length=128)]
+MAX_TEXT = 128  # characters
+
+Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT)]
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Age = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 Count = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
@@ -199,6 +205,41 @@
     age: Age
 
 
+class BegunStreams(msgspec.Struct, frozen=True, array_like=True):
+    """Streams that endpoints of one software version began.
+
+    Attributes
+    ----------
+    service, software_version : str
+    identifiers : bytes
+        Of the streams, joined.
+    age : float
+        Seconds since they began, at most.
+    """
+
+    service: Text
+    software_version: Text
+    identifiers: Annotated[bytes, msgspec.Meta(max_length=32_000)]
+    age: Age = 0.0
+
+
+class SeenVersions(msgspec.Struct, frozen=True, array_like=True):
+    """Software versions that the sender saw of a service.
+
+    Attributes
+    ----------
+    service : str
+    watched : float
+        Seconds for which the sender has watched the registry.
+    versions : tuple of (str, float)
+        Each version, and how many seconds ago it was there.
+    """
+
+    service: Text
+    watched: Age
+    versions: Annotated[tuple[tuple[Text, Age], ...], msgspec.Meta(max_length=32)]
+
+
 class PlacementDigest(MessageBase):
     """Endpoints whose load by the sender changed, and prompts it placed.
 
@@ -206,7 +247,7 @@
     `address` is where the sender listens, `era` the store's latest era that
     it knows, and `versions` the store's version of the latest change in that
     era, for each table that instances follow. `rates` holds what endpoints
-    said of their rate limits.
+    said of their rate limits, and `streams` those that the sender began.
     """
 
     incarnation: Text
@@ -217,6 +258,15 @@
     versions: Annotated[tuple[Number, ...], msgspec.Meta(max_length=8)] = ()
     rates: Annotated[tuple[EndpointRate, ...], msgspec.Meta(max_length=512)] = ()
     era: Number = 0
+    streams: Annotated[tuple[BegunStreams, ...], msgspec.Meta(max_length=512)] = ()
+
+
+class StreamReport(MessageBase):
+    """Streams and software versions, for an instance that has just started."""
+
+    incarnation: Text
+    streams: Annotated[tuple[BegunStreams, ...], msgspec.Meta(max_length=512)]
+    services: Annotated[tuple[SeenVersions, ...], msgspec.Meta(max_length=512)] = ()
 
 
 class RelayedReports(MessageBase):
@@ -246,6 +296,7 @@
     | SlowHint
     | LoadDigest
     | PlacementDigest
+    | StreamReport
     | RelayedReports
     | Leaving
 )
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -25,6 +25,12 @@
     (Counter, "store_requests_total", "Requests to a store.", ("store", "result")),
     (Counter, "forwarded_total", "Ended forwarded requests.", ("service", "outcome")),
     (Counter, "sends_total", "Requests sent to endpoints.", ("service", "kind")),
+    (
+        Counter,
+        "resumptions_refused_total",
+        "Refused requests to resume a stream.",
+        ("reason",),
+    ),
     (Counter, "endpoint_connections_total", "Connections opened to endpoints.", ()),
     (Gauge, "requests_in_progress", "Accepted requests in progress.", ()),
     (Gauge, "rate_limited_endpoints", "Endpoints that name a rate limit.", ()),
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -7,6 +7,7 @@
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
 from wagtailfront.forwarding.admission import AdmissionLimits
+from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.cache_inquiry import CacheInquiry
 from wagtailfront.forwarding.caller_server import ForwardServer
@@ -161,6 +162,7 @@
             crashing_parts=CrashingParts(source=load.incarnation),
             prefix_caches=PrefixCachesByService(),
             load=load,
+            streams=StreamMemory(),
             limits=AdmissionLimits(),
             log=self.log,
             metrics=self.metrics,
@@ -233,6 +235,8 @@
             prefix_caches=context.prefix_caches,
             evidence=context.evidence,
             crashing_parts=context.crashing_parts,
+            streams=context.streams,
+            history=self.directory.versions,
             versions=self.versions,
             pace=self.pace,
             find_service=self.directory.find_service,
