Prefill and decode a prompt at one software version

A KV cache prefilled by one software version was decoded by another while both served: neither the plan of a model request nor the choice of another decode engine after the prefill looked at the version.

The plan splits a prompt only over engines of one known version. If the planned decode engine has left or is at its limit after the prefill, another of the same version is chosen; without one the prompt is decoded without the cache (`prefill_unused`).

--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -281,6 +281,15 @@
                 self._send(RunAttempt, self.plan.decode)
                 return
         views = self.choice.views(without=self.tried, stages=DECODE_STAGES)
+        if self.kv_source is not None:
+            version = record.software_version
+            fitting = [v for v in views if v.record.software_version == version]
+            if not fitting:
+                self.log.decision(
+                    "prefill_unused", "no decode engine of its version", version=version
+                )
+                self.kv_source = None
+            views = fitting or views
         if not views or self.sends >= MAX_SENDS:
             self._give_up("no engine can decode", RETRY_AFTER)
         else:
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -207,16 +207,25 @@
 
     candidates = decode_views
     if may_split:
-        prefill_views = [view for view in views if view.record.stage == PREFILL]
+        # A KV cache is used only by the software version that made it.
+        versions = {view.record.software_version for view in decode_views} - {""}
+        prefill_views = [
+            view
+            for view in views
+            if view.record.stage == PREFILL and view.record.software_version in versions
+        ]
         short = [v for v in decode_views if _is_short_prefill(v, prompt_tokens)]
         candidates = prefill_views + short or decode_views
     if is_load_outdated:
         candidates = sample_engines(candidates, rng=rng)
-        decode_views = sample_engines(decode_views, rng=rng)
     best = min(candidates, key=cost)
     uncached_tokens = max(0, prompt_tokens - best.cached_tokens)
     expected = expected_prefill_seconds(best, prompt_tokens)
     if best.record.stage == PREFILL:
+        version = best.record.software_version
+        decode_views = [v for v in decode_views if v.record.software_version == version]
+        if is_load_outdated:
+            decode_views = sample_engines(decode_views, rng=rng)
         data_centre = best.record.data_centre
         decode = choose_decode_engine(
             decode_views, rng=rng, data_centre=data_centre
