--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -10,7 +10,11 @@
     RunAttempt,
     end_to_end_headers,
 )
-from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES, EndpointChoice
+from wagtailfront.forwarding.endpoint_choice import (
+    DECODE_STAGES,
+    RATE_LIMITED,
+    EndpointChoice,
+)
 from wagtailfront.forwarding.request_log import RequestLog
 from wagtailfront.forwarding.request_sender import MIN_TIME_LEFT, RequestSender
 from wagtailfront.forwarding.send_credit import SendCredit
@@ -25,7 +29,6 @@
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
 RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
 POISON_RETRY_AFTER = 5.0  # seconds; for requests that crash endpoints
-RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
 TOO_MANY, SERVER_ERROR = 429, 500
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
 
@@ -52,6 +55,8 @@
         Called with the task when it has ended.
     config_version : int, optional
         Version of the configuration that `route` comes from.
+    software_version : str, optional
+        Version that began the stream, if the caller resumes one.
     """
 
     def __init__(
@@ -65,6 +70,7 @@
         context,
         on_done,
         config_version=0,
+        software_version=None,
     ):
         self.request = request
         self.fields = fields
@@ -96,7 +102,11 @@
             budget=context.budgets[service.name], clock=context.clock
         )
         self.choice = EndpointChoice(
-            context=context, service=service, route=route, fields=fields
+            context=context,
+            service=service,
+            route=route,
+            fields=fields,
+            software_version=software_version,
         )
         self.sender = RequestSender(task=self)
         self.silence = SilenceWatch(task=self)
@@ -199,9 +209,7 @@
             return
         views = self._untried_views()
         if not views:
-            is_registered = self.context.directory.find(self.service.name)
-            reason = RATE_LIMITED if is_registered else "no endpoint is registered"
-            self._give_up(reason, RETRY_AFTER)
+            self._give_up(self.choice.reason_for_none(), RETRY_AFTER)
         elif self.service.is_model:
             self._dispatch_model(views)
         else:
@@ -308,6 +316,15 @@
                 self._send(RunAttempt, self.plan.decode)
                 return
         views = self.choice.views(without=self.tried, stages=DECODE_STAGES)
+        if self.kv_source is not None:
+            version = record.software_version
+            fitting = [v for v in views if v.record.software_version == version]
+            if not fitting:
+                self.log.decision(
+                    "prefill_unused", "no decode engine of its version", version=version
+                )
+                self.kv_source = None
+            views = fitting or views
         if not views or self.sends >= MAX_SENDS:
             self._give_up("no engine can decode", RETRY_AFTER)
         else:
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -60,7 +60,8 @@
     def _launch_later(self, attempt_type, record, *prompt):
         if self.task.attempt is not None:
             return  # a silent endpoint has gone on
-        if not self.task.context.directory.is_current(record):
+        is_current = self.task.context.directory.is_current(record)
+        if not is_current or not self.task.choice.fits(record):
             self.task.dispatch()
         elif not self.task.give_up_on_crashing_part():
             self._launch(attempt_type, record, *prompt)
@@ -91,6 +92,7 @@
             kind,
             endpoint=record.endpoint_id,
             service=task.service.name,
+            version=record.software_version,
             outstanding=attempt.health.outstanding,
             unread=uncached_tokens,
             expected=round(expected, 4),
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -50,7 +50,14 @@
         task, context = self.task, self.task.context
         self.is_started = True
         task.may_have_run = True
+        task.choice.software_version = attempt.record.software_version
         now = context.clock()
+        context.streams.record(
+            task.fields.resumes or task.fields.request_id,
+            task.service.name,
+            attempt.record.software_version,
+            now=now,
+        )
         if attempt.uncached_tokens:
             took = now - attempt.started
             attempt.health.record_prefill_time(expected=attempt.expected, took=took)
@@ -60,6 +67,9 @@
             "first_event_seconds", now - task.received, service=task.service.name
         )
         task.log.decision(
-            "first_event", "passed on", endpoint=attempt.record.endpoint_id
+            "first_event",
+            "passed on",
+            endpoint=attempt.record.endpoint_id,
+            version=attempt.record.software_version,
         )
         task.reply.start(attempt.status, end_to_end_headers(attempt.headers))
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -39,6 +39,7 @@
 MAX_NUMBER = 2**53
 # Ids are sent as a header's value.
 ENDPOINT_ID = re.compile(r"[!-~]+")
+MAX_VERSION = 100  # characters of a software version
 ROUTING_KEY = "config"
 KINDS = {
     "safe": RequestKind.SAFE,
@@ -76,9 +77,9 @@
 
     `zone` is its data centre, `slots` how many requests it processes
     concurrently, and `born` its start time in Unix milliseconds. The fields
-    `version`, of its software, `sequence`, a count of its orders, and
-    `cold-remaining-ms` are not used. An entry with a field of another type
-    is not an endpoint's own.
+    `sequence`, a count of its orders, and `cold-remaining-ms` are not used. An
+    entry with a field of another type is not an endpoint's own. A `version` of
+    its software that is too long is unknown.
     """
 
     service: NonEmpty
@@ -90,6 +91,7 @@
     born: Number = 0
     cold_remaining_ms: float = 0.0
     sequence: Number = 0
+    version: str = ""
 
 
 class _Share(_Wire, kw_only=True):
@@ -221,9 +223,14 @@
         is_leaving=wire.state == DRAINING,
         stage=wire.stage,
         started_ms=wire.born,
+        software_version=_read_version(wire.version),
     )
 
 
+def _read_version(value):
+    return value if len(value) <= MAX_VERSION else ""
+
+
 def read_instance_address(row):
     """Return the address in an instance's row; ValueError if it has none."""
     address = base64.b64decode(row.value, validate=True).decode("ascii")
--- a/wagtailfront/platform/tests/test_rows.py
+++ b/wagtailfront/platform/tests/test_rows.py
@@ -29,6 +29,21 @@
     assert (record.data_centre, record.slots, record.stage) == ("a", 8, "decode")
     assert record.is_leaving
     assert record.incarnation == "i-1/5"
+    assert record.software_version == "v1"
+
+
+def test_an_engine_of_an_unreadable_version_is_kept():
+    """Guards against a loss of engines, and versions that match by chance."""
+    row = make_row("i-1", make_registration(version="v" * 200))
+    (record,) = read_registry([row])
+    assert record.software_version == ""
+
+
+@pytest.mark.parametrize("version", [None, 2, ["v1"], {}])
+def test_an_entry_with_a_version_of_another_type_names_no_engine(version):
+    """Guards against engines that another writer has entered."""
+    row = make_row("i-1", make_registration(version=version))
+    assert read_registry([row]) == []
 
 
 @pytest.mark.parametrize(
