Give no new work to endpoints that say they leave

Seen by callers: nothing yet; the platform's operators announced the header Server-Leaving: 1 and that new work must stop with it, whatever the registry says. Cause: no code read the header, so an endpoint got work until the registry said that it drains or is gone. Change: platform/notices.py decodes the header, EndpointNotices remembers it by incarnation. Placement, repeats, resumed streams, handovers of a prefilled prompt, sends that wait for a rate limit, orders and queries leave such an endpoint out, and idle connections to it are closed. Only answers that are certainly to the request count; calls without an id use new connections for that. If all endpoints leave, a request is refused at once as not run. A send that waits and has to be placed again keeps the prefilled prompt instead of planning another prefill.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -145,6 +145,10 @@
             self.context.rate_limits.record_answer(
                 incarnation, fields.rate_limit, sent=self.started, now=now
             )
+        if self.is_attributable:
+            self.context.notices.record_answer(
+                self.record, fields.notice, status=status, request_id=own_id
+            )
         return True
 
     def on_data(self, data):
--- a/wagtailfront/forwarding/cache_inquiry.py
+++ b/wagtailfront/forwarding/cache_inquiry.py
@@ -21,17 +21,27 @@
     client : EngineInquiry
     prefix_caches : PrefixCachesByService
     rate_limits : RateLimits
+    notices : EndpointNotices
     log : DecisionLog
     rng : random.Random
     clock : callable, optional
     """
 
     def __init__(
-        self, *, client, prefix_caches, rate_limits, log, rng, clock=time.monotonic
+        self,
+        *,
+        client,
+        prefix_caches,
+        rate_limits,
+        notices,
+        log,
+        rng,
+        clock=time.monotonic,
     ):
         self.client = client
         self.prefix_caches = prefix_caches
         self.rate_limits = rate_limits
+        self.notices = notices
         self.log = log
         self.rng = rng
         self.clock = clock
@@ -45,6 +55,9 @@
         self.is_done = True
         now = self.clock()
         for record in self.rng.sample(engines, min(len(engines), MAX_INQUIRIES)):
+            if self.notices.is_leaving(record.incarnation):
+                self._on_reply(record, None, "it leaves")
+                continue
             if self.rate_limits.wait(record.incarnation, now=now):
                 self._on_reply(record, None, "its rate limit permits no query")
                 continue
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -1,6 +1,7 @@
 """Choice of endpoints for one request."""
 
 import math
+from typing import NamedTuple
 
 from wagtailfront.forwarding.admission import admit
 from wagtailfront.forwarding.placement import (
@@ -10,9 +11,19 @@
 )
 from wagtailfront.forwarding.relay_groups import MAX_DIRECT_INSTANCES
 
-__all__ = ["EndpointChoice"]
+__all__ = ["EndpointChoice", "Refusal"]
 
 MOST_URGENT = -1  # more urgent than any route's priority
+RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
+RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
+NO_DECODE_ENGINE = "no engine can decode"
+
+
+class Refusal(NamedTuple):
+    """Why no endpoint can be chosen, and when to retry, in seconds."""
+
+    reason: str
+    retry_after: float = RETRY_AFTER
 
 
 class EndpointChoice:
@@ -35,7 +46,8 @@
     def views(self, *, without=(), stages=None):
         """Return views of the endpoints that may be chosen.
 
-        Endpoints whose rate limit leaves them to other instances are not.
+        Endpoints that leave, or whose rate limit leaves them to other
+        instances, are not.
 
         Parameters
         ----------
@@ -46,7 +58,7 @@
         """
         records = [
             record
-            for record in self.context.directory.find(self.service.name)
+            for record in self._staying()
             if (stages is None or record.stage in stages)
             and self.wait(record) < math.inf
         ]
@@ -76,6 +88,34 @@
             wait=wait,
         )
 
+    def _staying(self):
+        """Return the endpoints of the service that may get new work."""
+        return [
+            record
+            for record in self.context.directory.find(self.service.name)
+            if not self.context.notices.is_leaving(record.incarnation)
+        ]
+
+    def is_available(self, record):
+        """Return whether an endpoint that was chosen may still get work."""
+        return self.context.directory.is_current(
+            record
+        ) and not self.context.notices.is_leaving(record.incarnation)
+
+    def refuse(self, *, stages=None):
+        """Return the Refusal of a request without an endpoint to choose.
+
+        Parameters
+        ----------
+        stages : collection of str, optional
+            Stages of engines that were left to choose from; all by default.
+        """
+        if self._staying():
+            return Refusal(RATE_LIMITED if stages is None else NO_DECODE_ENGINE)
+        if self.context.directory.find(self.service.name):
+            return Refusal("all endpoints leave")
+        return Refusal("no endpoint is registered")
+
     def wait(self, record):
         """Return the seconds until an endpoint's rate limit permits a send."""
         return self.context.rate_limits.wait(
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -13,6 +13,7 @@
     directory: Any
     health: Any
     rate_limits: Any
+    notices: Any
     pool: Any
     body_memory: Any
     timers: Any
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -21,7 +21,6 @@
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
 RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
 POISON_RETRY_AFTER = 5.0  # seconds; for requests that crash endpoints
-RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
 DECODE_STAGES = ("decode", "")  # stages of engines that decode
 TOO_MANY, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 429, 502, 503, 504
 
@@ -178,9 +177,7 @@
             return
         views = self.choice.views(without=self.tried)
         if not views:
-            is_registered = self.context.directory.find(self.service.name)
-            reason = RATE_LIMITED if is_registered else "no endpoint is registered"
-            self._give_up(reason, RETRY_AFTER)
+            self._give_up(*self.choice.refuse())
         elif self.service.is_model:
             self._dispatch_model(views)
         else:
@@ -190,7 +187,7 @@
         may_split = self.stream.last_event_id is None and not self.runs
         plan = self.choice.plan(views, may_split=may_split)
         if plan is None:
-            self._give_up("no engine can decode", RETRY_AFTER)
+            self._give_up(*self.choice.refuse(stages=DECODE_STAGES))
             return
         if plan.prefill and not self._reserve(self.credit.cost(is_split=True)):
             plan = self.choice.plan(views, may_split=False)
@@ -246,7 +243,7 @@
             attempt_type, record, uncached_tokens=uncached_tokens, expected=expected
         )
         if wait == math.inf:
-            self._give_up(RATE_LIMITED, RETRY_AFTER)
+            self._give_up(*self.choice.refuse())
 
     def _drop_attempt(self):
         attempt, self.attempt = self.attempt, None
@@ -270,15 +267,25 @@
             latency = now - attempt.started
             attempt.health.record_prefill_time(expected=attempt.expected, took=latency)
             self.context.health.record_success(record, now=now)
-            if self.context.directory.is_current(
-                self.plan.decode
-            ) and not self.choice.wait(self.plan.decode):
-                self.choice.record_cached_prompt(self.plan.decode)
-                self._send(RunAttempt, self.plan.decode)
+            decode = self.plan.decode
+            if self.choice.is_available(decode) and not self.choice.wait(decode):
+                self.choice.record_cached_prompt(decode)
+                self._send(RunAttempt, decode)
                 return
+        self._dispatch_decode()
+
+    def dispatch_again(self):
+        """Choose another endpoint for a send that was not made."""
+        if self.kv_source is None:
+            self.dispatch()
+        else:
+            self._dispatch_decode()
+
+    def _dispatch_decode(self):
+        """Run the request at an engine that decodes."""
         views = self.choice.views(without=self.tried, stages=DECODE_STAGES)
         if not views or self.sends >= MAX_SENDS:
-            self._give_up("no engine can decode", RETRY_AFTER)
+            self._give_up(*self.choice.refuse(stages=DECODE_STAGES))
         else:
             self._send(RunAttempt, self.choice.least_loaded(views))
 
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -6,6 +6,7 @@
     "PromptPart",
     "RequestFields",
     "SendOptions",
+    "EndpointNotice",
     "ResponseFields",
     "Dialect",
     "ReplySink",
@@ -89,6 +90,24 @@
     resume_after: int | None = None
 
 
+class EndpointNotice(NamedTuple):
+    """What an endpoint says of itself in the headers of an answer.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether it takes no new work until it ends.
+    headers : tuple of str
+        Headers that say so, for the log.
+    unreadable : tuple of str
+        Headers that could not be decoded, for the log.
+    """
+
+    is_leaving: bool = False
+    headers: tuple[str, ...] = ()
+    unreadable: tuple[str, ...] = ()
+
+
 class ResponseFields(NamedTuple):
     """Properties of a response from the endpoint's headers.
 
@@ -105,6 +124,7 @@
     rate_limit : float or None
         Requests per second that the endpoint takes from all instances
         together; None if it names no limit.
+    notice : EndpointNotice
     """
 
     request_id: str | None
@@ -112,6 +132,7 @@
     is_not_run: bool
     is_encoded: bool
     rate_limit: float | None = None
+    notice: EndpointNotice = EndpointNotice()
 
 
 class Dialect(Protocol):
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -58,8 +58,8 @@
         return min(longest, self.task.deadline - now - MIN_TIME_LEFT)
 
     def _launch_later(self, attempt_type, record, *prompt):
-        if not self.task.context.directory.is_current(record):
-            self.task.dispatch()
+        if not self.task.choice.is_available(record):
+            self.task.dispatch_again()
         elif not self.task.give_up_on_crashing_part():
             self._launch(attempt_type, record, *prompt)
 
--- a/wagtailfront/forwarding/stage_manager.py
+++ b/wagtailfront/forwarding/stage_manager.py
@@ -45,6 +45,7 @@
         Identifies this start of the instance.
     directory : EndpointDirectory
     load : FleetLoad
+    notices : EndpointNotices
     orders : StageOrders
     table : TableStore
     prefill_share : float
@@ -62,6 +63,7 @@
         incarnation,
         directory,
         load,
+        notices,
         orders,
         table,
         prefill_share,
@@ -72,6 +74,7 @@
         self.incarnation = incarnation
         self.directory = directory
         self.load = load
+        self.notices = notices
         self.orders = orders
         self.prefill_share = prefill_share
         self.log = log
@@ -123,7 +126,11 @@
             change
             for service in sorted(services)
             for change in plan_stages(
-                [self._expected(r, now) for r in self.directory.find(service)],
+                [
+                    self._expected(record, now)
+                    for record in self.directory.find(service)
+                    if not self.notices.is_leaving(record.incarnation)
+                ],
                 prefill_share=self.prefill_share,
             )
         ]
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -16,6 +16,7 @@
     EndpointRecord,
 )
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.endpoint_notices import EndpointNotices
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.forward_context import ForwardContext
 from wagtailfront.forwarding.forward_task import ForwardTask
@@ -283,6 +284,7 @@
             directory=self.directory,
             health=health,
             rate_limits=RateLimits(fleet=load, log=self.log),
+            notices=EndpointNotices(log=self.log),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
--- a/wagtailfront/forwarding/tests/test_cache_inquiry.py
+++ b/wagtailfront/forwarding/tests/test_cache_inquiry.py
@@ -4,6 +4,7 @@
 
 from wagtailfront.forwarding.cache_inquiry import MAX_INQUIRIES, CacheInquiry
 from wagtailfront.forwarding.forwarder import PrefixCachesByService
+from wagtailfront.forwarding.interfaces import EndpointNotice
 from wagtailfront.forwarding.tests.builders import (
     LogLines,
     Scene,
@@ -29,10 +30,12 @@
     """Return an inquiry of the service "s", and its prefix cache estimate."""
     prefix_caches = PrefixCachesByService()
     prefix_caches.add_services({"s": make_service(is_model=True)})
+    context = Scene([]).context
     inquiry = CacheInquiry(
         client=client,
         prefix_caches=prefix_caches,
-        rate_limits=Scene([]).context.rate_limits,
+        rate_limits=context.rate_limits,
+        notices=context.notices,
         log=LogLines(),
         rng=random.Random(1),
     )
@@ -70,6 +73,17 @@
     assert sorted(record.endpoint_id for record in client.asked) == ["e1", "e2"]
 
 
+def test_an_engine_that_leaves_is_not_asked():
+    """Guards against queries to an engine that takes no new work."""
+    client = FakeClient([])
+    inquiry, _prefix_cache = make_inquiry(client)
+    engines = [make_record(f"e{i}", stage="decode") for i in range(3)]
+    notice = EndpointNotice(is_leaving=True)
+    inquiry.notices.record_answer(engines[0], notice, status=200)
+    inquiry.ask(engines)
+    assert sorted(record.endpoint_id for record in client.asked) == ["e1", "e2"]
+
+
 def test_an_engine_that_does_not_answer_is_logged():
     """Guards against a failed inquiry that is not logged."""
     inquiry, _prefix_cache = make_inquiry(FakeClient(None))
--- a/wagtailfront/forwarding/tests/test_stages.py
+++ b/wagtailfront/forwarding/tests/test_stages.py
@@ -7,7 +7,9 @@
 
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.endpoint_notices import EndpointNotices
 from wagtailfront.forwarding.fleet_load import FleetLoad
+from wagtailfront.forwarding.interfaces import EndpointNotice
 from wagtailfront.forwarding.stage_manager import SUCCESSION_SECONDS, StageManager
 from wagtailfront.forwarding.stage_plan import plan_stages
 from wagtailfront.forwarding.tests.builders import LogLines, make_record
@@ -112,6 +114,7 @@
             incarnation=name,
             directory=self.directory,
             load=load,
+            notices=EndpointNotices(log=LogLines()),
             orders=orders,
             table=self.table,
             prefill_share=0.5,
@@ -172,6 +175,16 @@
     assert fleet.sent() == []
 
 
+def test_an_engine_that_leaves_gets_no_order():
+    """Guards an engine that says so only in its answer to an order."""
+    engines = make_engines(3, 7)
+    fleet = Fleet(["i1"], engines)
+    notices = fleet.managers["i1"].notices
+    notices.record_answer(engines[3], EndpointNotice(is_leaving=True), status=200)
+    fleet.run(4.0)
+    assert [endpoint for endpoint, _stage, _fencing in fleet.sent()] == ["e04"]
+
+
 def test_a_successor_waits_before_its_orders():
     """Guards against orders of two holders within a short time."""
     fleet = Fleet(["i1"], make_engines(3, 7))
--- a/wagtailfront/platform/calls.py
+++ b/wagtailfront/platform/calls.py
@@ -14,7 +14,8 @@
     reply : callable
         Gets the status and the body, or None and the reason of the failure.
     on_headers : callable, optional
-        Gets the headers of a response, by name in any case, before `reply`.
+        Gets the status and the headers of a response, by name in any case,
+        before `reply`.
     request
         Further arguments of `HttpPool.request`.
     """
@@ -24,7 +25,7 @@
             reply(None, headers)  # the reason of the failure
             return
         if on_headers is not None:
-            on_headers(headers)
+            on_headers(status, headers)
         reply(status, body)
 
     sink = WholeResponse(on_done)
--- a/wagtailfront/platform/engine_client.py
+++ b/wagtailfront/platform/engine_client.py
@@ -7,6 +7,7 @@
 from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.headers import EXPECTED_ID, RATE_LIMIT, read_rate_limit
+from wagtailfront.platform.notices import read_notice
 
 __all__ = ["EngineClient"]
 
@@ -37,15 +38,25 @@
     pool : HttpPool
     instance : str
         Name of this instance, sent as the holder of its orders.
-    record_rate : callable, optional
-        Called as the `record_answer` of RateLimits for each answer.
+    record_rate, record_notice : callable, optional
+        Called as the `record_answer` of RateLimits and of EndpointNotices for
+        each answer.
     clock : callable, optional
     """
 
-    def __init__(self, *, pool, instance, record_rate=None, clock=time.monotonic):
+    def __init__(
+        self,
+        *,
+        pool,
+        instance,
+        record_rate=lambda incarnation, rate, **times: None,
+        record_notice=lambda record, notice, *, status: None,
+        clock=time.monotonic,
+    ):
         self.pool = pool
         self.instance = instance
-        self.record_rate = record_rate or (lambda incarnation, rate, **times: None)
+        self.record_rate = record_rate
+        self.record_notice = record_notice
         self.clock = clock
 
     def read_cached_parts(self, record, reply):
@@ -94,7 +105,11 @@
     def _call(self, record, on_response, **request):
         sent = self.clock()
 
-        def on_headers(headers):
+        def on_headers(status, headers):
+            pairs = [
+                (k.encode("latin-1"), v.encode("latin-1")) for k, v in headers.items()
+            ]
+            self.record_notice(record, read_notice(pairs), status=status)
             rate = read_rate_limit(headers.get(RATE_LIMIT.decode()))
             self.record_rate(record.incarnation, rate, sent=sent, now=self.clock())
 
@@ -105,5 +120,8 @@
             host=record.host,
             port=record.port,
             timeout=CALL_TIMEOUT,
+            # Calls have no id, so on a used connection an answer could be a
+            # copy of an earlier one.
+            fresh=True,
             **request,
         )
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -11,6 +11,7 @@
     RequestFields,
     ResponseFields,
 )
+from wagtailfront.platform.notices import read_notice
 
 __all__ = ["EXPECTED_ID", "RATE_LIMIT", "PlatformDialect", "read_rate_limit"]
 
@@ -110,6 +111,7 @@
             is_not_run=find_header(headers, NOT_RUN.lower()) is not None,
             is_encoded=find_header(headers, b"content-encoding") is not None,
             rate_limit=read_rate_limit(find_header(headers, RATE_LIMIT.lower())),
+            notice=read_notice(headers),
         )
 
     def read_handle(self, address, body):
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -100,7 +100,7 @@
     def _call(self, reply, **request):
         is_outdated = False
 
-        def on_headers(headers):
+        def on_headers(status, headers):
             nonlocal is_outdated
             era = _read_era(headers)
             is_outdated = era is not None and era < self.era
--- a/wagtailfront/platform/tests/test_boundary.py
+++ b/wagtailfront/platform/tests/test_boundary.py
@@ -8,7 +8,7 @@
 # X-Request-Id is left out: wagtailfront's own interface has it too.
 WIRE_NAMES = re.compile(
     r"X-Response-Stamp|X-Not-Executed|X-Expect-Instance|X-Kv-|"
-    r"Server-Limit|Store-Era|X-Prompt-Prefix|X-Token-Count|X-Stage|X-Request-Priority|Last-Event-Id|"
+    r"Server-Limit|Server-Leaving|Store-Era|X-Prompt-Prefix|X-Token-Count|X-Stage|X-Request-Priority|Last-Event-Id|"
     r"rows-(?:tx|get|feed)|op/config|servers/|fencing-token|/api/"
 )
 DECISION_MODULES = re.compile(
--- a/wagtailfront/platform/tests/test_engine_client.py
+++ b/wagtailfront/platform/tests/test_engine_client.py
@@ -114,3 +114,27 @@
     )
     client.read_cached_parts(make_record("i-1"), lambda parts, reason: None)
     assert rates == [("i-1/1", rate)]
+
+
+@pytest.mark.parametrize("status", [200, 202, 409, 503])
+@pytest.mark.parametrize("call", ["order", "read"])
+def test_answers_to_other_calls_tell_that_an_engine_leaves(status, call):
+    """Guards against notices that only callers' requests find."""
+    notices = []
+    pool = EnginePool(status, b"{}", {"server-leaving": "1"})
+    client = EngineClient(
+        pool=pool,
+        instance="a",
+        record_notice=lambda record, notice, *, status: notices.append(
+            (record.incarnation, notice.is_leaving, status)
+        ),
+    )
+    record = make_record("i-1")
+    if call == "read":
+        client.read_cached_parts(record, lambda parts, reason: None)
+    else:
+        grant = SimpleNamespace(fencing=3)
+        client.order_stage(record, "decode", grant, lambda: True, lambda *reply: None)
+    assert notices == [("i-1/1", True, status)]
+    # On a used connection it could be a copy of an earlier answer.
+    assert [each["fresh"] for each in pool.calls] == [True]
--- a/wagtailfront/platform/tests/test_headers.py
+++ b/wagtailfront/platform/tests/test_headers.py
@@ -90,6 +90,31 @@
     assert DIALECT.read_response(200, [(b"server-limit", value)]).rate_limit == rate
 
 
+@pytest.mark.parametrize(
+    ("values", "is_leaving", "unreadable"),
+    [
+        ([b"1"], True, 0),
+        ([b" 1 "], True, 0),
+        ([b"1", b"1"], True, 0),
+        ([b"1", b"0"], True, 1),
+        ([b"1, 1"], True, 0),
+        ([], False, 0),
+        ([b"0"], False, 1),
+        ([b""], False, 1),
+        ([b"true"], False, 1),
+        ([b"11"], False, 1),
+        ([b"\xff" * 900], False, 1),
+    ],
+)
+def test_only_one_value_says_that_an_endpoint_leaves(values, is_leaving, unreadable):
+    """Guards an endpoint against a header that says something else."""
+    headers = [(b"server-Leaving", value) for value in values]
+    notice = DIALECT.read_response(200, headers).notice
+    assert notice.is_leaving == is_leaving
+    assert len(notice.unreadable) == unreadable
+    assert all(len(line) < 80 for line in notice.unreadable)
+
+
 def test_kv_source_contains_the_engines_address():
     """Guards the source from which a prompt's KV cache is fetched."""
     assert DIALECT.read_handle("10.0.0.1:80", b'{"handle":"k"}') == "10.0.0.1:80/k"
--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -15,6 +15,7 @@
 
 PREFILL_LINE = b"X-Stage: prefill"
 KV_SOURCE = b"X-Kv-Source"
+LEAVING = (b"Server-Leaving", b"1")
 
 
 def deadline_line(milliseconds):
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -12,6 +12,7 @@
 from wagtailfront.forwarding.caller_server import ForwardServer
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.endpoint_notices import EndpointNotices
 from wagtailfront.forwarding.endpoint_pool import EndpointPool, max_idle_connections
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.fleet_pace import FleetPace
@@ -115,11 +116,13 @@
             pool=self.store_pool,
             instance=settings.instance,
             record_rate=context.rate_limits.record_answer,
+            record_notice=context.notices.record_answer,
         )
         self.inquiry = CacheInquiry(
             client=self.engines,
             prefix_caches=context.prefix_caches,
             rate_limits=context.rate_limits,
+            notices=context.notices,
             log=log,
             rng=context.rng,
         )
@@ -147,6 +150,7 @@
             directory=self.directory,
             health=health,
             rate_limits=RateLimits(fleet=load, log=self.log),
+            notices=EndpointNotices(log=self.log, on_leaving=self.pool.drop_idle),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
@@ -254,11 +258,12 @@
         return refused_parts
 
     def _make_stage_manager(self):
-        load = self.forwarder.context.load
+        context = self.forwarder.context
         return StageManager(
-            incarnation=load.incarnation,
+            incarnation=context.load.incarnation,
             directory=self.directory,
-            load=load,
+            load=context.load,
+            notices=context.notices,
             orders=self.engines,
             table=StoreTable(client=self.store),
             prefill_share=self.settings.prefill_share,
@@ -316,6 +321,7 @@
         for record in change.gone:
             self.forwarder.context.health.forget(record)
             self.forwarder.context.rate_limits.forget(record)
+            self.forwarder.context.notices.forget(record)
             self.forwarder.context.prefix_caches.forget(record)
 
     def _on_store_era(self, era):
@@ -323,6 +329,8 @@
         self.versions.handle_era(era)
 
     def _max_idle(self, record):
+        if self.forwarder.context.notices.is_leaving(record.incarnation):
+            return 0
         service = self.forwarder.config.services.get(record.service)
         return max_idle_connections(
             service.max_connections if service else 0,
