Heed the pauses that endpoints ask for with Retry-After

Seen by callers: nothing yet; the platform's operators announced that an endpoint which turns a request away with 503 and Retry-After wants nothing from that instance for so long. Cause: an endpoint's Retry-After was not read. Placement and admission count it like the wait of a rate limit, sends that wait are placed again if it is lengthened, and a request that cannot wait is refused at once with the earliest end. Orders and queries wait too. After a pause requests come back one by one. Values that are no plain number of seconds are ignored and logged once. A plan now also counts the wait of the engine that decodes.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -147,7 +147,11 @@
             )
         if self.is_attributable:
             self.context.notices.record_answer(
-                self.record, fields.notice, status=status, request_id=own_id
+                self.record,
+                fields.notice,
+                status=status,
+                sent=self.started,
+                request_id=own_id,
             )
         return True
 
--- a/wagtailfront/forwarding/cache_inquiry.py
+++ b/wagtailfront/forwarding/cache_inquiry.py
@@ -55,13 +55,14 @@
         self.is_done = True
         now = self.clock()
         for record in self.rng.sample(engines, min(len(engines), MAX_INQUIRIES)):
-            if self.notices.is_leaving(record.incarnation):
-                self._on_reply(record, None, "it leaves")
+            if self.notices.wait(record.incarnation):
+                self._on_reply(record, None, "it leaves or asks for a pause")
                 continue
             if self.rate_limits.wait(record.incarnation, now=now):
                 self._on_reply(record, None, "its rate limit permits no query")
                 continue
             self.rate_limits.reserve(record.incarnation, now=now)
+            self.notices.reserve(record.incarnation)
             self.client.read_cached_parts(
                 record, lambda parts, reason, r=record: self._on_reply(r, parts, reason)
             )
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -11,10 +11,13 @@
 )
 from wagtailfront.forwarding.relay_groups import MAX_DIRECT_INSTANCES
 
-__all__ = ["EndpointChoice", "Refusal"]
+__all__ = ["MIN_TIME_LEFT", "EndpointChoice", "Refusal"]
 
 MOST_URGENT = -1  # more urgent than any route's priority
 RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
+RETRY_SPREAD = 0.5  # seconds, so that callers do not all retry at the same time
+MIN_TIME_LEFT = 0.02  # seconds below which no endpoint can answer in time
+ALL_PAUSE = "all endpoints ask for a pause"
 RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
 NO_DECODE_ENGINE = "no engine can decode"
 
@@ -35,19 +38,22 @@
     service : Service
     route : Route
     fields : RequestFields
+    deadline : float
+        Time until which the request must be answered.
     """
 
-    def __init__(self, *, context, service, route, fields):
+    def __init__(self, *, context, service, route, fields, deadline):
         self.context = context
         self.service = service
         self.route = route
         self.fields = fields
+        self.deadline = deadline
 
     def views(self, *, without=(), stages=None):
         """Return views of the endpoints that may be chosen.
 
-        Endpoints that leave, or whose rate limit leaves them to other
-        instances, are not.
+        Endpoints that leave, that pause for longer than the request can wait,
+        or whose rate limit leaves them to other instances, are not.
 
         Parameters
         ----------
@@ -100,7 +106,7 @@
         """Return whether an endpoint that was chosen may still get work."""
         return self.context.directory.is_current(
             record
-        ) and not self.context.notices.is_leaving(record.incarnation)
+        ) and self.context.notices.permits(record.incarnation)
 
     def refuse(self, *, stages=None):
         """Return the Refusal of a request without an endpoint to choose.
@@ -110,6 +116,11 @@
         stages : collection of str, optional
             Stages of engines that were left to choose from; all by default.
         """
+        staying = [r for r in self._staying() if stages is None or r.stage in stages]
+        waits = [self.context.notices.wait(r.incarnation) for r in staying]
+        if waits and min(waits):
+            spread = self.context.rng.uniform(0.0, RETRY_SPREAD)
+            return Refusal(ALL_PAUSE, max(RETRY_AFTER, min(waits)) + spread)
         if self._staying():
             return Refusal(RATE_LIMITED if stages is None else NO_DECODE_ENGINE)
         if self.context.directory.find(self.service.name):
@@ -117,10 +128,25 @@
         return Refusal("no endpoint is registered")
 
     def wait(self, record):
-        """Return the seconds until an endpoint's rate limit permits a send."""
-        return self.context.rate_limits.wait(
-            record.incarnation, now=self.context.clock()
+        """Return the seconds until an endpoint's notices permit a send.
+
+        Infinite if the request cannot wait for the end of a pause, or if
+        other instances use up the endpoint's rate limit.
+        """
+        pause = self.context.notices.wait(record.incarnation)
+        if pause > self.max_wait():
+            return math.inf
+        now = self.context.clock()
+        return max(pause, self.context.rate_limits.wait(record.incarnation, now=now))
+
+    def max_wait(self):
+        """Return the seconds that the request may wait for an endpoint."""
+        time_left = self.deadline - self.context.clock() - MIN_TIME_LEFT
+        is_model = self.service.is_model
+        longest = (
+            self.route.max_first_event_wait if is_model else self.route.target_latency
         )
+        return max(0.0, min(longest, time_left))
 
     def least_loaded(self, views):
         """Return the record of the least loaded of `views`."""
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -8,9 +8,9 @@
     RunAttempt,
     end_to_end_headers,
 )
-from wagtailfront.forwarding.endpoint_choice import EndpointChoice
+from wagtailfront.forwarding.endpoint_choice import MIN_TIME_LEFT, EndpointChoice
 from wagtailfront.forwarding.request_log import RequestLog
-from wagtailfront.forwarding.request_sender import MIN_TIME_LEFT, RequestSender
+from wagtailfront.forwarding.request_sender import RequestSender
 from wagtailfront.forwarding.send_credit import SendCredit
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
@@ -91,7 +91,11 @@
             budget=context.budgets[service.name], clock=context.clock
         )
         self.choice = EndpointChoice(
-            context=context, service=service, route=route, fields=fields
+            context=context,
+            service=service,
+            route=route,
+            fields=fields,
+            deadline=self.deadline,
         )
         self.sender = RequestSender(task=self)
         self.silence = SilenceWatch(task=self)
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -97,6 +97,8 @@
     ----------
     is_leaving : bool
         Whether it takes no new work until it ends.
+    retry_after : float or None
+        Seconds after which it wants the next request; may be infinite.
     headers : tuple of str
         Headers that say so, for the log.
     unreadable : tuple of str
@@ -104,6 +106,7 @@
     """
 
     is_leaving: bool = False
+    retry_after: float | None = None
     headers: tuple[str, ...] = ()
     unreadable: tuple[str, ...] = ()
 
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -60,7 +60,8 @@
     is_remote : bool
         Whether it is in a data centre other than the instance's.
     wait : float
-        Seconds until its rate limit lets this instance send a request.
+        Seconds until its rate limit and its pause let this instance send a
+        request.
     """
 
     record: object
@@ -86,7 +87,7 @@
     expected : float
         Seconds from sending it until the prompt has been prefilled.
     wait : float
-        Seconds until the first engine's rate limit lets it be sent.
+        Seconds by which rate limits and pauses of its engines delay it.
     """
 
     prefill: object
@@ -99,9 +100,10 @@
 def choose_least_loaded(views, *, rng):
     """Return the view with the fewest requests in progress per slot.
 
-    Endpoints whose rate limit makes a request wait come last. Ties go to an
-    endpoint in the own data centre, then to a random one, so that instances
-    with outdated loads of each other do not all choose the same endpoint.
+    Endpoints whose rate limit or pause makes a request wait come last. Ties go
+    to an endpoint in the own data centre, then to a random one, so that
+    instances with outdated loads of each other do not all choose the same
+    endpoint.
     """
     return min(
         views,
@@ -218,8 +220,7 @@
     expected = expected_prefill_seconds(best, prompt_tokens)
     if best.record.stage == PREFILL:
         data_centre = best.record.data_centre
-        decode = choose_decode_engine(
-            decode_views, rng=rng, data_centre=data_centre
-        ).record
-        return Plan(best.record, decode, uncached_tokens, expected, best.wait)
+        decode = choose_decode_engine(decode_views, rng=rng, data_centre=data_centre)
+        wait = max(best.wait, decode.wait - expected)
+        return Plan(best.record, decode.record, uncached_tokens, expected, wait)
     return Plan(None, best.record, uncached_tokens, expected, best.wait)
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -1,17 +1,18 @@
-"""Sending of one request's attempts, within the rate limits of endpoints."""
+"""Sending of one request's attempts when their endpoints permit it."""
 
 import math
 
 from wagtailfront.forwarding.interfaces import SendOptions
 
-__all__ = ["MIN_TIME_LEFT", "RequestSender"]
+__all__ = ["RequestSender"]
 
-MIN_TIME_LEFT = 0.02  # seconds below which no endpoint can answer in time
 PREFILLED_PRIORITY = 0
 
 
 class RequestSender:
-    """Sends attempts, and delays those to an endpoint at its rate limit.
+    """Sends attempts, and delays those to an endpoint that makes them wait.
+
+    An endpoint does so at its rate limit and while it pauses.
 
     Parameters
     ----------
@@ -22,7 +23,7 @@
         self.task = task
 
     def send(self, attempt_type, record, *, uncached_tokens=0, expected=0.0):
-        """Send an attempt when the endpoint's rate limit permits it.
+        """Send an attempt when the endpoint's rate limit and pause permit it.
 
         Returns
         -------
@@ -31,17 +32,19 @@
             that long, so that it is not sent.
         """
         task = self.task
-        now, limits = task.context.clock(), task.context.rate_limits
-        wait = limits.wait(record.incarnation, now=now)
-        if wait and wait > self._max_wait(now):
+        limits, notices = task.context.rate_limits, task.context.notices
+        wait = task.choice.wait(record)
+        if wait and wait > task.choice.max_wait():
             return math.inf
-        limits.reserve(record.incarnation, now=now)
+        pause = notices.wait(record.incarnation)
+        notices.reserve(record.incarnation)
+        limits.reserve(record.incarnation, now=task.context.clock())
         attempt = (attempt_type, record, uncached_tokens, expected)
         if not wait:
             self._launch(*attempt)
         else:
             task.log.decision(
-                "rate_limited",
+                "paused" if pause == wait else "rate_limited",
                 "waits",
                 endpoint=record.endpoint_id,
                 rate=limits.limit(record.incarnation),
@@ -50,13 +53,6 @@
             task.after(wait, lambda: self._launch_later(*attempt))
         return wait
 
-    def _max_wait(self, now):
-        """Return the seconds for which the caller may have to wait."""
-        route = self.task.route
-        is_model = self.task.service.is_model
-        longest = route.max_first_event_wait if is_model else route.target_latency
-        return min(longest, self.task.deadline - now - MIN_TIME_LEFT)
-
     def _launch_later(self, attempt_type, record, *prompt):
         if not self.task.choice.is_available(record):
             self.task.dispatch_again()
--- a/wagtailfront/forwarding/stage_manager.py
+++ b/wagtailfront/forwarding/stage_manager.py
@@ -110,7 +110,9 @@
         self.lease.want(bool(changes) and self._is_first())
         if changes and self._may_order():
             for change in changes:
-                self._order(change, now)
+                # An engine that pauses gets its order at a later check.
+                if not self.notices.wait(change.record.incarnation):
+                    self._order(change, now)
 
     def _is_settled(self, now):
         """Return whether the set of engines has been stable long enough."""
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -275,6 +275,7 @@
         self.directory = EndpointDirectory()
         self.directory.replace(records, now=self.timers.now)
         health = EndpointHealth()
+        rng = random.Random(1)
         load = FleetLoad(incarnation=incarnation, address=address, health=health)
         prefix_caches = PrefixCachesByService()
         prefix_caches.add_services({"s": self.service})
@@ -284,7 +285,7 @@
             directory=self.directory,
             health=health,
             rate_limits=RateLimits(fleet=load, log=self.log),
-            notices=EndpointNotices(log=self.log),
+            notices=EndpointNotices(log=self.log, rng=rng, clock=self.timers.clock),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
@@ -301,7 +302,7 @@
             log=self.log,
             metrics=Metrics(),
             clock=self.timers.clock,
-            rng=random.Random(1),
+            rng=rng,
         )
         self.done = []
         self.request_times = []
--- a/wagtailfront/forwarding/tests/test_stages.py
+++ b/wagtailfront/forwarding/tests/test_stages.py
@@ -1,5 +1,6 @@
 """Tests of stage assignment before the first request without a network."""
 
+import random
 from collections import Counter
 
 import pytest
@@ -114,7 +115,9 @@
             incarnation=name,
             directory=self.directory,
             load=load,
-            notices=EndpointNotices(log=LogLines()),
+            notices=EndpointNotices(
+                log=LogLines(), rng=random.Random(1), clock=lambda: self.now
+            ),
             orders=orders,
             table=self.table,
             prefill_share=0.5,
--- a/wagtailfront/platform/engine_client.py
+++ b/wagtailfront/platform/engine_client.py
@@ -50,7 +50,7 @@
         pool,
         instance,
         record_rate=lambda incarnation, rate, **times: None,
-        record_notice=lambda record, notice, *, status: None,
+        record_notice=lambda record, notice, **answer: None,
         clock=time.monotonic,
     ):
         self.pool = pool
@@ -109,7 +109,7 @@
             pairs = [
                 (k.encode("latin-1"), v.encode("latin-1")) for k, v in headers.items()
             ]
-            self.record_notice(record, read_notice(pairs), status=status)
+            self.record_notice(record, read_notice(pairs), status=status, sent=sent)
             rate = read_rate_limit(headers.get(RATE_LIMIT.decode()))
             self.record_rate(record.incarnation, rate, sent=sent, now=self.clock())
 
--- a/wagtailfront/platform/notices.py
+++ b/wagtailfront/platform/notices.py
@@ -1,12 +1,19 @@
 """Decoding of what endpoints say of themselves in their answers."""
 
+import re
+
 from wagtailfront.forwarding.interfaces import EndpointNotice
 
 __all__ = ["read_notice"]
 
 LEAVING = "Server-Leaving"
-IS_LEAVING = "1"
-NAMES = {name.lower().encode(): name for name in (LEAVING,)}
+RETRY_AFTER = "Retry-After"
+NAMES = {name.lower().encode(): name for name in (LEAVING, RETRY_AFTER)}
+# Values that are decoded; all others are reported as unreadable.
+READABLE = {
+    LEAVING: re.compile(r"1"),
+    RETRY_AFTER: re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+"),  # seconds
+}
 NO_NOTICE = EndpointNotice()
 MAX_LOGGED = 40  # characters of a value
 
@@ -18,7 +25,7 @@
     ----------
     headers : iterable of (bytes, bytes)
         Names in any case. A header that is there more than once, or that
-        holds a list, is decoded value by value.
+        holds a list, is decoded value by value; the longest pause counts.
     """
     values = [
         (NAMES[name.lower()], value.strip())
@@ -28,13 +35,15 @@
     ]
     if not values:
         return NO_NOTICE
-    readable = [value for name, value in values if value == IS_LEAVING]
+    readable = [each for each in values if READABLE[each[0]].fullmatch(each[1])]
     return EndpointNotice(
-        is_leaving=bool(readable),
-        headers=_lines((name, value) for name, value in values if value in readable),
-        unreadable=_lines(
-            (name, value) for name, value in values if value not in readable
+        is_leaving=any(name == LEAVING for name, _value in readable),
+        retry_after=max(
+            (float(value) for name, value in readable if name == RETRY_AFTER),
+            default=None,
         ),
+        headers=_lines(readable),
+        unreadable=_lines(each for each in values if each not in readable),
     )
 
 
--- a/wagtailfront/platform/tests/test_engine_client.py
+++ b/wagtailfront/platform/tests/test_engine_client.py
@@ -125,7 +125,7 @@
     client = EngineClient(
         pool=pool,
         instance="a",
-        record_notice=lambda record, notice, *, status: notices.append(
+        record_notice=lambda record, notice, *, status, sent: notices.append(
             (record.incarnation, notice.is_leaving, status)
         ),
     )
--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -38,13 +38,25 @@
     return (b"Server-Limit", b"%g" % rate)
 
 
-def refusal_response(request_id):
+def retry_after_header(seconds):
+    """Return the header by which an endpoint asks for a pause."""
+    return (b"Retry-After", b"%g" % seconds)
+
+
+def header_lines(headers):
+    """Return headers as the bytes of a head."""
+    return b"".join(b"%b: %b\r\n" % header for header in headers)
+
+
+def refusal_response(request_id, *, headers=()):
     """Return the bytes of a named refusal on a connection that is kept."""
     head = b"HTTP/1.1 503 Full\r\n%b: %b\r\nX-Not-Executed: 1\r\n"
-    return head % (REQUEST_ID, request_id) + b"Content-Length: 0\r\n\r\n"
+    head = head % (REQUEST_ID, request_id) + header_lines(headers)
+    return head + b"Content-Length: 0\r\n\r\n"
 
 
-def signed_response(request_id, body, *, extra=b""):
+def signed_response(request_id, body, *, extra=b"", headers=()):
     """Return the bytes of a signed response with a length, and `extra`."""
-    head = b"HTTP/1.1 200 OK\r\n%b: %b\r\n%b: s\r\nContent-Length: %d\r\n\r\n"
-    return head % (REQUEST_ID, request_id, SIGNATURE, len(body)) + body + extra
+    head = b"HTTP/1.1 200 OK\r\n%b: %b\r\n%b: s\r\nContent-Length: %d\r\n"
+    head = head % (REQUEST_ID, request_id, SIGNATURE, len(body))
+    return head + header_lines(headers) + b"\r\n" + body + extra
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -140,7 +140,7 @@
 
     def _make_context(self):
         settings = self.settings
-        health = EndpointHealth()
+        health, rng = EndpointHealth(), random.Random()
         load = FleetLoad(
             incarnation=new_id(), address=str(settings.peers), health=health
         )
@@ -150,7 +150,9 @@
             directory=self.directory,
             health=health,
             rate_limits=RateLimits(fleet=load, log=self.log),
-            notices=EndpointNotices(log=self.log, on_leaving=self.pool.drop_idle),
+            notices=EndpointNotices(
+                log=self.log, rng=rng, on_leaving=self.pool.drop_idle
+            ),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
@@ -169,7 +171,7 @@
             log=self.log,
             metrics=self.metrics,
             clock=time.monotonic,
-            rng=random.Random(),
+            rng=rng,
         )
 
     def build(self):
