Explain which endpoints a request was not sent to, and why

Operators could not see that an endpoint which the registry calls ready gets no requests since it leaves or pauses. A scripted endpoint learns both headers for tests on sockets.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -15,6 +15,7 @@
 
 MOST_URGENT = -1  # more urgent than any route's priority
 RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
+MAX_LOGGED = 8  # ids of endpoints in a line of the log
 RETRY_SPREAD = 0.5  # seconds, so that callers do not all retry at the same time
 MIN_TIME_LEFT = 0.02  # seconds below which no endpoint can answer in time
 ALL_PAUSE = "all endpoints ask for a pause"
@@ -102,6 +103,24 @@
             if not self.context.notices.is_leaving(record.incarnation)
         ]
 
+    def left_out(self):
+        """Return which endpoints were left out as they leave or pause.
+
+        Returns
+        -------
+        dict of str to list of str
+            Some of their ids by the reason, for the log; empty if there are
+            none.
+        """
+        notices = self.context.notices
+        found = {"leaving": [], "pausing": []}
+        for record in self.context.directory.find(self.service.name):
+            if notices.is_leaving(record.incarnation):
+                found["leaving"].append(record.endpoint_id)
+            elif not notices.permits(record.incarnation):
+                found["pausing"].append(record.endpoint_id)
+        return {reason: ids[:MAX_LOGGED] for reason, ids in found.items() if ids}
+
     def is_available(self, record):
         """Return whether an endpoint that was chosen may still get work."""
         return self.context.directory.is_current(
@@ -120,7 +139,8 @@
         waits = [self.context.notices.wait(r.incarnation) for r in staying]
         if waits and min(waits):
             spread = self.context.rng.uniform(0.0, RETRY_SPREAD)
-            return Refusal(ALL_PAUSE, max(RETRY_AFTER, min(waits)) + spread)
+            retry_after = max(RETRY_AFTER, min(waits)) + spread
+            return Refusal(ALL_PAUSE, round(retry_after, 3))
         if self._staying():
             return Refusal(RATE_LIMITED if stages is None else NO_DECODE_ENGINE)
         if self.context.directory.find(self.service.name):
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -179,7 +179,7 @@
         if self.sends >= MAX_SENDS:
             self._give_up("no endpoint accepted it", RETRY_AFTER)
             return
-        views = self.choice.views(without=self.tried)
+        views = self._find_views()
         if not views:
             self._give_up(*self.choice.refuse())
         elif self.service.is_model:
@@ -187,6 +187,13 @@
         else:
             self._send(RunAttempt, self.choice.least_loaded(views))
 
+    def _find_views(self, *, stages=None):
+        """Return views of the endpoints to choose from."""
+        left_out = self.choice.left_out()
+        if left_out:
+            self.log.decision("left_out", "leaves or asks for a pause", **left_out)
+        return self.choice.views(without=self.tried, stages=stages)
+
     def _dispatch_model(self, views):
         may_split = self.stream.last_event_id is None and not self.runs
         plan = self.choice.plan(views, may_split=may_split)
@@ -287,7 +294,7 @@
 
     def _dispatch_decode(self):
         """Run the request at an engine that decodes."""
-        views = self.choice.views(without=self.tried, stages=DECODE_STAGES)
+        views = self._find_views(stages=DECODE_STAGES)
         if not views or self.sends >= MAX_SENDS:
             self._give_up(*self.choice.refuse(stages=DECODE_STAGES))
         else:
--- a/wagtailfront/forwarding/tests/scripted_endpoint.py
+++ b/wagtailfront/forwarding/tests/scripted_endpoint.py
@@ -4,7 +4,14 @@
 import socket
 import threading
 
-__all__ = ["ScriptedEndpoint"]
+from wagtailfront.platform.tests.wire import (
+    LEAVING,
+    refusal_response,
+    retry_after_header,
+    signed_response,
+)
+
+__all__ = ["NoticeScript", "ScriptedEndpoint"]
 
 REQUEST_ID = re.compile(rb"x-request-id: (\S+)", re.IGNORECASE)
 LENGTH = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
@@ -69,3 +76,43 @@
     while length and len(body) < int(length[1]):
         body += connection.recv(65536)
     return head + b"\r\n\r\n" + body
+
+
+class NoticeScript:
+    """Script of an endpoint that serves, leaves or asks for a pause.
+
+    Attributes
+    ----------
+    copies_refusal : bool
+        Whether it writes an earlier refusal, which asks for a pause, before
+        each answer but the first one on a connection.
+    """
+
+    def __init__(self):
+        self.copies_refusal = False
+        self.used = set()
+        self.serve()
+
+    def serve(self):
+        """Answer requests without a notice."""
+        self.headers, self.is_refusing = [], False
+
+    def leave(self):
+        """Answer requests and say that it leaves."""
+        self.headers = [LEAVING]
+
+    def ask_pause(self, seconds):
+        """Turn requests away and ask for a pause."""
+        self.headers, self.is_refusing = [retry_after_header(seconds)], True
+
+    def __call__(self, connection, request_id, request):
+        if self.is_refusing:
+            answer = refusal_response(request_id, headers=self.headers)
+        else:
+            answer = signed_response(request_id, b"ok", headers=self.headers)
+        if self.copies_refusal and connection in self.used:
+            earlier = refusal_response(b"earlier", headers=[retry_after_header(60.0)])
+            answer = earlier + answer
+        self.used.add(connection)
+        connection.sendall(answer)
+        return True
--- a/wagtailfront/observe/request_timeline.py
+++ b/wagtailfront/observe/request_timeline.py
@@ -16,8 +16,13 @@
     "endpoint_added",
     "endpoint_leaving",
     "endpoint_gone",
+    "endpoint_notice_leaving",
+    "endpoint_notice_pause",
+    "endpoint_notice_unreadable",
 )
-COMMON = ("time", "instance", "kind", "outcome", "request")
+# Inputs of a request's lines that name endpoints it was not sent to.
+LEFT_OUT = ("leaving", "pausing")
+COMMON = ("time", "instance", "kind", "outcome")
 
 
 class TimelineEntry(NamedTuple):
@@ -46,7 +51,8 @@
     list of TimelineEntry
         The request's own lines, and the latest lines before its end on the
         state of the instances that handled it. Lines on endpoints are
-        included only for the endpoints in the request's own lines.
+        included only for the endpoints in the request's own lines; they
+        name the request whose answer told the instance.
 
     Examples
     --------
@@ -62,18 +68,28 @@
     end = max(entry["time"] for entry in own)
     instances = {entry["instance"] for entry in own}
     states = {}
-    for entry in sorted(entries, key=lambda entry: entry["time"]):
+    others = [entry for entry in entries if entry.get("request") != request_id]
+    for entry in sorted(others, key=lambda entry: entry["time"]):
         is_state = entry["kind"] in STATE_KINDS and entry["instance"] in instances
         if is_state and entry["time"] <= end:
             subject = entry["outcome"] if "endpoint" in entry["kind"] else ""
             states[entry["instance"], entry["kind"], subject] = entry
-    used = {entry.get("endpoint") for entry in own}
+    used = {endpoint for entry in own for endpoint in _named_endpoints(entry)}
     shown = [
         entry
         for entry in states.values()
         if "endpoint" not in entry["kind"] or entry["outcome"] in used
     ]
-    return [_to_entry(e) for e in sorted([*shown, *own], key=lambda e: e["time"])]
+    shown = sorted([*shown, *own], key=lambda entry: entry["time"])
+    return [_to_entry(entry, request_id) for entry in shown]
+
+
+def _named_endpoints(entry):
+    """Return the endpoints in a request's line."""
+    return [
+        entry.get("endpoint"),
+        *(endpoint for name in LEFT_OUT for endpoint in entry.get(name, ())),
+    ]
 
 
 def _read_line(line):
@@ -91,8 +107,12 @@
     return entry if is_decision and isinstance(entry["time"], int | float) else None
 
 
-def _to_entry(entry):
-    inputs = {name: value for name, value in entry.items() if name not in COMMON}
+def _to_entry(entry, request_id):
+    inputs = {
+        name: value
+        for name, value in entry.items()
+        if name not in COMMON and (name, value) != ("request", request_id)
+    }
     return TimelineEntry(
         entry["time"], entry["instance"], entry["kind"], entry["outcome"], inputs
     )
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -358,4 +358,12 @@
         self.metrics.set(
             "rate_limited_endpoints", self.forwarder.context.rate_limits.count_limited()
         )
+        notices = self.forwarder.context.notices
+        incarnations = (r.incarnation for r in self.directory.records.values())
+        self.metrics.set(
+            "leaving_endpoints", sum(map(notices.is_leaving, incarnations))
+        )
+        self.metrics.set("paused_endpoints", notices.count_paused())
+        for notice, count in notices.counts.items():
+            self.metrics.set("endpoint_notices_total", count, notice=notice)
         return 200, "text/plain; version=0.0.4", self.metrics.render()
