Read each endpoint's wait once per placement

A test shows that a request goes back to a full endpoint rather than be refused as the only untried one pauses; it fails without the bound of the wait in EndpointChoice.wait.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -63,22 +63,22 @@
         stages : collection of str, optional
             Stages of engines to choose from; all by default.
         """
-        records = [
-            record
-            for record in self._staying()
+        waits = {
+            record: wait
+            for record in self.context.directory.find(self.service.name)
             if (stages is None or record.stage in stages)
-            and self.wait(record) < math.inf
-        ]
+            and (wait := self.wait(record)) < math.inf
+        }
+        records = list(waits)
         others = [r for r in records if r.incarnation not in without]
         usable = self.context.health.usable(others or records, now=self.context.clock())
-        return [self._view(record) for record in usable]
+        return [self._view(record, waits[record]) for record in usable]
 
-    def _view(self, record):
+    def _view(self, record, wait):
         now, load = self.context.clock(), self.context.load
         incarnation, urgency = record.incarnation, self.route.priority
         outstanding = load.outstanding(incarnation, now=now)
         is_remote = record.data_centre != self.context.data_centre
-        wait = self.wait(record)
         if not self.service.is_model:
             return EngineView(record, outstanding, is_remote=is_remote, wait=wait)
         prefix_cache = self.context.prefix_caches[self.service.name]
@@ -113,6 +113,8 @@
             none.
         """
         notices = self.context.notices
+        if not notices.has_any():
+            return {}
         found = {"leaving": [], "pausing": []}
         for record in self.context.directory.find(self.service.name):
             if notices.is_leaving(record.incarnation):
@@ -153,11 +155,12 @@
         Infinite if the request cannot wait for the end of a pause, or if
         other instances use up the endpoint's rate limit.
         """
-        pause = self.context.notices.wait(record.incarnation)
-        if pause > self.max_wait():
+        incarnation = record.incarnation
+        pause = self.context.notices.wait(incarnation)
+        if pause and pause > self.max_wait():
             return math.inf
         now = self.context.clock()
-        return max(pause, self.context.rate_limits.wait(record.incarnation, now=now))
+        return max(pause, self.context.rate_limits.wait(incarnation, now=now))
 
     def max_wait(self):
         """Return the seconds that the request may wait for an endpoint."""
--- a/wagtailfront/forwarding/endpoint_notices.py
+++ b/wagtailfront/forwarding/endpoint_notices.py
@@ -120,14 +120,20 @@
 
         Infinite if the endpoint leaves.
         """
-        if self.is_leaving(incarnation):
+        if incarnation in self.leaving:
             return math.inf
+        if incarnation not in self.pauses:
+            return 0.0
         return self.pauses.wait(incarnation, now=self.clock())
 
     def reserve(self, incarnation):
         """Reserve the next request, to be sent after `wait`."""
         self.pauses.reserve(incarnation, now=self.clock())
 
+    def has_any(self):
+        """Return whether an endpoint may be leaving or pausing."""
+        return len(self.leaving) > len(self.departed) or len(self.pauses) > 0
+
     def count_paused(self):
         """Return the number of endpoints that want no requests now."""
         return self.pauses.count_paused(now=self.clock())
--- a/wagtailfront/forwarding/endpoint_pauses.py
+++ b/wagtailfront/forwarding/endpoint_pauses.py
@@ -58,6 +58,12 @@
         self.rng = rng
         self.pauses = {}
 
+    def __contains__(self, incarnation):
+        return incarnation in self.pauses
+
+    def __len__(self):
+        return len(self.pauses)
+
     def begin(self, incarnation, seconds, *, now):
         """Begin or lengthen a pause; return whether anything changed."""
         until = now + min(seconds, MAX_PAUSE)
--- a/wagtailfront/forwarding/tests/test_paused_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_paused_endpoints.py
@@ -132,6 +132,17 @@
     assert len(scene.pool.exchanges) == 20
 
 
+def test_a_request_tries_a_full_endpoint_again_rather_than_wait_too_long():
+    """Guards against a refusal as the only untried endpoint pauses."""
+    scene = make_paused(9.0)
+    full = make_record("e9")
+    records = [make_record("e0"), full]
+    scene.directory.replace(records, now=scene.timers.now)
+    scene.start(make_route())
+    scene.pool.last.respond(503, NOT_RUN)
+    assert [exchange.record for exchange in scene.pool.exchanges] == [full, full]
+
+
 def test_a_request_that_waits_is_placed_again_when_a_pause_becomes_longer():
     """Guards against a send that was arranged for the earlier end."""
     scene = make_paused(1.0)
