--- a/wagtailfront/forwarding/tests/test_cache_inquiry.py
+++ b/wagtailfront/forwarding/tests/test_cache_inquiry.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from wagtailfront.forwarding.cache_inquiry import MAX_INQUIRIES, CacheInquiry
 from wagtailfront.forwarding.forwarder import PrefixCachesByService
 from wagtailfront.forwarding.interfaces import EndpointNotice
@@ -73,13 +75,15 @@
     assert sorted(record.endpoint_id for record in client.asked) == ["e1", "e2"]
 
 
-def test_an_engine_that_leaves_is_not_asked():
+@pytest.mark.parametrize(
+    "notice", [EndpointNotice(is_leaving=True), EndpointNotice(retry_after=5.0)]
+)
+def test_an_engine_that_leaves_or_pauses_is_not_asked(notice):
     """Guards against queries to an engine that takes no new work."""
     client = FakeClient([])
     inquiry, _prefix_cache = make_inquiry(client)
     engines = [make_record(f"e{i}", stage="decode") for i in range(3)]
-    notice = EndpointNotice(is_leaving=True)
-    inquiry.notices.record_answer(engines[0], notice, status=200)
+    inquiry.notices.record_answer(engines[0], notice, status=503)
     inquiry.ask(engines)
     assert sorted(record.endpoint_id for record in client.asked) == ["e1", "e2"]
 
--- a/wagtailfront/forwarding/tests/test_stages.py
+++ b/wagtailfront/forwarding/tests/test_stages.py
@@ -188,6 +188,18 @@
     assert [endpoint for endpoint, _stage, _fencing in fleet.sent()] == ["e04"]
 
 
+def test_an_engine_that_pauses_gets_its_order_afterwards():
+    """Guards against an order that is sent in the pause, or never."""
+    engines = make_engines(3, 7)
+    fleet = Fleet(["i1"], engines)
+    notices = fleet.managers["i1"].notices
+    notices.record_answer(engines[3], EndpointNotice(retry_after=6.0), status=503)
+    fleet.run(4.0)
+    assert [endpoint for endpoint, _stage, _fencing in fleet.sent()] == ["e04"]
+    fleet.run(3.0)
+    assert ("e03", "prefill", 1) in fleet.sent()
+
+
 def test_a_successor_waits_before_its_orders():
     """Guards against orders of two holders within a short time."""
     fleet = Fleet(["i1"], make_engines(3, 7))
