Send one head for each answer in the test of the notices

A run by hand with 4,000 examples of up to 80 steps failed: the test gave an endpoint credit for a notice on the second head of an answer whose head had arrived, which it then did not send. The check is the same; such an answer now only goes on or breaks off, as on a socket.

--- a/wagtailfront/forwarding/tests/test_notice_rules.py
+++ b/wagtailfront/forwarding/tests/test_notice_rules.py
@@ -72,6 +72,10 @@
     def answer(self, exchange, outcome, notice, seconds):
         """Answer a request; record first what the endpoint says with it."""
         incarnation = exchange.record.incarnation
+        if exchange.sink.status:
+            # Its head has arrived, so nothing more is said with this answer.
+            outcome = "event" if outcome == "event" else "cut"
+            notice = ""
         if outcome == "cut":
             exchange.fail()
             return
@@ -100,7 +104,7 @@
             body = HANDLE if exchange.sink.is_prefill else b"ok"
             exchange.respond(status, named(SIGNED, exchange) + said, body)
         else:
-            if exchange.sink.status != 200:
+            if not exchange.sink.status:
                 exchange.sink.on_head(200, named(EVENT_STREAM, exchange) + said)
             if outcome == "event" and not exchange.sink.is_prefill:
                 last = exchange.sink.task.stream.last_event_id or 0
