Bound what a line of the log shows of an endpoint's headers

A header that is a list of thousands of values made a line of the log as long as the head, and decoding it compared each value with all others. Change: up to 4 values of each kind are shown; values are sorted in one pass. The delay of a refusal is defined once. Measured: test_a_list_of_many_values_is_shown_in_part fails before and passes after; platform/, forwarding/, programs/, observe/: 566 passed.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -11,7 +11,7 @@
 )
 from wagtailfront.forwarding.relay_groups import MAX_DIRECT_INSTANCES
 
-__all__ = ["MIN_TIME_LEFT", "EndpointChoice", "Refusal"]
+__all__ = ["MIN_TIME_LEFT", "RETRY_AFTER", "EndpointChoice", "Refusal"]
 
 MOST_URGENT = -1  # more urgent than any route's priority
 RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
@@ -150,10 +150,11 @@
         return Refusal("no endpoint is registered")
 
     def wait(self, record):
-        """Return the seconds until an endpoint's notices permit a send.
+        """Return the seconds until an endpoint may be sent a request.
 
-        Infinite if the request cannot wait for the end of a pause, or if
-        other instances use up the endpoint's rate limit.
+        Its pause and its rate limit can make it wait. Infinite if the request
+        cannot wait for the end of the pause, or if other instances use up the
+        rate limit.
         """
         incarnation = record.incarnation
         pause = self.context.notices.wait(incarnation)
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -8,7 +8,11 @@
     RunAttempt,
     end_to_end_headers,
 )
-from wagtailfront.forwarding.endpoint_choice import MIN_TIME_LEFT, EndpointChoice
+from wagtailfront.forwarding.endpoint_choice import (
+    MIN_TIME_LEFT,
+    RETRY_AFTER,
+    EndpointChoice,
+)
 from wagtailfront.forwarding.request_log import RequestLog
 from wagtailfront.forwarding.request_sender import RequestSender
 from wagtailfront.forwarding.send_credit import SendCredit
@@ -19,7 +23,6 @@
 
 MAX_SENDS = 4  # sends of one request, including those that did not run it
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
-RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
 POISON_RETRY_AFTER = 5.0  # seconds; for requests that crash endpoints
 DECODE_STAGES = ("decode", "")  # stages of engines that decode
 TOO_MANY, BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 429, 502, 503, 504
--- a/wagtailfront/platform/notices.py
+++ b/wagtailfront/platform/notices.py
@@ -15,6 +15,7 @@
     RETRY_AFTER: re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+"),  # seconds
 }
 NO_NOTICE = EndpointNotice()
+MAX_LOGGED_VALUES = 4
 MAX_LOGGED = 40  # characters of a value
 
 
@@ -35,7 +36,10 @@
     ]
     if not values:
         return NO_NOTICE
-    readable = [each for each in values if READABLE[each[0]].fullmatch(each[1])]
+    readable, unreadable = [], []
+    for name, value in values:
+        is_readable = READABLE[name].fullmatch(value)
+        (readable if is_readable else unreadable).append((name, value))
     return EndpointNotice(
         is_leaving=any(name == LEAVING for name, _value in readable),
         retry_after=max(
@@ -43,9 +47,11 @@
             default=None,
         ),
         headers=_lines(readable),
-        unreadable=_lines(each for each in values if each not in readable),
+        unreadable=_lines(unreadable),
     )
 
 
 def _lines(values):
-    return tuple(f"{name}: {value[:MAX_LOGGED]}" for name, value in values)
+    return tuple(
+        f"{name}: {value[:MAX_LOGGED]}" for name, value in values[:MAX_LOGGED_VALUES]
+    )
--- a/wagtailfront/platform/tests/test_headers.py
+++ b/wagtailfront/platform/tests/test_headers.py
@@ -115,6 +115,14 @@
     assert all(len(line) < 80 for line in notice.unreadable)
 
 
+def test_a_list_of_many_values_is_shown_in_part():
+    """Guards the log against a header that fills the whole head."""
+    headers = [(b"retry-after", b"x," * 5000 + b"3," * 5000)]
+    notice = DIALECT.read_response(503, headers).notice
+    assert notice.retry_after == 3.0
+    assert len(notice.headers) + len(notice.unreadable) < 10
+
+
 def test_kv_source_contains_the_engines_address():
     """Guards the source from which a prompt's KV cache is fetched."""
     assert DIALECT.read_handle("10.0.0.1:80", b'{"handle":"k"}') == "10.0.0.1:80/k"
