Merge engines that say they leave or ask for a pause

Of the merge: one method chooses endpoints (not those that leave, pause, are of another version or have a silent run open), and one chooses another decode engine after a prefill.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -1,6 +1,7 @@
 """Choice of endpoints for one request."""
 
 import math
+from typing import NamedTuple
 
 from wagtailfront.forwarding.admission import admit
 from wagtailfront.forwarding.placement import (
@@ -10,11 +11,24 @@
 )
 from wagtailfront.forwarding.relay_groups import MAX_DIRECT_INSTANCES
 
-__all__ = ["DECODE_STAGES", "RATE_LIMITED", "EndpointChoice"]
+__all__ = ["DECODE_STAGES", "MIN_TIME_LEFT", "RETRY_AFTER", "EndpointChoice", "Refusal"]
 
 DECODE_STAGES = ("decode", "")  # stages of engines that decode
-RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
 MOST_URGENT = -1  # more urgent than any route's priority
+RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
+MAX_LOGGED = 8  # ids of endpoints in a line of the log
+RETRY_SPREAD = 0.5  # seconds, so that callers do not all retry at the same time
+MIN_TIME_LEFT = 0.02  # seconds below which no endpoint can answer in time
+ALL_PAUSE = "all endpoints ask for a pause"
+RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
+NO_DECODE_ENGINE = "no engine can decode"
+
+
+class Refusal(NamedTuple):
+    """Why no endpoint can be chosen, and when to retry, in seconds."""
+
+    reason: str
+    retry_after: float = RETRY_AFTER
 
 
 class EndpointChoice:
@@ -26,6 +40,8 @@
     service : Service
     route : Route
     fields : RequestFields
+    deadline : float
+        Time until which the request must be answered.
     software_version : str, optional
         Version that began the stream, if it has begun.
 
@@ -35,17 +51,21 @@
         Only endpoints of this version may be chosen; None for any.
     """
 
-    def __init__(self, *, context, service, route, fields, software_version=None):
+    def __init__(
+        self, *, context, service, route, fields, deadline, software_version=None
+    ):
         self.context = context
         self.service = service
         self.route = route
         self.fields = fields
+        self.deadline = deadline
         self.software_version = software_version
 
     def views(self, *, without=(), stages=None):
         """Return views of the endpoints that may be chosen.
 
-        Endpoints whose rate limit leaves them to other instances are not.
+        Endpoints that leave, that pause for longer than the request can wait,
+        or whose rate limit leaves them to other instances, are not.
 
         Parameters
         ----------
@@ -54,19 +74,19 @@
         stages : collection of str, optional
             Stages of engines to choose from; all by default.
         """
-        records = [
-            record
+        waits = {
+            record: wait
             for record in self.context.directory.find(self.service.name)
             if self.fits(record)
             and (stages is None or record.stage in stages)
-            and self.wait(record) < math.inf
-        ]
-        chosen = self._usable(records, without)
+            and (wait := self.wait(record)) < math.inf
+        }
+        chosen = self._usable(list(waits), without)
         if stages is None and all(r.stage not in DECODE_STAGES for r in chosen):
             # Engines that only prefill are no others to those that decode.
-            decoding = [r for r in records if r.stage in DECODE_STAGES]
+            decoding = [r for r in waits if r.stage in DECODE_STAGES]
             chosen += self._usable(decoding, without)
-        return [self._view(record) for record in chosen]
+        return [self._view(record, waits[record]) for record in chosen]
 
     def _usable(self, records, without):
         others = [r for r in records if r.incarnation not in without]
@@ -80,21 +100,11 @@
         version = self.software_version
         return version is None or bool(version) and record.software_version == version
 
-    def reason_for_none(self):
-        """Return why there are no views."""
-        records = self.context.directory.find(self.service.name)
-        if not records:
-            return "no endpoint is registered"
-        if any(map(self.fits, records)):
-            return RATE_LIMITED
-        return f"no endpoint has software version {self.software_version!r}"
-
-    def _view(self, record):
+    def _view(self, record, wait):
         now, load = self.context.clock(), self.context.load
         incarnation, urgency = record.incarnation, self.route.priority
         outstanding = load.outstanding(incarnation, now=now)
         is_remote = record.data_centre != self.context.data_centre
-        wait = self.wait(record)
         if not self.service.is_model:
             return EngineView(record, outstanding, is_remote=is_remote, wait=wait)
         prefix_cache = self.context.prefix_caches[self.service.name]
@@ -111,11 +121,89 @@
             wait=wait,
         )
 
+    def _staying(self):
+        """Return the endpoints of the service that may get new work."""
+        return [
+            record
+            for record in self.context.directory.find(self.service.name)
+            if self.fits(record)
+            and not self.context.notices.is_leaving(record.incarnation)
+        ]
+
+    def left_out(self):
+        """Return which endpoints were left out as they leave or pause.
+
+        Returns
+        -------
+        dict of str to list of str
+            Some of their ids by the reason, for the log; empty if there are
+            none.
+        """
+        notices = self.context.notices
+        if not notices.has_any():
+            return {}
+        found = {"leaving": [], "pausing": []}
+        for record in self.context.directory.find(self.service.name):
+            if notices.is_leaving(record.incarnation):
+                found["leaving"].append(record.endpoint_id)
+            elif not notices.permits(record.incarnation):
+                found["pausing"].append(record.endpoint_id)
+        return {reason: ids[:MAX_LOGGED] for reason, ids in found.items() if ids}
+
+    def is_available(self, record):
+        """Return whether an endpoint that was chosen may still get work."""
+        return (
+            self.context.directory.is_current(record)
+            and self.context.notices.permits(record.incarnation)
+            and self.fits(record)
+        )
+
+    def refuse(self, *, stages=None):
+        """Return the Refusal of a request without an endpoint to choose.
+
+        Parameters
+        ----------
+        stages : collection of str, optional
+            Stages of engines that were left to choose from; all by default.
+        """
+        staying = [r for r in self._staying() if stages is None or r.stage in stages]
+        waits = [self.context.notices.wait(r.incarnation) for r in staying]
+        if waits and min(waits):
+            spread = self.context.rng.uniform(0.0, RETRY_SPREAD)
+            retry_after = max(RETRY_AFTER, min(waits)) + spread
+            return Refusal(ALL_PAUSE, round(retry_after, 3))
+        if self._staying():
+            return Refusal(RATE_LIMITED if stages is None else NO_DECODE_ENGINE)
+        records = self.context.directory.find(self.service.name)
+        if any(map(self.fits, records)):
+            return Refusal("all endpoints leave")
+        if records:
+            version = self.software_version
+            return Refusal(f"no endpoint has software version {version!r}")
+        return Refusal("no endpoint is registered")
+
     def wait(self, record):
-        """Return the seconds until an endpoint's rate limit permits a send."""
-        return self.context.rate_limits.wait(
-            record.incarnation, now=self.context.clock()
+        """Return the seconds until an endpoint may be sent a request.
+
+        Its pause and its rate limit can make it wait. Infinite if the request
+        cannot wait for the end of the pause, or if other instances use up the
+        rate limit.
+        """
+        incarnation = record.incarnation
+        pause = self.context.notices.wait(incarnation)
+        if pause and pause > self.max_wait():
+            return math.inf
+        now = self.context.clock()
+        return max(pause, self.context.rate_limits.wait(incarnation, now=now))
+
+    def max_wait(self):
+        """Return the seconds that the request may wait for an endpoint."""
+        time_left = self.deadline - self.context.clock() - MIN_TIME_LEFT
+        is_model = self.service.is_model
+        longest = (
+            self.route.max_first_event_wait if is_model else self.route.target_latency
         )
+        return max(0.0, min(longest, time_left))
 
     def least_loaded(self, views):
         """Return the record of the least loaded of `views`."""
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -12,11 +12,12 @@
 )
 from wagtailfront.forwarding.endpoint_choice import (
     DECODE_STAGES,
-    RATE_LIMITED,
+    MIN_TIME_LEFT,
+    RETRY_AFTER,
     EndpointChoice,
 )
 from wagtailfront.forwarding.request_log import RequestLog
-from wagtailfront.forwarding.request_sender import MIN_TIME_LEFT, RequestSender
+from wagtailfront.forwarding.request_sender import RequestSender
 from wagtailfront.forwarding.send_credit import SendCredit
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
@@ -27,7 +28,6 @@
 
 MAX_SENDS = 4  # sends of one request, including those that did not run it
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
-RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
 POISON_RETRY_AFTER = 5.0  # seconds; for requests that crash endpoints
 TOO_MANY, SERVER_ERROR = 429, 500
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
@@ -87,6 +87,7 @@
         self.may_have_run = False  # never reset; a refusal is sent only while False
         self.is_done = False
         self.kv_source = None
+        self.prefill_version = ""
         self.plan = None
         self.timers = []
         self.received = context.clock()
@@ -106,6 +107,7 @@
             service=service,
             route=route,
             fields=fields,
+            deadline=self.deadline,
             software_version=software_version,
         )
         self.sender = RequestSender(task=self)
@@ -207,20 +209,23 @@
         if self.sends >= MAX_SENDS:
             self._give_up("no endpoint accepted it", RETRY_AFTER)
             return
-        views = self._untried_views()
+        views = self._find_views()
         if not views:
-            self._give_up(self.choice.reason_for_none(), RETRY_AFTER)
+            self._give_up(*self.choice.refuse())
         elif self.service.is_model:
             self._dispatch_model(views)
         else:
             self._send(RunAttempt, self.choice.least_loaded(views))
 
-    def _untried_views(self):
+    def _find_views(self, *, stages=None):
         """Return views of endpoints, of tried ones only if there is no other.
 
         The endpoint of a held attempt is never among them.
         """
-        views = self.choice.views(without=self.tried)
+        left_out = self.choice.left_out()
+        if left_out:
+            self.log.decision("left_out", "leaves or asks for a pause", **left_out)
+        views = self.choice.views(without=self.tried, stages=stages)
         held = self.silence.held
         incarnation = held and held.record.incarnation
         return [v for v in views if v.record.incarnation != incarnation]
@@ -229,7 +234,7 @@
         may_split = self.stream.last_event_id is None and not self.runs
         plan = self.choice.plan(views, may_split=may_split)
         if plan is None:
-            self._give_up("no engine can decode", RETRY_AFTER)
+            self._give_up(*self.choice.refuse(stages=DECODE_STAGES))
             return
         if plan.prefill and not self._reserve(self.credit.cost(is_split=True)):
             plan = self.choice.plan(views, may_split=False)
@@ -285,7 +290,7 @@
             attempt_type, record, uncached_tokens=uncached_tokens, expected=expected
         )
         if wait == math.inf:
-            self._give_up(RATE_LIMITED, RETRY_AFTER)
+            self._give_up(*self.choice.refuse())
 
     def _drop_attempt(self):
         attempt, self.attempt = self.attempt, None
@@ -301,6 +306,7 @@
         self._drop_attempt()
         try:
             self.kv_source = attempt.read_handle()
+            self.prefill_version = record.software_version
         except ValueError as error:
             self.context.health.record_shed(record, now=now)
             self.tried.add(record.incarnation)
@@ -309,15 +315,25 @@
             latency = now - attempt.started
             attempt.health.record_prefill_time(expected=attempt.expected, took=latency)
             self.context.health.record_success(record, now=now)
-            if self.context.directory.is_current(
-                self.plan.decode
-            ) and not self.choice.wait(self.plan.decode):
-                self.choice.record_cached_prompt(self.plan.decode)
-                self._send(RunAttempt, self.plan.decode)
+            decode = self.plan.decode
+            if self.choice.is_available(decode) and not self.choice.wait(decode):
+                self.choice.record_cached_prompt(decode)
+                self._send(RunAttempt, decode)
                 return
-        views = self.choice.views(without=self.tried, stages=DECODE_STAGES)
+        self._dispatch_decode()
+
+    def dispatch_again(self):
+        """Choose another endpoint for a send that was not made."""
+        if self.kv_source is None:
+            self.dispatch()
+        else:
+            self._dispatch_decode()
+
+    def _dispatch_decode(self):
+        """Run the request at an engine that decodes."""
+        views = self._find_views(stages=DECODE_STAGES)
         if self.kv_source is not None:
-            version = record.software_version
+            version = self.prefill_version
             fitting = [v for v in views if v.record.software_version == version]
             if not fitting:
                 self.log.decision(
@@ -326,7 +342,7 @@
                 self.kv_source = None
             views = fitting or views
         if not views or self.sends >= MAX_SENDS:
-            self._give_up("no engine can decode", RETRY_AFTER)
+            self._give_up(*self.choice.refuse(stages=DECODE_STAGES))
         else:
             self._send(RunAttempt, self.choice.least_loaded(views))
 
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -17,6 +17,7 @@
     EndpointRecord,
 )
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.endpoint_notices import EndpointNotices
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.forward_context import ForwardContext
 from wagtailfront.forwarding.forward_task import ForwardTask
@@ -276,6 +277,7 @@
         self.directory = EndpointDirectory()
         self.directory.replace(records, now=self.timers.now)
         health = EndpointHealth()
+        rng = random.Random(1)
         load = FleetLoad(incarnation=incarnation, address=address, health=health)
         prefix_caches = PrefixCachesByService()
         prefix_caches.add_services({"s": self.service})
@@ -285,6 +287,7 @@
             directory=self.directory,
             health=health,
             rate_limits=RateLimits(fleet=load, log=self.log),
+            notices=EndpointNotices(log=self.log, rng=rng, clock=self.timers.clock),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
@@ -302,7 +305,7 @@
             log=self.log,
             metrics=Metrics(),
             clock=self.timers.clock,
-            rng=random.Random(1),
+            rng=rng,
         )
         self.done = []
         self.request_times = []
--- a/wagtailfront/forwarding/tests/test_stages.py
+++ b/wagtailfront/forwarding/tests/test_stages.py
@@ -1,5 +1,6 @@
 """Tests of stage assignment before the first request without a network."""
 
+import random
 from collections import Counter
 
 import pytest
@@ -7,7 +8,9 @@
 
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.endpoint_notices import EndpointNotices
 from wagtailfront.forwarding.fleet_load import FleetLoad
+from wagtailfront.forwarding.interfaces import EndpointNotice
 from wagtailfront.forwarding.stage_manager import SUCCESSION_SECONDS, StageManager
 from wagtailfront.forwarding.stage_plan import plan_stages
 from wagtailfront.forwarding.tests.builders import LogLines, make_record
@@ -112,6 +115,9 @@
             incarnation=name,
             directory=self.directory,
             load=load,
+            notices=EndpointNotices(
+                log=LogLines(), rng=random.Random(1), clock=lambda: self.now
+            ),
             orders=orders,
             table=self.table,
             prefill_share=0.5,
@@ -172,6 +178,28 @@
     assert fleet.sent() == []
 
 
+def test_an_engine_that_leaves_gets_no_order():
+    """Guards an engine that says so only in its answer to an order."""
+    engines = make_engines(3, 7)
+    fleet = Fleet(["i1"], engines)
+    notices = fleet.managers["i1"].notices
+    notices.record_answer(engines[3], EndpointNotice(is_leaving=True), status=200)
+    fleet.run(4.0)
+    assert [endpoint for endpoint, _stage, _fencing in fleet.sent()] == ["e04"]
+
+
+def test_an_engine_that_pauses_gets_its_order_afterwards():
+    """Guards against an order that is sent in the pause, or never."""
+    engines = make_engines(3, 7)
+    fleet = Fleet(["i1"], engines)
+    notices = fleet.managers["i1"].notices
+    notices.record_answer(engines[3], EndpointNotice(retry_after=6.0), status=503)
+    fleet.run(4.0)
+    assert [endpoint for endpoint, _stage, _fencing in fleet.sent()] == ["e04"]
+    fleet.run(3.0)
+    assert ("e03", "prefill", 1) in fleet.sent()
+
+
 def test_a_successor_waits_before_its_orders():
     """Guards against orders of two holders within a short time."""
     fleet = Fleet(["i1"], make_engines(3, 7))
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -13,6 +13,7 @@
 from wagtailfront.forwarding.caller_server import ForwardServer
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
+from wagtailfront.forwarding.endpoint_notices import EndpointNotices
 from wagtailfront.forwarding.endpoint_pool import EndpointPool, max_idle_connections
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.fleet_pace import FleetPace
@@ -116,11 +117,13 @@
             pool=self.store_pool,
             instance=settings.instance,
             record_rate=context.rate_limits.record_answer,
+            record_notice=context.notices.record_answer,
         )
         self.inquiry = CacheInquiry(
             client=self.engines,
             prefix_caches=context.prefix_caches,
             rate_limits=context.rate_limits,
+            notices=context.notices,
             log=log,
             rng=context.rng,
         )
@@ -138,7 +141,7 @@
 
     def _make_context(self):
         settings = self.settings
-        health = EndpointHealth()
+        health, rng = EndpointHealth(), random.Random()
         load = FleetLoad(
             incarnation=new_id(), address=str(settings.peers), health=health
         )
@@ -148,6 +151,9 @@
             directory=self.directory,
             health=health,
             rate_limits=RateLimits(fleet=load, log=self.log),
+            notices=EndpointNotices(
+                log=self.log, rng=rng, on_leaving=self.pool.drop_idle
+            ),
             pool=self.pool,
             body_memory=BodyMemory(),
             timers=self.timers,
@@ -167,7 +173,7 @@
             log=self.log,
             metrics=self.metrics,
             clock=time.monotonic,
-            rng=random.Random(),
+            rng=rng,
         )
 
     def build(self):
@@ -263,11 +269,12 @@
         return refused_parts
 
     def _make_stage_manager(self):
-        load = self.forwarder.context.load
+        context = self.forwarder.context
         return StageManager(
-            incarnation=load.incarnation,
+            incarnation=context.load.incarnation,
             directory=self.directory,
-            load=load,
+            load=context.load,
+            notices=context.notices,
             orders=self.engines,
             table=StoreTable(client=self.store),
             prefill_share=self.settings.prefill_share,
@@ -325,6 +332,7 @@
         for record in change.gone:
             self.forwarder.context.health.forget(record)
             self.forwarder.context.rate_limits.forget(record)
+            self.forwarder.context.notices.forget(record)
             self.forwarder.context.prefix_caches.forget(record)
 
     def _on_store_era(self, era):
@@ -332,6 +340,8 @@
         self.versions.handle_era(era)
 
     def _max_idle(self, record):
+        if self.forwarder.context.notices.is_leaving(record.incarnation):
+            return 0
         service = self.forwarder.config.services.get(record.service)
         return max_idle_connections(
             service.max_connections if service else 0,
@@ -357,4 +367,12 @@
         self.metrics.set(
             "rate_limited_endpoints", self.forwarder.context.rate_limits.count_limited()
         )
+        notices = self.forwarder.context.notices
+        incarnations = (r.incarnation for r in self.directory.records.values())
+        self.metrics.set(
+            "leaving_endpoints", sum(map(notices.is_leaving, incarnations))
+        )
+        self.metrics.set("paused_endpoints", notices.count_paused())
+        for notice, count in notices.counts.items():
+            self.metrics.set("endpoint_notices_total", count, notice=notice)
         return 200, "text/plain; version=0.0.4", self.metrics.render()
