Keep the load of an endpoint that is gone at zero or above

An endpoint that leaves the registry is forgotten; when a request in progress there ended, its count was subtracted from a new state, whose -1 no peer accepts. An attempt now keeps the state that it was added to.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -39,6 +39,8 @@
         self.expected = expected
         self.context = task.context
         self.record = record
+        # Kept, as an endpoint that leaves the registry is forgotten.
+        self.health = self.context.health.state(record.incarnation)
         # Unique, so that a crash is attributed to this request alone.
         self.label = f"{record.endpoint_id}/{task.fields.request_id}#{number}"
         self.started = self.context.clock()
@@ -51,11 +53,6 @@
         self.chunks = []
         self.size = 0
 
-    @property
-    def health(self):
-        """Return the EndpointState of the attempt's endpoint."""
-        return self.context.health.state(self.record.incarnation)
-
     @property
     def body(self):
         """Return the bytes of the body received so far."""
