Remember once what several peers report to an instance that starts

In a fleet that does not relay every peer sends all that it remembers, so an instance that starts would have kept each stream up to eleven times, and reached its bound early. Streams known already are left out.

test_stream_memory.py (a newcomer knows all streams) fails before for lack of the method, passes after; it now gets each report twice and counts.

--- a/wagtailfront/forwarding/begun_streams.py
+++ b/wagtailfront/forwarding/begun_streams.py
@@ -4,6 +4,8 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
+import msgspec
+
 from wagtailfront.membership.messages import MAX_TEXT, BegunStreams
 
 __all__ = ["StreamMemory", "StreamOrigin"]
@@ -37,6 +39,11 @@
     return blake2b(request_id.encode(), digest_size=ID_BYTES).digest()
 
 
+def _split(identifiers):
+    starts = range(0, len(identifiers), ID_BYTES)
+    return [bytes(identifiers[start : start + ID_BYTES]) for start in starts]
+
+
 def _contains(identifiers, identifier):
     """Return whether an identifier is among joined ones."""
     start = identifiers.find(identifier)
@@ -89,6 +96,24 @@
         if now - LIFETIME < now - begun.age:
             self._add(int(now - begun.age), key, begun.identifiers)
 
+    def merge_missed(self, begun, *, now):
+        """Record streams that a peer remembers, except those known already.
+
+        Several peers report the same ones to an instance that starts.
+        """
+        second = int(now - begun.age)
+        known = {
+            identifier
+            # Peers' seconds begin at different times.
+            for near in (second - 1, second, second + 1)
+            for key, identifiers in self.seconds.get(near, {}).items()
+            if key[:2] == (begun.service, begun.software_version)
+            for identifier in _split(identifiers)
+        }
+        missing = [each for each in _split(begun.identifiers) if each not in known]
+        joined = b"".join(missing)
+        self.merge(msgspec.structs.replace(begun, identifiers=joined), now=now)
+
     def find(self, request_id, *, now):
         """Return the StreamOrigin of a stream, or None if it is unknown."""
         identifier = _identifier(request_id)
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -327,7 +327,7 @@
                 self._handle_report(report, now)
         elif isinstance(message, StreamReport):
             for begun in message.streams:
-                self.streams.merge(begun, now=now)
+                self.streams.merge_missed(begun, now=now)
             for seen in message.services:
                 self.history.merge(seen, now=now)
         elif isinstance(message, (PlacementDigest, CrashReport, PromptPartReport)):
--- a/wagtailfront/forwarding/tests/test_stream_memory.py
+++ b/wagtailfront/forwarding/tests/test_stream_memory.py
@@ -23,7 +23,9 @@
     for part in sender.history(now=now):
         report = StreamReport(incarnation="i", streams=part)
         for begun in decode_message(encode_message(report)).streams:
-            receiver.merge(begun, now=now)
+            receiver.merge_missed(begun, now=now)
+            receiver.merge_missed(begun, now=now + 0.9)
+    assert receiver.count == len(ids)
     found = [receiver.find(each, now=now).software_version for each in ids]
     assert found == [f"v{number % 3}" for number in range(len(ids))]
     assert receiver.find("another" * 9, now=now) is None
