Take an endpoint with another software version for another one

A send that waited, or the run after a prefill, went to the endpoint chosen before if its id and start time were still registered. An endpoint that restarts under its id, where no start time is stated, may have another version by then.

test_departed_endpoints.py (came back with another version) fails before, passes after.

--- a/wagtailfront/forwarding/endpoint_directory.py
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -225,6 +225,7 @@
             known is not None
             and not known.is_leaving
             and known.incarnation == record.incarnation
+            and known.software_version == record.software_version
         )
 
     def _index(self):
--- a/wagtailfront/forwarding/tests/test_departed_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_departed_endpoints.py
@@ -21,3 +21,12 @@
     digest = scene.context.load.make_digest(full=True)
     assert decode_message(encode_message(digest)) is not None
     assert scene.context.load.outstanding("e1/1", now=scene.timers.now) == 0
+
+
+def test_an_endpoint_that_came_back_with_another_version_is_another_one():
+    """Guards a stream whose endpoint restarts under its id as a new version."""
+    record = make_record("e1", started_ms=0)
+    directory = Scene([record]).directory
+    assert directory.is_current(record)
+    directory.replace([record._replace(software_version="v2")], now=101.0)
+    assert not directory.is_current(record)
