--- a/wagtailfront/forwarding/tests/test_departed_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_departed_endpoints.py
@@ -24,7 +24,7 @@
 
 
 def test_an_endpoint_that_came_back_with_another_version_is_another_one():
-    """Guards a stream whose endpoint restarts under its id as a new version."""
+    """Guards a stream whose endpoint restarts under its id, with another."""
     record = make_record("e1", started_ms=0)
     directory = Scene([record]).directory
     assert directory.is_current(record)
