--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -39,6 +39,8 @@
         self.expected = expected
         self.context = task.context
         self.record = record
+        # Kept, as an endpoint that leaves the registry is forgotten.
+        self.health = self.context.health.state(record.incarnation)
         # Unique, so that a crash is attributed to this request alone.
         self.label = f"{record.endpoint_id}/{task.fields.request_id}#{number}"
         self.started = self.context.clock()
@@ -46,8 +48,6 @@
         self.is_dropped = False
         self.has_arrived = False
         self.is_silent = False
-        # Kept, as the state of an endpoint whose entry is gone is forgotten.
-        self.health = self.context.health.state(record.incarnation)
         self.is_broken_off = False
         self.status = 0
         self.headers = []
