Refuse a call whose silent endpoint has stated that it did not run it

What callers saw: 502, which promises nothing, for a call that no endpoint ran, if its first endpoint was silent before it refused. Cause: trying another endpoint beside a silent one marked the request as one that may have run for good, whatever the silent one answered later. Change: the mark is set when the kept run ends in any way but by a refusal.

--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -188,7 +188,10 @@
             self.log.decision("cut", reason)
             self.reply.abort()
             self.end("cut")
-        elif self.may_have_run or (self.attempt and self.attempt.may_have_run):
+        elif self.may_have_run or any(
+            attempt is not None and attempt.may_have_run
+            for attempt in (self.attempt, self.silence.held)
+        ):
             self.log.decision("failed", reason, status=status)
             self.reply.answer(status, [], b"")
             self.end("failed")
@@ -352,7 +355,8 @@
         fault = self._find_fault(attempt)
         is_error = status >= SERVER_ERROR
         if attempt is self.silence.held and (attempt.is_not_run or fault or is_error):
-            self.silence.release(fault or f"it answered {status}")
+            reason = fault or f"it answered {status}"
+            self.silence.release(reason, is_refused=attempt.is_not_run)
         elif attempt.is_not_run:
             self._handle_refusal(attempt)
         elif fault:
@@ -477,8 +481,9 @@
 
     def replace_attempt(self, attempt):
         """Drop the current attempt and go on with one that was open."""
-        current = self.attempt
-        self.runs += bool(current and current.may_have_run) - 1
+        has_run = bool(self.attempt and self.attempt.may_have_run)
+        self.may_have_run |= has_run
+        self.runs += has_run - 1
         self._drop_attempt()
         self.attempt = attempt
 
@@ -492,12 +497,12 @@
         return is_allowed
 
     def _repeat(self, attempt):
+        self.may_have_run = True
         self._count_run(attempt)
         self._drop_attempt()
         self.dispatch()
 
     def _count_run(self, attempt):
-        self.may_have_run = True
         self.runs += 1
         self.kv_source = None
         self.tried.add(attempt.record.incarnation)
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -125,10 +125,19 @@
         self.watch(attempt)
         return True
 
-    def release(self, reason):
-        """Drop the held attempt if there is one."""
+    def release(self, reason, *, is_refused=False):
+        """Drop the held attempt if there is one.
+
+        Parameters
+        ----------
+        reason : str
+            For the log.
+        is_refused : bool, optional
+            Whether its endpoint has stated that it did not run the request.
+        """
         attempt, self.held = self.held, None
         if attempt is not None:
+            self.task.may_have_run |= not is_refused
             self.task.log.decision(
                 "silent", "ended", endpoint=attempt.record.endpoint_id, reason=reason
             )
