Move the choice of endpoints for a request to a class of its own

Cause: ForwardTask had grown to 500 lines: a request's life, the choice of endpoints for its sends, and the reports of its attempts. Change: RequestDispatch chooses endpoints and keeps what only the choice needs (tried incarnations, the plan, the source of a KV cache). No behaviour changes.

--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -2,22 +2,17 @@
 
 import functools
 import logging
-import math
 
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
-from wagtailfront.forwarding.attempt import (
-    PrefillAttempt,
-    RunAttempt,
-    end_to_end_headers,
-)
-from wagtailfront.forwarding.endpoint_choice import (
-    DECODE_STAGES,
-    MIN_TIME_LEFT,
-    RETRY_AFTER,
-    EndpointChoice,
+from wagtailfront.forwarding.attempt import end_to_end_headers
+from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES, RETRY_AFTER
+from wagtailfront.forwarding.request_dispatch import (
+    GATEWAY_TIMEOUT,
+    MAX_SENDS,
+    POISON_RETRY_AFTER,
+    RequestDispatch,
 )
 from wagtailfront.forwarding.request_log import RequestLog
-from wagtailfront.forwarding.request_sender import RequestSender
 from wagtailfront.forwarding.send_credit import SendCredit
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
@@ -26,11 +21,9 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_SENDS = 4  # sends of one request, including those that did not run it
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
-POISON_RETRY_AFTER = 5.0  # seconds; for requests that crash endpoints
 TOO_MANY, SERVER_ERROR = 429, 500
-BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
+BAD_GATEWAY, UNAVAILABLE = 502, 503
 
 
 def time_limit(route, fields):
@@ -80,15 +73,11 @@
         self.context = context
         self.on_done = on_done
         self.attempt = None
-        self.tried = set()
         self.used_connections = set()
         self.sends = 0
         self.runs = 0
         self.may_have_run = False  # never reset; a refusal is sent only while False
         self.is_done = False
-        self.kv_source = None
-        self.prefill_version = ""
-        self.plan = None
         self.timers = []
         self.received = context.clock()
         self.deadline = self.received + time_limit(route, fields)
@@ -102,15 +91,7 @@
         self.credit = SendCredit(
             budget=context.budgets[service.name], clock=context.clock
         )
-        self.choice = EndpointChoice(
-            context=context,
-            service=service,
-            route=route,
-            fields=fields,
-            deadline=self.deadline,
-            software_version=software_version,
-        )
-        self.sender = RequestSender(task=self)
+        self.dispatcher = RequestDispatch(task=self, software_version=software_version)
         self.silence = SilenceWatch(task=self)
         self.stream = StreamRelay(task=self)
         self.fingerprint = request_fingerprint(
@@ -127,9 +108,9 @@
             self.fingerprint, endpoints=(), live=(), now=self.received
         )
         if placement.decision is Decision.REFUSE:
-            self._give_up("it crashed endpoints that ran it", POISON_RETRY_AFTER)
-        elif not self.give_up_on_crashing_part():
-            self.dispatch()
+            self.give_up("it crashed endpoints that ran it", POISON_RETRY_AFTER)
+        elif not self.dispatcher.give_up_on_crashing_part():
+            self.dispatcher.dispatch()
 
     def cancel(self):
         """End the task because the caller closed its connection."""
@@ -167,13 +148,13 @@
             # A fault in one request must not stop the others.
             logger.exception("[forward] A step of a request failed.")
             if not self.is_done:
-                self._give_up("fault of this instance", RETRY_AFTER)
+                self.give_up("fault of this instance", RETRY_AFTER)
 
     def _expire(self):
         if not self.is_done:
             self._end_unanswered("deadline exceeded", None, GATEWAY_TIMEOUT)
 
-    def _give_up(self, reason, retry_after, status=BAD_GATEWAY):
+    def give_up(self, reason, retry_after, status=BAD_GATEWAY):
         """End the request unless a silent endpoint may still answer it."""
         if not self.silence.resume(reason):
             self._end_unanswered(reason, retry_after, status)
@@ -201,100 +182,6 @@
             self.reply.answer(UNAVAILABLE, headers, b"")
             self.end("refused")
 
-    # Sending
-
-    def dispatch(self):
-        """Send the request to the best endpoint, or give it up."""
-        now = self.context.clock()
-        if self.deadline - now < MIN_TIME_LEFT:
-            self._give_up("no time left to send it", None, GATEWAY_TIMEOUT)
-            return
-        if self.sends >= MAX_SENDS:
-            self._give_up("no endpoint accepted it", RETRY_AFTER)
-            return
-        views = self._find_views()
-        if not views:
-            self._give_up(*self.choice.refuse())
-        elif self.service.is_model:
-            self._dispatch_model(views)
-        else:
-            self._send(RunAttempt, self.choice.least_loaded(views))
-
-    def _find_views(self, *, stages=None):
-        """Return views of endpoints, of tried ones only if there is no other.
-
-        The endpoint of a held attempt is never among them.
-        """
-        left_out = self.choice.left_out()
-        if left_out:
-            self.log.decision("left_out", "leaves or asks for a pause", **left_out)
-        views = self.choice.views(without=self.tried, stages=stages)
-        held = self.silence.held
-        incarnation = held and held.record.incarnation
-        return [v for v in views if v.record.incarnation != incarnation]
-
-    def _dispatch_model(self, views):
-        may_split = self.stream.last_event_id is None and not self.runs
-        plan = self.choice.plan(views, may_split=may_split)
-        if plan is None:
-            self._give_up(*self.choice.refuse(stages=DECODE_STAGES))
-            return
-        if plan.prefill and not self._reserve(self.credit.cost(is_split=True)):
-            plan = self.choice.plan(views, may_split=False)
-        self.plan = plan
-        prefill_engine = plan.prefill or plan.decode
-        if self.sends == 0 and not self._admit(plan, prefill_engine):
-            return
-        self.choice.record_cached_prompt(prefill_engine)
-        attempt_type = RunAttempt if plan.prefill is None else PrefillAttempt
-        self._send(
-            attempt_type,
-            prefill_engine,
-            uncached_tokens=plan.uncached_tokens,
-            expected=plan.expected,
-        )
-
-    def _admit(self, plan, prefill_engine):
-        """Return whether the request is admitted; refuse it otherwise."""
-        time_left = self.deadline - self.context.clock()
-        expected = plan.wait + plan.expected
-        admission = self.choice.admit(expected, time_left=time_left)
-        if not admission.is_admitted:
-            self.log.decision(
-                "not_admitted",
-                "its first event would be too late",
-                expected=round(expected, 3),
-                endpoint=prefill_engine.endpoint_id,
-                unread=plan.uncached_tokens,
-                peers=len(self.context.load.peers),
-                **self.log.input_ages(),
-            )
-            reason = f"a first event is expected after {expected:.2f} s"
-            self._give_up(reason, admission.retry_after)
-        return admission.is_admitted
-
-    def give_up_on_crashing_part(self):
-        """End the request if a part of its prompt crashes engines."""
-        part = self.context.crashing_parts.find_refused(
-            self.fields.shared_parts, now=self.context.clock()
-        )
-        if part is not None:
-            reason = f"part {part} of its prompt crashes engines"
-            self._give_up(reason, POISON_RETRY_AFTER)
-        return part is not None
-
-    def _send(self, attempt_type, record, uncached_tokens=0, expected=0.0):
-        if self.give_up_on_crashing_part():
-            return
-        if not self._reserve(1):
-            self._give_up("the repeat budget is spent", RETRY_AFTER)
-            return
-        wait = self.sender.send(
-            attempt_type, record, uncached_tokens=uncached_tokens, expected=expected
-        )
-        if wait == math.inf:
-            self._give_up(*self.choice.refuse())
-
     def _drop_attempt(self):
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
@@ -308,46 +195,17 @@
         record = attempt.record
         self._drop_attempt()
         try:
-            self.kv_source = attempt.read_handle()
-            self.prefill_version = record.software_version
+            self.dispatcher.kv_source = attempt.read_handle()
+            self.dispatcher.prefill_version = record.software_version
         except ValueError as error:
             self.context.health.record_shed(record, now=now)
-            self.tried.add(record.incarnation)
+            self.dispatcher.tried.add(record.incarnation)
             self.log.decision("prefill_failed", str(error), endpoint=record.endpoint_id)
         else:
             latency = now - attempt.started
             attempt.health.record_prefill_time(expected=attempt.expected, took=latency)
             self.context.health.record_success(record, now=now)
-            decode = self.plan.decode
-            if self.choice.is_available(decode) and not self.choice.wait(decode):
-                self.choice.record_cached_prompt(decode)
-                self._send(RunAttempt, decode)
-                return
-        self._dispatch_decode()
-
-    def dispatch_again(self):
-        """Choose another endpoint for a send that was not made."""
-        if self.kv_source is None:
-            self.dispatch()
-        else:
-            self._dispatch_decode()
-
-    def _dispatch_decode(self):
-        """Run the request at an engine that decodes."""
-        views = self._find_views(stages=DECODE_STAGES)
-        if self.kv_source is not None:
-            version = self.prefill_version
-            fitting = [v for v in views if v.record.software_version == version]
-            if not fitting:
-                self.log.decision(
-                    "prefill_unused", "no decode engine of its version", version=version
-                )
-                self.kv_source = None
-            views = fitting or views
-        if not views or self.sends >= MAX_SENDS:
-            self._give_up(*self.choice.refuse(stages=DECODE_STAGES))
-        else:
-            self._send(RunAttempt, self.choice.least_loaded(views))
+        self.dispatcher.dispatch_prefilled()
 
     def handle_answer(self, attempt):
         """Handle a complete response that is not a stream."""
@@ -361,7 +219,7 @@
             self._handle_refusal(attempt)
         elif fault:
             self.handle_failure(attempt, fault, True)
-        elif is_error and self.may_repeat() and self._reserve(1):
+        elif is_error and self.may_repeat() and self.reserve(1):
             self.context.health.record_error(attempt.record)
             self.log.decision("error", str(status), endpoint=attempt.record.endpoint_id)
             self._repeat(attempt)
@@ -404,14 +262,14 @@
         record = attempt.record
         self._drop_attempt()
         self.context.health.record_shed(record, now=self.context.clock())
-        if self.kv_source is None:
-            self.tried.add(record.incarnation)
-        self.kv_source = None
+        if self.dispatcher.kv_source is None:
+            self.dispatcher.tried.add(record.incarnation)
+        self.dispatcher.kv_source = None
         self.log.decision("shed", str(attempt.status), endpoint=record.endpoint_id)
-        if self.sends < MAX_SENDS and self._reserve(1):
-            self.dispatch()
+        if self.sends < MAX_SENDS and self.reserve(1):
+            self.dispatcher.dispatch()
         else:
-            self._give_up("every endpoint tried is full", RETRY_AFTER)
+            self.give_up("every endpoint tried is full", RETRY_AFTER)
 
     def handle_failure(self, attempt, reason, sent):
         """Retry or end the request after an attempt that failed."""
@@ -433,15 +291,15 @@
         )
         if sent and not attempt.is_prefill:
             attempt.record_crash()
-            if self.may_repeat() and self._reserve(1):
+            if self.may_repeat() and self.reserve(1):
                 self._repeat(attempt)
             else:
                 self.may_have_run = True
-                self._give_up(reason, None)
+                self.give_up(reason, None)
             return
         self._drop_attempt()
-        self.tried.add(record.incarnation)
-        self.dispatch()
+        self.dispatcher.tried.add(record.incarnation)
+        self.dispatcher.dispatch()
 
     def may_repeat(self):
         """Return whether one more run is allowed after the current one."""
@@ -453,31 +311,26 @@
 
     def may_try_besides(self, attempt):
         """Return whether another endpoint may run the request too."""
+        stages = DECODE_STAGES if self.service.is_model else None
         return (
             self.may_repeat()
-            and self._has_other(attempt, DECODE_STAGES)
-            and self._reserve(1)
+            and self.dispatcher.has_other(attempt, stages=stages)
+            and self.reserve(1)
         )
 
     def may_prefill_again(self, attempt):
         """Return whether another engine may prefill the prompt."""
         return (
             self.sends < MAX_SENDS
-            and self._has_other(attempt, None)
-            and self._reserve(2)  # the one that arrived, and the next
+            and self.dispatcher.has_other(attempt)
+            and self.reserve(2)  # the one that arrived, and the next
         )
 
-    def _has_other(self, attempt, stages):
-        own = attempt.record.incarnation
-        stages = stages if self.service.is_model else None
-        views = self.choice.views(without={*self.tried, own}, stages=stages)
-        return any(view.record.incarnation != own for view in views)
-
     def dispatch_besides(self, attempt):
         """Send the request to another endpoint; `attempt` stays open."""
         self.attempt = None
         self._count_run(attempt)
-        self.dispatch()
+        self.dispatcher.dispatch()
 
     def replace_attempt(self, attempt):
         """Drop the current attempt and go on with one that was open."""
@@ -487,7 +340,7 @@
         self._drop_attempt()
         self.attempt = attempt
 
-    def _reserve(self, sends):
+    def reserve(self, sends):
         """Return whether so many sends may be made, and pay for them."""
         if self.credit.sends >= sends:
             return True
@@ -500,9 +353,8 @@
         self.may_have_run = True
         self._count_run(attempt)
         self._drop_attempt()
-        self.dispatch()
+        self.dispatcher.dispatch()
 
     def _count_run(self, attempt):
         self.runs += 1
-        self.kv_source = None
-        self.tried.add(attempt.record.incarnation)
+        self.dispatcher.leave_out(attempt)
--- /dev/null
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -0,0 +1,202 @@
+"""Choice of the endpoint for each send of one request."""
+
+import math
+
+from wagtailfront.forwarding.attempt import PrefillAttempt, RunAttempt
+from wagtailfront.forwarding.endpoint_choice import (
+    DECODE_STAGES,
+    MIN_TIME_LEFT,
+    RETRY_AFTER,
+    EndpointChoice,
+)
+from wagtailfront.forwarding.request_sender import RequestSender
+
+__all__ = ["GATEWAY_TIMEOUT", "MAX_SENDS", "POISON_RETRY_AFTER", "RequestDispatch"]
+
+MAX_SENDS = 4  # sends of one request, including those that did not run it
+POISON_RETRY_AFTER = 5.0  # seconds; for requests that crash endpoints
+GATEWAY_TIMEOUT = 504
+
+
+class RequestDispatch:
+    """Sends a request to the best endpoint, or gives it up without one.
+
+    Parameters
+    ----------
+    task : ForwardTask
+    software_version : str, optional
+        Version that began the stream, if the caller resumes one.
+
+    Attributes
+    ----------
+    tried : set of str
+        Incarnations that are chosen again only if there are no others.
+    kv_source : str or None
+        Where the next endpoint fetches the KV cache of the prompt.
+    """
+
+    def __init__(self, *, task, software_version=None):
+        self.task = task
+        self.choice = EndpointChoice(
+            context=task.context,
+            service=task.service,
+            route=task.route,
+            fields=task.fields,
+            deadline=task.deadline,
+            software_version=software_version,
+        )
+        self.sender = RequestSender(task=task)
+        self.tried = set()
+        self.kv_source = None
+        self.prefill_version = ""
+        self.plan = None
+
+    def dispatch(self):
+        """Send the request to the best endpoint, or give it up."""
+        task = self.task
+        if task.deadline - task.context.clock() < MIN_TIME_LEFT:
+            task.give_up("no time left to send it", None, GATEWAY_TIMEOUT)
+            return
+        if task.sends >= MAX_SENDS:
+            task.give_up("no endpoint accepted it", RETRY_AFTER)
+            return
+        views = self._find_views()
+        if not views:
+            task.give_up(*self.choice.refuse())
+        elif task.service.is_model:
+            self._dispatch_model(views)
+        else:
+            self._send(RunAttempt, self.choice.least_loaded(views))
+
+    def dispatch_again(self):
+        """Choose another endpoint for a send that was not made."""
+        if self.kv_source is None:
+            self.dispatch()
+        else:
+            self._dispatch_decode()
+
+    def dispatch_prefilled(self):
+        """Run the request at an engine that decodes, after its prefill."""
+        decode = self.plan.decode
+        is_ready = self.choice.is_available(decode) and not self.choice.wait(decode)
+        if self.kv_source is not None and is_ready:
+            self.choice.record_cached_prompt(decode)
+            self._send(RunAttempt, decode)
+        else:
+            self._dispatch_decode()
+
+    def leave_out(self, attempt):
+        """Choose the endpoint of an attempt again only without another one."""
+        self.kv_source = None
+        self.tried.add(attempt.record.incarnation)
+
+    def has_other(self, attempt, *, stages=None):
+        """Return whether there is an endpoint besides that of an attempt.
+
+        Parameters
+        ----------
+        attempt : Attempt
+        stages : collection of str, optional
+            Stages of engines that count; all by default.
+        """
+        own = attempt.record.incarnation
+        views = self.choice.views(without={*self.tried, own}, stages=stages)
+        return any(view.record.incarnation != own for view in views)
+
+    def give_up_on_crashing_part(self):
+        """End the request if a part of its prompt crashes engines."""
+        task = self.task
+        part = task.context.crashing_parts.find_refused(
+            task.fields.shared_parts, now=task.context.clock()
+        )
+        if part is not None:
+            reason = f"part {part} of its prompt crashes engines"
+            task.give_up(reason, POISON_RETRY_AFTER)
+        return part is not None
+
+    def _find_views(self, *, stages=None):
+        """Return views of endpoints, of tried ones only if there is no other.
+
+        The endpoint of a held attempt is never among them.
+        """
+        left_out = self.choice.left_out()
+        if left_out:
+            self.task.log.decision("left_out", "leaves or asks for a pause", **left_out)
+        views = self.choice.views(without=self.tried, stages=stages)
+        held = self.task.silence.held
+        incarnation = held and held.record.incarnation
+        return [v for v in views if v.record.incarnation != incarnation]
+
+    def _dispatch_model(self, views):
+        task = self.task
+        may_split = task.stream.last_event_id is None and not task.runs
+        plan = self.choice.plan(views, may_split=may_split)
+        if plan is None:
+            task.give_up(*self.choice.refuse(stages=DECODE_STAGES))
+            return
+        if plan.prefill and not task.reserve(task.credit.cost(is_split=True)):
+            plan = self.choice.plan(views, may_split=False)
+        self.plan = plan
+        first_engine = plan.prefill or plan.decode
+        if task.sends == 0 and not self._admit(plan, first_engine):
+            return
+        self.choice.record_cached_prompt(first_engine)
+        attempt_type = RunAttempt if plan.prefill is None else PrefillAttempt
+        self._send(
+            attempt_type,
+            first_engine,
+            uncached_tokens=plan.uncached_tokens,
+            expected=plan.expected,
+        )
+
+    def _dispatch_decode(self):
+        """Run the request at an engine that decodes."""
+        task = self.task
+        views = self._find_views(stages=DECODE_STAGES)
+        if self.kv_source is not None:
+            version = self.prefill_version
+            fitting = [v for v in views if v.record.software_version == version]
+            if not fitting:
+                task.log.decision(
+                    "prefill_unused", "no decode engine of its version", version=version
+                )
+                self.kv_source = None
+            views = fitting or views
+        if not views or task.sends >= MAX_SENDS:
+            task.give_up(*self.choice.refuse(stages=DECODE_STAGES))
+        else:
+            self._send(RunAttempt, self.choice.least_loaded(views))
+
+    def _admit(self, plan, first_engine):
+        """Return whether the request is admitted; refuse it otherwise."""
+        task = self.task
+        expected = plan.wait + plan.expected
+        admission = self.choice.admit(
+            expected, time_left=task.deadline - task.context.clock()
+        )
+        if not admission.is_admitted:
+            task.log.decision(
+                "not_admitted",
+                "its first event would be too late",
+                expected=round(expected, 3),
+                endpoint=first_engine.endpoint_id,
+                unread=plan.uncached_tokens,
+                peers=len(task.context.load.peers),
+                **task.log.input_ages(),
+            )
+            reason = f"a first event is expected after {expected:.2f} s"
+            task.give_up(reason, admission.retry_after)
+        return admission.is_admitted
+
+    def _send(self, attempt_type, record, uncached_tokens=0, expected=0.0):
+        task = self.task
+        if self.give_up_on_crashing_part():
+            return
+        if not task.reserve(1):
+            task.give_up("the repeat budget is spent", RETRY_AFTER)
+            return
+        wait = self.sender.send(
+            attempt_type, record, uncached_tokens=uncached_tokens, expected=expected
+        )
+        if wait == math.inf:
+            task.give_up(*self.choice.refuse())
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -33,8 +33,8 @@
         """
         task = self.task
         limits, notices = task.context.rate_limits, task.context.notices
-        wait = task.choice.wait(record)
-        if wait and wait > task.choice.max_wait():
+        wait = task.dispatcher.choice.wait(record)
+        if wait and wait > task.dispatcher.choice.max_wait():
             return math.inf
         pause = notices.wait(record.incarnation)
         notices.reserve(record.incarnation)
@@ -56,9 +56,9 @@
     def _launch_later(self, attempt_type, record, *prompt):
         if self.task.attempt is not None:
             return  # a silent endpoint has gone on
-        if not self.task.choice.is_available(record):
-            self.task.dispatch_again()
-        elif not self.task.give_up_on_crashing_part():
+        if not self.task.dispatcher.choice.is_available(record):
+            self.task.dispatcher.dispatch_again()
+        elif not self.task.dispatcher.give_up_on_crashing_part():
             self._launch(attempt_type, record, *prompt)
 
     def _launch(self, attempt_type, record, uncached_tokens, expected):
@@ -77,7 +77,7 @@
             time_left=task.deadline - attempt.started,
             priority=self._engine_priority() if task.service.is_model else None,
             prefill_only=attempt.is_prefill,
-            kv_source=task.kv_source,
+            kv_source=task.dispatcher.kv_source,
             resume_after=task.stream.last_event_id,
         )
         kind = "prefill" if attempt.is_prefill else "run"
@@ -104,4 +104,5 @@
         queue behind prompts that still have to be prefilled.
         """
         task = self.task
-        return PREFILLED_PRIORITY if task.kv_source else task.route.priority + 1
+        is_prefilled = task.dispatcher.kv_source is not None
+        return PREFILLED_PRIORITY if is_prefilled else task.route.priority + 1
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -50,7 +50,7 @@
         task, context = self.task, self.task.context
         self.is_started = True
         task.may_have_run = True
-        task.choice.software_version = attempt.record.software_version
+        task.dispatcher.choice.software_version = attempt.record.software_version
         now = context.clock()
         context.streams.record(
             task.fields.resumes or task.fields.request_id,
--- a/wagtailfront/forwarding/tests/test_faults.py
+++ b/wagtailfront/forwarding/tests/test_faults.py
@@ -12,6 +12,7 @@
 from wagtailfront.forwarding.attempt import RunAttempt
 from wagtailfront.forwarding.forward_task import ForwardTask
 from wagtailfront.forwarding.forwarder import Forwarder
+from wagtailfront.forwarding.request_dispatch import RequestDispatch
 from wagtailfront.forwarding.routes import RouteTable
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.tests.builders import (
@@ -90,7 +91,7 @@
     [
         (RouteTable, "find", 503),
         (ForwardTask, "__init__", 503),
-        (ForwardTask, "dispatch", 503),
+        (RequestDispatch, "dispatch", 503),
         (RunAttempt, "_encode", 503),
         (SilenceWatch, "watch", 503),
         (Forwarder, "accept", 502),
--- a/wagtailfront/forwarding/tests/test_leaving_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_leaving_endpoints.py
@@ -196,7 +196,7 @@
     scene = Scene(engines, is_model=True)
     task, _reply = scene.start(RESUMABLE, prompt_tokens=20_000)
     prefill = scene.pool.last
-    decode = task.plan.decode
+    decode = task.dispatcher.plan.decode
     scene.context.notices.record_answer(decode, LEAVES, status=200)
     prefill.respond(200, UNSIGNED, HANDLE)
     assert scene.pool.last.record.stage == "decode"
