Measure a silence from the latest progress of a request at a plain service

What callers saw: nothing; endpoints got a second run of streams that flowed for longer than twice the target latency of their route. Cause: the silence of a service that is no model service was measured from the start of the attempt only. Change: it is measured from the attempt's latest progress. Measured: test_flowing_stream_of_a_plain_service_is_not_taken_for_silent fails before, passes after; 144 tests of attempts and streams pass.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -43,7 +43,7 @@
         self.health = self.context.health.state(record.incarnation)
         # Unique, so that a crash is attributed to this request alone.
         self.label = f"{record.endpoint_id}/{task.fields.request_id}#{number}"
-        self.started = self.context.clock()
+        self.started = self.last_progress_at = self.context.clock()
         self.exchange = None
         self.is_dropped = False
         self.has_arrived = False
@@ -186,7 +186,8 @@
 
     def _record_progress(self):
         self.is_silent = False
-        self.health.last_response_at = self.context.clock()
+        self.last_progress_at = self.context.clock()
+        self.health.last_response_at = self.last_progress_at
 
 
 class PrefillAttempt(_Attempt):
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -58,7 +58,7 @@
         if task.is_done or task.attempt is not attempt:
             return
         now = task.context.clock()
-        last_response_at = attempt.started
+        last_response_at = attempt.last_progress_at
         if task.service.is_model:
             last_response_at = max(last_response_at, attempt.health.last_response_at)
         if now - last_response_at < timeout:
--- a/wagtailfront/forwarding/tests/test_silent_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_silent_endpoints.py
@@ -156,3 +156,17 @@
     end_stream(run, 2, 3)
     assert reply.body == event(1) + event(2) + event(3)
     assert reply.is_complete
+
+
+def test_flowing_stream_of_a_plain_service_is_not_taken_for_silent():
+    """Guards against a second run of a stream that lasts longer than usual."""
+    scene = Scene([make_record("e1"), make_record("e2")], slack=5)
+    _task, reply = scene.start(RESUMABLE)
+    run = scene.pool.last
+    run.sink.on_head(200, EVENT_STREAM)
+    for number in range(1, 20):
+        run.sink.on_data(event(number))
+        scene.timers.advance(0.2)
+    run.sink.on_end()
+    assert reply.is_complete
+    assert scene.pool.exchanges == [run]
