--- a/wagtailfront/programs/tests/forward_site.py
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -43,6 +43,22 @@
     return head.split(b"\r\n")[0], body
 
 
+def make_settings(**addresses):
+    """Return the settings of an instance with the given addresses."""
+    return ForwardSettings(
+        instance="i1",
+        data_centre="a",
+        drain_timeout=8.0,
+        registry_gap=0.1,
+        prefill_share=0.0,
+        repeat_share=0.2,
+        repeat_slack=50.0,
+        repeat_window=10.0,
+        max_descriptors=2000,
+        **addresses,
+    )
+
+
 class ForwardSite:
     """Store and endpoints, and the settings of an instance.
 
@@ -95,19 +111,7 @@
         addresses = {
             name: HostPort("127.0.0.1", port) for name, port in self.ports.items()
         }
-        settings = ForwardSettings(
-            instance="i1",
-            data_centre="a",
-            store=HostPort(*self.store.address),
-            drain_timeout=8.0,
-            registry_gap=0.1,
-            prefill_share=0.0,
-            repeat_share=0.2,
-            repeat_slack=50.0,
-            repeat_window=10.0,
-            max_descriptors=2000,
-            **addresses,
-        )
+        settings = make_settings(store=HostPort(*self.store.address), **addresses)
         tree = ForwardTree(settings=settings, log=LogLines())
         root = tree.build()
         with running(root):
--- a/wagtailfront/programs/tests/test_forward_tree_state.py
+++ b/wagtailfront/programs/tests/test_forward_tree_state.py
@@ -2,29 +2,16 @@
 
 from wagtailfront.forwarding.interfaces import EndpointNotice
 from wagtailfront.forwarding.tests.builders import LogLines, make_record
-from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
+from wagtailfront.programs.forward_tree import ForwardTree
+from wagtailfront.programs.tests.forward_site import make_settings
 
 ADDRESS = ("127.0.0.1", 1)
+NAMES = ("callers", "status", "store", "peers", "metrics")
 
 
 def make_tree():
     """Return the tree of an instance that was not started."""
-    settings = ForwardSettings(
-        instance="i1",
-        data_centre="dc",
-        callers=ADDRESS,
-        status=ADDRESS,
-        store=ADDRESS,
-        peers=ADDRESS,
-        metrics=ADDRESS,
-        drain_timeout=5.0,
-        registry_gap=1.0,
-        prefill_share=0.0,
-        repeat_share=0.2,
-        repeat_slack=1.0,
-        repeat_window=10.0,
-        max_descriptors=4096,
-    )
+    settings = make_settings(**dict.fromkeys(NAMES, ADDRESS))
     return ForwardTree(settings=settings, log=LogLines())
 
 
