Give connections time to go on after the answer to a probe

Callers saw their streams move off a sound engine that had paused: its connections were suspect, and the engine, awake again, answered the probe before its streams' next tokens. All of them counted as silent at once.

A connection that is suspect when a probe is answered now gets another expected gap, at least MIN_RESUME_TIME, and counts as silent only without progress by then. EndpointGuard asks at each poll (0.1 s) which have become silent while it monitors any attempt, so none stays in the new state. The limit per attempt (3 s between tokens) holds as before.

The state machine accepted any subset of the late connections at the instant of the answer. It now demands none of them then, and exactly those without progress when their time is over, checked at each poll; its bound of 5 gaps stays. take_silent did not exist before, so it fails there.

--- a/wagtailfront/decisions/silence.py
+++ b/wagtailfront/decisions/silence.py
@@ -8,6 +8,7 @@
 GAP_FACTOR = 6.0  # times the expected gap; must be above 5
 MIN_TIMEOUT = 0.5  # seconds; shorter pauses of a process are common
 PROBE_TIMEOUT = 1.0  # seconds; covers several round trips and one batching step
+MIN_RESUME_TIME = 0.5  # seconds; a probe may be answered before streams go on
 
 
 class State(enum.Enum):
@@ -16,6 +17,7 @@
     PROGRESSING = "progressing"
     SUSPECT = "suspect"
     PROBING = "probing"
+    ANSWERED = "answered"  # the probe was; progress must follow
     SILENT = "silent"
 
 
@@ -26,10 +28,13 @@
     gap: float
     last: float
     state: State = State.PROGRESSING
+    answered: float | None = None  # when a probe was
 
     @property
     def deadline(self):
-        """Return the time at which it becomes suspect without progress."""
+        """Return when it becomes suspect, or silent after a probe's answer."""
+        if self.answered is not None:
+            return self.answered + max(self.gap, MIN_RESUME_TIME)
         return self.last + max(GAP_FACTOR * self.gap, MIN_TIMEOUT)
 
 
@@ -46,9 +51,10 @@
     A connection without progress for `GAP_FACTOR` times its expected gap (at
     least `MIN_TIMEOUT`) is suspect. One probe at a time is then sent on a new
     connection. If it is answered, the endpoint works, so all connections that
-    still make no progress are silent and their traffic must move. If it
-    fails, the fault is the endpoint's; the connections stay suspect and the
-    next poll probes again. Progress ends any suspicion, but a silent
+    still make no progress for another expected gap (at least
+    `MIN_RESUME_TIME`) are silent and their traffic must move. If it fails,
+    the fault is the endpoint's; the connections stay suspect and the next
+    poll probes again. Progress ends any suspicion, but a silent
     connection stays silent, because its traffic has already moved.
 
     Examples
@@ -60,6 +66,8 @@
     >>> endpoint.poll(now=0.7)
     True
     >>> endpoint.probe_answered(now=0.71)
+    ()
+    >>> endpoint.take_silent(now=1.22)
     ('c1',)
     """
 
@@ -110,8 +118,19 @@
         self.probe_sent = now
         return True
 
+    def take_silent(self, *, now):
+        """Return each silent connection once; its traffic must move."""
+        silent = tuple(
+            connection
+            for connection in self._in_state(State.ANSWERED)
+            if now > self.connections[connection].deadline
+        )
+        for connection in silent:
+            self.connections[connection].state = State.SILENT
+        return silent
+
     def probe_answered(self, *, now):
-        """Return the silent connections, whose traffic must move now.
+        """Give suspects one more gap; return what `take_silent` does.
 
         A late answer to a probe that already counts as failed is ignored.
         """
@@ -119,10 +138,11 @@
             return ()
         self.probe_sent = None
         self.failed_probes = 0
-        silent = (*self._in_state(State.PROBING), *self._in_state(State.SUSPECT))
-        for connection in silent:
-            self.connections[connection].state = State.SILENT
-        return silent
+        for state in (State.PROBING, State.SUSPECT):
+            for connection in self._in_state(state):
+                watch = self.connections[connection]
+                watch.state, watch.answered = State.ANSWERED, now
+        return self.take_silent(now=now)
 
     def probe_failed(self, *, now):
         """Record that the probe on a new connection failed too."""
--- a/wagtailfront/decisions/tests/test_silence.py
+++ b/wagtailfront/decisions/tests/test_silence.py
@@ -14,7 +14,8 @@
 
     Guards against moving traffic off a connection that still makes progress
     or whose endpoint is down, against a silent connection that keeps its
-    traffic, and against concurrent probes.
+    traffic, and against concurrent probes. A connection must get time for
+    progress after the answer to a probe, and is silent right after it.
     """
 
     def __init__(self):
@@ -22,6 +23,7 @@
         self.now = 0.0
         self.endpoint = EndpointSilence()
         self.last = {}
+        self.due = {}  # of those that were suspect when a probe was answered
         self.moved = set()
         self.probe = None
 
@@ -29,12 +31,14 @@
     def open(self, name, gap):
         self.endpoint.open(name, gap=gap, now=self.now)
         self.last[name] = (self.now, gap)
+        self.due.pop(name, None)
         self.moved.discard(name)
 
     @rule(name=NAMES)
     def close(self, name):
         self.endpoint.close(name)
         self.last.pop(name, None)
+        self.due.pop(name, None)
         self.moved.discard(name)
 
     @rule(name=NAMES, gap=GAPS)
@@ -43,17 +47,15 @@
         assert counts == (name in self.last and name not in self.moved)
         if counts:
             self.last[name] = (self.now, gap)
+            self.due.pop(name, None)
 
     @rule(seconds=st.sampled_from([0.1, 0.6, 1.5, 12.0]))
     def wait_and_poll(self, seconds):
         self.now += seconds
         if self.probe is not None and self.now - self.probe >= 1.0:
             self.probe = None
-        must_probe = self.probe is None and any(
-            self.now > last + max(6 * gap, 0.5)
-            for name, (last, gap) in self.last.items()
-            if name not in self.moved
-        )
+        self.check_moved(self.endpoint.take_silent(now=self.now))
+        must_probe = self.probe is None and bool(self.suspects())
         assert self.endpoint.poll(now=self.now) == must_probe
         if must_probe:
             self.probe = self.now
@@ -66,18 +68,28 @@
 
     @rule()
     def probe_answers(self):
-        silent = self.endpoint.probe_answered(now=self.now)
-        late = {
+        answered = self.suspects() if self.probe is not None else ()
+        self.check_moved(self.endpoint.probe_answered(now=self.now))
+        for name in answered:
+            self.due[name] = self.now + max(self.last[name][1], 0.5)
+        self.probe = None
+
+    def suspects(self):
+        return [
             name
             for name, (last, gap) in self.last.items()
-            if name not in self.moved and self.now > last + max(5 * gap, 0.5)
-        }
-        assert set(silent) <= late
-        if self.probe is not None:
-            self.moved |= set(silent)
-        else:
-            assert not silent
-        self.probe = None
+            if self.now > last + max(6 * gap, 0.5)
+            and name not in self.moved
+            and name not in self.due
+        ]
+
+    def check_moved(self, silent):
+        assert set(silent) == {n for n, due in self.due.items() if self.now > due}
+        for name in silent:
+            last, gap = self.last[name]
+            assert self.now > last + max(5 * gap, 0.5)
+            del self.due[name]
+        self.moved |= set(silent)
 
     @invariant()
     def states_match_what_moved(self):
--- a/wagtailfront/endpoints/endpoint_guard.py
+++ b/wagtailfront/endpoints/endpoint_guard.py
@@ -188,7 +188,9 @@
         now = self.clock()
         engines = {entry.engine.name: entry.engine for entry in self.attempts.values()}
         for name, engine in engines.items():
-            if self.silences[name].poll(now=now):
+            silence = self.silences[name]
+            self._report_silent(engine, silence.take_silent(now=now))
+            if silence.poll(now=now):
                 self._probe_silence(engine)
 
     def _probe_silence(self, engine):
@@ -199,16 +201,18 @@
             if status is None:
                 silence.probe_failed(now=now)
                 return
-            silent = silence.probe_answered(now=now)
-            if silent:
-                host, port = split_address(engine.address)
-                self.pool.drop_idle_to(host, port)
-            for attempt in silent:
-                logger.warning("[guard] Connection of %s went silent.", attempt)
-                self.fire(attempt_silent(attempt), "*")
+            self._report_silent(engine, silence.probe_answered(now=now))
 
         self._probe(engine, on_probe)
 
+    def _report_silent(self, engine, attempts):
+        if attempts:
+            host, port = split_address(engine.address)
+            self.pool.drop_idle_to(host, port)
+        for attempt in attempts:
+            logger.warning("[guard] Connection of %s went silent.", attempt)
+            self.fire(attempt_silent(attempt), "*")
+
     def _send_report(self):
         items = self.evidence.report(now=self.clock())[:MAX_REPORT_ITEMS]
         if items:
