Reset the time since which the table's log is behind

After a table came back from an older copy once, every instance that did not commit the last lost change itself kept its `behind_since` for ever: only heads below the applied version reached LogRestorer, so nothing reset it. At the next restore, and after any time without reads of the head (outage, pause), RESTORE_BY_ALL was already over and all instances wrote at once instead of the two first ones. Commits are conditional on the head, so no change was lost by it; it cost calls to the table.

A head that is not below the applied version now clears it, and a time of more than MAX_READ_INTERVAL between two reads that are behind starts it anew. One failed read of a poll a second does not, so a table that answers now and then is restored as before.

--- a/wagtailfront/authority/config_maintenance.py
+++ b/wagtailfront/authority/config_maintenance.py
@@ -24,6 +24,9 @@
 ROSTER_INTERVAL = 1.0
 # Seconds after which any instance restores the log, not only the first ones.
 RESTORE_BY_ALL = 3.0
+# Seconds between two reads of the head beyond which the time between them does
+# not count for that; one read may fail.
+MAX_READ_INTERVAL = 2.5
 
 
 class RosterMaintainer:
@@ -118,24 +121,36 @@
     Parameters
     ----------
     replica : ConfigReplica
+
+    Attributes
+    ----------
+    behind_since : float or None
+        When the head was first below the applied version, in seconds; None
+        if the last one was not. Starts anew after a time without reads.
     """
 
     def __init__(self, *, replica):
         self.replica = replica
         self.behind_since = None
+        self.read_at = float("-inf")
         self.attempts = 0
         self.is_writing = False
 
     def handle_head(self, now, head):
         """Handle the head as read from the table."""
         if head >= self.replica.log.version:
-            self.behind_since = None
+            self.clear()
             return
-        if self.behind_since is None:
+        if self.behind_since is None or now - self.read_at > MAX_READ_INTERVAL:
             self.behind_since = now
+        self.read_at = now
         if not self.is_writing and self._is_due(now):
             self._write(now, head)
 
+    def clear(self):
+        """Record that the table has all changes that were applied."""
+        self.behind_since = None
+
     def _is_due(self, now):
         replica = self.replica
         live = [name for name in replica.config.roster if name not in replica.gone]
--- a/wagtailfront/authority/config_replica.py
+++ b/wagtailfront/authority/config_replica.py
@@ -156,6 +156,7 @@
                 self.effects.append(effects.Warn(text))
                 self.log_restorer.handle_head(replied_at, head)
                 return
+            self.log_restorer.clear()
             self.head = max(self.head, head)
             self.freshness.head_read(now, head)
             self._fetch_from_table(replied_at)
--- a/wagtailfront/authority/tests/test_config_start.py
+++ b/wagtailfront/authority/tests/test_config_start.py
@@ -220,6 +220,7 @@
     for node in fleet.nodes.values():
         assert node.replica.config.workspaces["till"] == config.workspaces["till"]
         assert node.replica.log.version == rows[HEAD].version
+        assert node.replica.log_restorer.behind_since is None
 
 
 def test_a_change_based_on_a_version_that_the_table_lost_is_not_invalid():
