Ask for a rate limit's wait without a change of state

RateLimits.wait, and through it each listing of the endpoints of a service, moved the latest slot of an endpoint in which this instance has no share, so that a share that comes later is earned from then on. What a request waited thus depended on who had asked before, and how often.

Which endpoints leave this instance without a share is determined anew only when the live instances, their number or a limit has changed.

--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -228,6 +228,7 @@
     @handler("send_digest")
     def _on_send_digest(self):
         now = self.clock()
+        self.rate_limits.update_shares(now=now)
         # Ticks come slightly late, so half a tick early counts as due.
         if now < self.send_due - SEND_INTERVAL / 2:
             return
--- a/wagtailfront/forwarding/rate_limits.py
+++ b/wagtailfront/forwarding/rate_limits.py
@@ -80,6 +80,8 @@
         self.observations = {}
         self.unreported = set()
         self.slots = {}  # latest reserved time, by incarnation
+        self.without_share = frozenset()  # incarnations left to other instances
+        self.basis = None  # what `without_share` was determined from
 
     def limit(self, incarnation):
         """Return an endpoint's limit in requests per second, or None."""
@@ -137,6 +139,7 @@
         self.observations[incarnation] = observation
         if observation.rate == before:
             return False
+        self.basis = None
         if before is None:
             # The share is earned from now on.
             self.slots[incarnation] = observation.at
@@ -155,6 +158,7 @@
         self.observations.pop(record.incarnation, None)
         self.unreported.discard(record.incarnation)
         self.slots.pop(record.incarnation, None)
+        self.without_share -= {record.incarnation}
 
     # Shares
 
@@ -175,6 +179,22 @@
         in_touch = min(1.0, len(live) / self.fleet.instances)
         return max(rate, PROBE_RATE) * in_touch / len(senders)
 
+    def update_shares(self, *, now):
+        """Let a share that comes later be earned from then on.
+
+        Call it regularly: time since the last call counts as earned.
+        """
+        basis = (self.fleet.live_addresses(now=now), self.fleet.instances)
+        if basis != self.basis:
+            self.basis = basis
+            self.without_share = frozenset(
+                incarnation
+                for incarnation in self.observations
+                if not self.share(incarnation, now=now)
+            )
+        for incarnation in self.without_share:
+            self.slots[incarnation] = max(now, self.slots.get(incarnation, now))
+
     def wait(self, incarnation, *, now):
         """Return the seconds until this instance may send a request.
 
@@ -197,8 +217,6 @@
         if share == math.inf:
             return now
         if not share:
-            # A share that comes later is earned from then on.
-            self.slots[incarnation] = max(now, self.slots.get(incarnation, now))
             return math.inf
         slot = self.slots.get(incarnation, now) + 1 / share
         return max(slot, now - BURST_SECONDS)
--- a/wagtailfront/forwarding/tests/test_rate_limits.py
+++ b/wagtailfront/forwarding/tests/test_rate_limits.py
@@ -181,3 +181,27 @@
     assert 1 <= len(probes) <= 5
     assert len({each.instance for each in probes}) == 1
     assert engines[0].excess(0.0) <= 0
+
+
+@pytest.mark.parametrize("instances", [0, 1])
+def test_asking_for_the_wait_changes_nothing(instances):
+    """Guards against waits that depend on who asked before, and how often."""
+    limits = Scene([]).context.rate_limits
+    limits.fleet.instances = instances
+    limits.record_answer("e1/1", LIMIT, sent=1.0, now=2.0)
+    slots = dict(limits.slots)
+    first = limits.wait("e1/1", now=3.0)
+    assert limits.wait("e1/1", now=3.0) == first
+    assert limits.slots == slots
+
+
+def test_a_share_that_comes_later_is_earned_from_then_on():
+    """Guards against requests at once by each instance that gets a share."""
+    limits = Scene([]).context.rate_limits
+    limits.fleet.instances = 0
+    limits.record_answer("e1/1", LIMIT, sent=1.0, now=2.0)
+    for now in (9.9, 10.0):
+        limits.update_shares(now=now)
+    limits.fleet.instances = 1
+    limits.update_shares(now=10.05)
+    assert limits.wait("e1/1", now=10.05) == pytest.approx(1 / LIMIT - 0.05)
