Sort by rendezvous hashing in one function

authority.lease.candidates and decisions.subsetting.ranked each sorted by rendezvous scores. They use different 64-bit hashes (XXH64, XXH3), and instances of mixed versions must agree on both orders, so the hash is now an argument of `ranked`, and `candidates` passes its own. Equal digests, which the two ordered differently, are ordered by name.

Evidence: test_orders_agree_with_those_of_earlier_versions holds the orders of both as the code before returned them. Before, it fails only in its last line (ranked takes no digest); after: passes, with the tests of group managers, components, config_maintenance and cache inquiries (21 passed).

--- a/wagtailfront/authority/lease.py
+++ b/wagtailfront/authority/lease.py
@@ -12,6 +12,7 @@
     StartTimer,
     WriteRows,
 )
+from wagtailfront.decisions.subsetting import ranked
 from wagtailfront.decoding import decode_msgpack
 from wagtailfront.exception import ProtocolError
 from wagtailfront.stores.interfaces import (
@@ -120,12 +121,7 @@
     >>> candidates("desk-assist/brum", ["i1", "i2", "i3"])
     ['i2', 'i3']
     """
-    ranked = sorted(
-        instances,
-        key=lambda instance: xxhash.xxh64_intdigest(f"{group}\0{instance}".encode()),
-        reverse=True,
-    )
-    return ranked[:count]
+    return ranked(instances, key=group, digest=xxhash.xxh64_intdigest)[:count]
 
 
 class LeaseMachine:
--- a/wagtailfront/decisions/subsetting.py
+++ b/wagtailfront/decisions/subsetting.py
@@ -7,7 +7,7 @@
 __all__ = ["score", "ranked", "subset", "Candidates"]
 
 
-def score(key, name):
+def score(key, name, digest=xxhash.xxh3_64_intdigest):
     """Return the 64-bit rendezvous score of `name` for `key`.
 
     Parameters
@@ -16,19 +16,25 @@
         Identity that chooses, such as an instance or a request fingerprint.
     name : str
         A candidate.
+    digest : callable, optional
+        Returns a 64-bit integer for bytes.
     """
-    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+    return digest(f"{key}\0{name}".encode())
 
 
-def ranked(names, *, key):
+def ranked(names, *, key, digest=xxhash.xxh3_64_intdigest):
     """Return `names` from the highest to the lowest score for `key`.
 
+    Instances must agree on the order, so each use keeps its `digest`.
+
     Examples
     --------
     >>> ranked(["a", "b", "c"], key="instance-1")
     ['b', 'c', 'a']
     """
-    return sorted(names, key=lambda name: (score(key, name), name), reverse=True)
+    return sorted(
+        names, key=lambda name: (score(key, name, digest), name), reverse=True
+    )
 
 
 def subset(names, *, key, size, home=frozenset(), remote=0):
--- a/wagtailfront/decisions/tests/test_subsetting.py
+++ b/wagtailfront/decisions/tests/test_subsetting.py
@@ -1,8 +1,11 @@
 """Tests of subsets by rendezvous hashing."""
 
+import pytest
+import xxhash
 from hypothesis import given, strategies as st
 
-from wagtailfront.decisions.subsetting import subset
+from wagtailfront.authority.lease import candidates
+from wagtailfront.decisions.subsetting import ranked, subset
 
 NAMES = [f"engine-{number}" for number in range(24)]
 
@@ -27,3 +30,24 @@
     remotes = len(set(before) - home)
     wanted = min(remote, size, len(names - home))
     assert remotes == max(wanted, len(before) - len(names & home))
+
+
+INSTANCES = [f"i{number}" for number in range(8)]
+
+
+@pytest.mark.parametrize(
+    ("key", "for_leases", "for_senders"),
+    [
+        ("desk-assist/brum", "62305174", "36475201"),
+        ("config", "14057362", "50327164"),
+        ("e1/1", "51324706", "06523471"),
+    ],
+)
+def test_orders_agree_with_those_of_earlier_versions(key, for_leases, for_senders):
+    """Guards against instances of two versions that choose differently."""
+    for_leases, for_senders = ([f"i{n}" for n in o] for o in (for_leases, for_senders))
+    assert candidates(key, INSTANCES, 8) == for_leases
+    assert candidates(key, INSTANCES) == for_leases[:2]
+    assert ranked(INSTANCES, key=key) == for_senders
+    digest = xxhash.xxh64_intdigest
+    assert ranked(INSTANCES, key=key, digest=digest) == for_leases
