--- a/wagtailfront/forwarding/tests/test_rate_limits.py
+++ b/wagtailfront/forwarding/tests/test_rate_limits.py
@@ -205,3 +205,15 @@
     limits.fleet.instances = 1
     limits.update_shares(now=10.05)
     assert limits.wait("e1/1", now=10.05) == pytest.approx(1 / LIMIT - 0.05)
+
+
+def test_instances_without_a_share_earn_nothing():
+    """Guards against ticks of the load exchange that leave shares out."""
+    engines = make_engines(0, 3, limited=1, limit=0.0)
+    fleet = LimitedFleet(6, engines=engines, requests=30, seed=1)
+    fleet.serve(6.0)
+    limits = [scene.context.rate_limits for scene in fleet.scenes.values()]
+    now = fleet.timers.now
+    waiting = [each for each in limits if not each.share("d0/1", now=now)]
+    assert len(waiting) == 5
+    assert all(now - each.slots["d0/1"] < 0.2 for each in waiting)
