--- a/wagtailfront/forwarding/resumption.py
+++ b/wagtailfront/forwarding/resumption.py
@@ -5,7 +5,7 @@
 from wagtailfront.forwarding.begun_streams import StreamOrigin
 from wagtailfront.forwarding.routes import RequestKind
 
-__all__ = ["Refusal", "find_origin", "is_resumption", "refusal"]
+__all__ = ["ResumptionRefusal", "find_origin", "is_resumption", "refusal"]
 
 # Multiple of a route's timeout within which its streams began; the timeout may
 # have been lowered since.
@@ -16,7 +16,7 @@
 GONE_RETRY_AFTER = 1.0  # seconds; versions that have left rarely come back
 
 
-class Refusal(NamedTuple):
+class ResumptionRefusal(NamedTuple):
     """Why a stream cannot go on, and after how many seconds to ask again."""
 
     kind: str
@@ -55,13 +55,13 @@
 def refusal(origin, route, context):
     """Return why a stream cannot go on, or None if it can."""
     if origin is None:
-        return Refusal(
+        return ResumptionRefusal(
             "unknown",
             "the software version that began the stream is unknown",
             UNKNOWN_RETRY_AFTER,
         )
     if all(share.service != origin.service for share in route.shares):
-        return Refusal(
+        return ResumptionRefusal(
             "route",
             f"the route no longer leads to {origin.service!r}, which began the stream",
             GONE_RETRY_AFTER,
@@ -69,7 +69,7 @@
     version = origin.software_version
     records = context.directory.find(origin.service)
     if not version or all(each.software_version != version for each in records):
-        return Refusal(
+        return ResumptionRefusal(
             "version",
             f"no endpoint has software version {version!r}, which began the stream",
             GONE_RETRY_AFTER,
