--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -262,6 +262,7 @@
         self.on_request = None
         self.port = free_port()
         self.writers = set()
+        self.readers = {}  # by writer
         self.server = None
         self.order_count = 0
         self.state = "ready"
@@ -320,12 +321,19 @@
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
+        self.readers[writer] = reader
         with contextlib.suppress(ConnectionError):
             while (message := await read_message(reader)) is not None:
                 await self._handle(*message, writer)
         self.writers.discard(writer)
+        del self.readers[writer]
         writer.close()
 
+    def is_gone(self, writer):
+        """Return whether the other end has closed a connection."""
+        reader = self.readers.get(writer)
+        return reader is None or reader.at_eof() or writer.is_closing()
+
     async def _handle(self, first, headers, body, writer):
         _method, target, _version = first.split(" ")
         if headers.get("x-expect-instance", self.id) != self.id:
