--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -26,6 +26,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "desk.example"
 LOOPBACK = "127." + ".".join(str(random.randint(1, 250)) for _ in range(3))
+# Below the ports that the system gives to outgoing connections.
+PORTS = range(10000, 30000)
+GIVEN_PORTS = set()
 HEARTBEAT = 1.2  # seconds; `heartbeat-ms` of the settings
 TX_SECONDS = 0.004  # time of an answer of the store, as on the sheet
 RESET = struct.pack("ii", 1, 0)
@@ -45,10 +48,14 @@
 
 
 def free_port():
-    """Return a TCP port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    """Return a TCP port that is free now and is not given out again."""
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            if port not in GIVEN_PORTS:
+                GIVEN_PORTS.add(port)
+                return port
 
 
 class Record:
