Take each crash within an answer as evidence against the request

Cause: RunAttempt.record_crash counted only crashes before the head. Change: a run that breaks off before its complete answer is evidence.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -255,9 +255,12 @@
         self._untrack(self.context.evidence.complete)
 
     def record_crash(self):
-        """Record that the endpoint failed before its answer began."""
+        """Record that the endpoint failed before its answer was complete.
+
+        A response that was received, but cannot be forwarded, is no evidence.
+        """
         now, incarnation = self.context.clock(), self.record.incarnation
-        if self.status == 0:
+        if self.status == 0 or self.is_broken_off:
             self.is_tracked = False
             self.context.evidence.record_crash(self.label, incarnation, now=now)
         if self.is_broken_off and not self.has_answered:
--- a/wagtailfront/forwarding/tests/test_forward_task.py
+++ b/wagtailfront/forwarding/tests/test_forward_task.py
@@ -189,6 +189,63 @@
     assert reply.status == 503
 
 
+@pytest.mark.parametrize("whole_events", [0, 1, 2])
+@pytest.mark.parametrize(
+    ("partial", "end"), [(b"", "reset"), (b"id: 3\nda", "reset"), (b"id: 3", "closed")]
+)
+def test_a_request_that_crashes_engines_within_its_answer_is_refused(
+    whole_events, partial, end
+):
+    """Guards the other engines, wherever in the answer one crashes."""
+    scene = Scene([*ENGINES, make_record("d3", stage="decode")], is_model=True)
+    start_run(scene)
+    numbers = itertools.count(1)
+    for _ in range(2):
+        run = scene.pool.last
+        run.sink.on_head(200, EVENT_STREAM)
+        for number in itertools.islice(numbers, whole_events):
+            run.sink.on_data(EVENT % number)
+        if partial:
+            run.sink.on_data(partial)
+        if end == "reset":
+            run.fail()
+        else:
+            # The end of the connection ends a stream without a length.
+            run.sink.on_end()
+    sends = len(scene.pool.exchanges)
+    _task, reply = start_run(scene)
+    assert len(scene.pool.exchanges) == sends
+    assert reply.status == 503
+
+
+def test_a_call_that_crashes_endpoints_within_its_answer_is_refused():
+    """Guards the other endpoints of a plain service likewise."""
+    scene = Scene([make_record(f"e{i}") for i in range(5)])
+    scene.start(make_route(SAFE, max_attempts=2))
+    for _ in range(2):
+        scene.pool.last.sink.on_head(200, SIGNED)
+        scene.pool.last.sink.on_data(b"part of ")
+        scene.pool.last.fail()
+    _task, reply = scene.start(make_route(SAFE))
+    assert len(scene.pool.exchanges) == 2
+    assert reply.status == 503
+
+
+def test_an_answer_that_ends_a_request_clears_what_broke_off_before():
+    """Guards sound requests whose streams two crashes of others cut."""
+    scene = Scene(ENGINES, is_model=True)
+    for _ in range(3):
+        _task, reply = start_run(scene)
+        scene.pool.last.sink.on_head(200, EVENT_STREAM)
+        scene.pool.last.sink.on_data(EVENT % 1)
+        scene.pool.last.fail()
+        scene.timers.advance(5.0)
+        scene.pool.last.sink.on_head(200, EVENT_STREAM)
+        scene.pool.last.sink.on_data(EVENT % 2)
+        scene.pool.last.sink.on_end()
+        assert reply.is_complete
+
+
 def test_many_requests_at_one_crash_are_not_confused():
     """Guards against crash evidence that several requests share."""
     scene = Scene([make_record("e1")])
