Bound the age of the registry after connections to the store fell silent

Causes: the read after a failed watch took an idle connection, silent too; entries that it lacked were retained as after an outage of the store; a full read doesn't show the version of a removal, so peers didn't hear of it; all watches ended at once after a change, up to 25 s later at 84.

--- a/wagtailfront/forwarding/endpoint_directory.py
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -83,8 +83,8 @@
     -----
     The registry drops an entry that its endpoint does not renew, even while
     the store is unreachable. Endpoints that are missing from the first read
-    after a failed one are therefore retained until they have had time to
-    register again. One that is missing from a later read was removed.
+    after an outage are therefore retained until they have had time to
+    register again. One that is missing from any other read was removed.
 
     A registry that comes back from an older copy, in a new era, also lacks
     endpoints that had registered since, and contains those that had left.
@@ -97,7 +97,7 @@
     >>> record = EndpointRecord("e1", "s", "h", 80, "a", 4, False, "", 1)
     >>> directory = EndpointDirectory()
     >>> _ = directory.replace([record], now=0.0)
-    >>> len(directory.replace([], now=9.0, is_after_failure=True).gone)
+    >>> len(directory.replace([], now=9.0, is_after_outage=True).gone)
     0
     >>> [len(directory.replace([], now=now).gone) for now in (10.0, 11.1)]
     [0, 1]
@@ -114,7 +114,7 @@
         self.ghosts_until = 0.0
         self.versions = VersionHistory()
 
-    def replace(self, records, *, now, era=0, is_after_failure=False):
+    def replace(self, records, *, now, era=0, is_after_outage=False):
         """Replace the entries by those of a full read of the registry.
 
         Parameters
@@ -124,8 +124,8 @@
             Time of the response in seconds.
         era : int, optional
             Era of the registry; rises when it comes back from an older copy.
-        is_after_failure : bool, optional
-            Whether the read before this one failed.
+        is_after_outage : bool, optional
+            Whether the registry was away since the read before this one.
 
         Returns
         -------
@@ -145,7 +145,7 @@
             for endpoint_id, record in self.records.items()
             if endpoint_id not in present
         }
-        if is_after_failure or is_restored:
+        if is_after_outage or is_restored:
             self.retained = frozenset(missing)
             self.retain_until = now + RETURN_SECONDS
         elif now >= self.retain_until:
@@ -159,7 +159,7 @@
         self.records = {**retained, **present}
         self._index()
         self.versions.update(
-            self.records.values(), now=now, is_gap=is_after_failure or is_restored
+            self.records.values(), now=now, is_gap=is_after_outage or is_restored
         )
         change = DirectoryChange(
             added=tuple(
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -232,8 +232,12 @@
     def read(self, reply) -> None:
         """Read the configuration; `reply` gets a RoutingRead."""
 
-    def watch(self, cursor: StorePosition, wait: float, reply) -> None:
-        """Wait up to `wait` seconds for a change after `cursor`."""
+    def watch(self, cursor: StorePosition, wait: float, reply) -> Any:
+        """Wait up to `wait` seconds for a change after `cursor`.
+
+        Returns the watch. Its method `cancel` ends it, so that `reply` is not
+        called; later calls then use other connections.
+        """
 
 
 class RegistryRead(NamedTuple):
@@ -262,8 +266,11 @@
     def read(self, reply) -> None:
         """Read all registrations; `reply` gets a RegistryRead."""
 
-    def watch(self, cursor: StorePosition, wait: float, reply) -> None:
-        """Wait up to `wait` seconds for a change after `cursor`."""
+    def watch(self, cursor: StorePosition, wait: float, reply) -> Any:
+        """Wait up to `wait` seconds for a change after `cursor`.
+
+        Returns the watch, as that of a RoutingSource.
+        """
 
 
 class InstanceRow(NamedTuple):
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -43,6 +43,7 @@
 MAX_EVIDENCE = 128  # items in one report
 EVIDENCE_SENDS = 2  # sends of each item, as a message may be lost
 MAX_RELAYED = 24  # reports in one message
+MS_PER_SECOND = 1000
 
 
 def send_interval(targets):
@@ -81,6 +82,7 @@
     streams : StreamMemory
     history : VersionHistory
     versions : StoreVersions
+    contact : StoreContact
     pace : FleetPace
     find_service : callable
         Returns the service of an endpoint's incarnation, or None.
@@ -110,6 +112,7 @@
         streams,
         history,
         versions,
+        contact,
         pace,
         find_service,
         timers,
@@ -127,6 +130,7 @@
         self.streams = streams
         self.history = history
         self.versions = versions
+        self.contact = contact
         self.pace = pace
         self.find_service = find_service
         self.timers = timers
@@ -260,6 +264,7 @@
             )
         if digest is not None:
             self.sent_versions = known
+            age = self.contact.own_age(now=now)
             reports.append(
                 msgspec.structs.replace(
                     digest,
@@ -268,6 +273,7 @@
                     versions=self.versions.known,
                     rates=rates,
                     streams=begun,
+                    store_age_ms=None if age is None else round(age * MS_PER_SECOND),
                 )
             )
         items = self._own_evidence(now, repeat=full)
@@ -352,6 +358,8 @@
         if report.rates:
             rates = [rate for rate in report.rates if self.find_service(rate.endpoint)]
             self.rate_limits.merge(rates, now=now)
+        if report.store_age_ms is not None:
+            self.contact.record_peer(report.store_age_ms / MS_PER_SECOND, now=now)
         self.versions.handle_peer_versions(report.era, report.versions)
         for prompt in report.prompts:
             self._record_prompt(prompt)
--- a/wagtailfront/forwarding/registry_follower.py
+++ b/wagtailfront/forwarding/registry_follower.py
@@ -1,5 +1,6 @@
 """Updates of the endpoint directory from the registry."""
 
+import math
 import time
 
 __all__ = ["RegistryFollower"]
@@ -11,6 +12,7 @@
     Parameters
     ----------
     directory : EndpointDirectory
+    contact : StoreContact
     on_change : callable
         Called with each DirectoryChange.
     log : DecisionLog
@@ -18,8 +20,11 @@
     clock : callable, optional
     """
 
-    def __init__(self, *, directory, on_change, log, timers, clock=time.monotonic):
+    def __init__(
+        self, *, directory, contact, on_change, log, timers, clock=time.monotonic
+    ):
         self.directory = directory
+        self.contact = contact
         self.on_change = on_change
         self.log = log
         self.timers = timers
@@ -27,6 +32,7 @@
         self.records = ()
         self.era = 0
         self.has_failed_read = False
+        self.known_at = -math.inf
         self.recheck = None
 
     def apply_read(self, read):
@@ -35,18 +41,24 @@
         if not read.is_known:
             self.has_failed_read = True
             return
-        is_after_failure = self.has_failed_read and read.records is not None
+        now = self.clock()
+        self.contact.record_answer(now=now)
+        # An answered watch shows that the store was there all the time.
+        is_after_outage = self.has_failed_read and self.contact.was_away(
+            since=self.known_at
+        )
+        self.has_failed_read = False
+        self.known_at = now
         if read.records is not None:
             self.records = read.records
-            self.has_failed_read = False
         if read.cursor is not None:
             self.era = read.cursor.era
-        self._apply(is_after_failure=is_after_failure)
+        self._apply(is_after_outage=is_after_outage)
 
-    def _apply(self, *, is_after_failure=False):
+    def _apply(self, *, is_after_outage=False):
         now = self.clock()
         change = self.directory.replace(
-            self.records, now=now, era=self.era, is_after_failure=is_after_failure
+            self.records, now=now, era=self.era, is_after_outage=is_after_outage
         )
         for kind, group in zip(change._fields, change, strict=True):
             for record in group:
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -116,6 +116,22 @@
     min_gap : float, optional
         Seconds between a response and the next watch, to batch changes that
         come close together.
+
+    Attributes
+    ----------
+    cursor : StorePosition or None
+        Where the next watch starts; None before a full read.
+    is_resuming : bool
+        Whether a watch got no answer, and its changes are asked for at once.
+    has_changed : bool
+        Whether the latest answer contained a change.
+
+    Notes
+    -----
+    A watch without an answer may have been sent on a connection that is
+    silent, so its changes are read from the same cursor on another one. The
+    versions of rows that were removed are among them, which a full read would
+    not show; peers learn from these that there was a change.
     """
 
     channel = "store_watcher"
@@ -142,7 +158,10 @@
         self.log = log
         self.min_gap = min_gap
         self.cursor = None
+        self.is_resuming = False
+        self.has_changed = False
         self.is_reachable = None
+        self.call = None
         self.call_number = 0
         self.catch_up_to = StorePosition()
         versions.listeners[table] = self.handle_newer_position
@@ -165,9 +184,33 @@
 
         if self.cursor is None:
             self.source.read(on_reply)
-        else:
-            wait = self.pace.stretch(WATCH_SECONDS)
-            self.source.watch(self.cursor, wait, on_reply)
+            return
+        call = self.source.watch(self.cursor, self._next_wait(), on_reply)
+        if number == self.call_number:
+            self.call = call
+
+    def _next_wait(self):
+        """Return for how many seconds the next watch waits for a change."""
+        if self.is_resuming:
+            return 0.0
+        wait = self.pace.stretch(WATCH_SECONDS)
+        # A change ends the watches of all instances at once. Their next ones
+        # end at different times, so that some instance soon notices if all
+        # connections fall silent.
+        return self.pace.spread(wait) if self.has_changed else wait
+
+    def _resume(self):
+        """Ask for changes on another connection, and drop the open watch."""
+        call, self.call = self.call, None
+        if call is not None:
+            call.cancel()
+        self.is_resuming = True
+        self._call_store()
+
+    def handle_silence(self):
+        """Handle that another call to the store got no answer."""
+        if self.cursor is not None and not self.is_resuming:
+            self._resume()
 
     def _handle_safely(self, read):
         """Handle a read; one that cannot be applied is made again."""
@@ -187,16 +230,21 @@
         is_outdated = read.cursor is not None and read.cursor.era < self.versions.era
         if is_outdated:
             self.log.decision(self.table, outcome="outdated", known=read.cursor)
-        if not read.is_known or is_outdated:
-            if not read.is_known:
-                self.on_read(read)
-            # A watch without a response may have missed a change.
+        if not read.is_known:
+            is_first = self.cursor is not None and not self.is_resuming
+            self.is_resuming = True
+            self.on_read(read)
+            self._call_store_after(0.0 if is_first else RETRY_DELAY)
+            return
+        self.is_resuming = False
+        if is_outdated:
             self.cursor = None
             self._call_store_after(RETRY_DELAY)
             return
         if read.cursor is None and self.cursor is not None:
             self.log.decision(self.table, outcome="history gone", reason=read.reason)
         self.cursor = read.cursor
+        self.has_changed = read.changed.ver > 0
         self.versions.record(self.table, read.changed)
         self.on_read(read)
         gap = (
@@ -220,9 +268,11 @@
         self.timers.after(CATCH_UP_DELAY, lambda: self._catch_up(position))
 
     def _catch_up(self, position):
-        if self.cursor is not None and self.cursor < position:
-            self.log.decision(
-                self.table, outcome="behind", known=self.cursor, heard=position
-            )
+        if self.cursor is None or self.cursor >= position:
+            return
+        self.log.decision(
+            self.table, outcome="behind", known=self.cursor, heard=position
+        )
+        if self.cursor.era < position.era:
             self.cursor = None
-            self._call_store()
+        self._resume()
--- a/wagtailfront/forwarding/tests/fleet.py
+++ b/wagtailfront/forwarding/tests/fleet.py
@@ -13,6 +13,7 @@
 from wagtailfront.forwarding.interfaces import InstanceRow, StorePosition
 from wagtailfront.forwarding.load_exchange import LoadExchange
 from wagtailfront.forwarding.rate_limits import RateLimits
+from wagtailfront.forwarding.store_contact import StoreContact
 from wagtailfront.forwarding.store_watcher import StoreVersions
 from wagtailfront.forwarding.tests.builders import LogLines, VirtualTimers
 from wagtailfront.forwarding.version_history import VersionHistory
@@ -51,6 +52,7 @@
             streams=streams,
             history=history,
             versions=StoreVersions(tables=("routing",)),
+            contact=StoreContact(),
             pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
             find_service=lambda endpoint: "s",
             timers=self.timers,
--- a/wagtailfront/forwarding/tests/test_announcements.py
+++ b/wagtailfront/forwarding/tests/test_announcements.py
@@ -15,6 +15,7 @@
 )
 from wagtailfront.forwarding.load_exchange import INSTANCE_LIFETIME, LoadExchange
 from wagtailfront.forwarding.rate_limits import RateLimits
+from wagtailfront.forwarding.store_contact import StoreContact
 from wagtailfront.forwarding.store_watcher import StoreVersions
 from wagtailfront.forwarding.tests.builders import (
     LogLines,
@@ -60,6 +61,7 @@
         streams=StreamMemory(),
         history=VersionHistory(),
         versions=StoreVersions(tables=("routing", "registry")),
+        contact=StoreContact(),
         pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
         find_service=lambda endpoint: None,
         timers=timers,
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -253,6 +253,7 @@
     it knows, and `versions` the store's version of the latest change in that
     era, for each table that instances follow. `rates` holds what endpoints
     said of their rate limits, and `streams` those that the sender began.
+    `store_age_ms` is how long ago the store last answered the sender.
     """
 
     incarnation: Text
@@ -264,6 +265,7 @@
     rates: Annotated[tuple[EndpointRate, ...], msgspec.Meta(max_length=512)] = ()
     era: Number = 0
     streams: Annotated[tuple[BegunStreams, ...], msgspec.Meta(max_length=512)] = ()
+    store_age_ms: Number | None = None
 
 
 class StreamReport(MessageBase):
--- a/wagtailfront/platform/calls.py
+++ b/wagtailfront/platform/calls.py
@@ -18,6 +18,11 @@
         before `reply`.
     request
         Further arguments of `HttpPool.request`.
+
+    Returns
+    -------
+    Exchange
+        The call, which may be cancelled; `reply` is then not called.
     """
 
     def on_done(status, headers, body):
@@ -30,6 +35,7 @@
 
     sink = WholeResponse(on_done)
     sink.exchange = pool.request(sink=sink, **request)
+    return sink.exchange
 
 
 def describe_failure(status, body):
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -32,12 +32,27 @@
 ERA = "Store-Era"  # rises each time the store comes back from an older copy
 ERA_NUMBER = re.compile("[0-9]{1,15}")
 GONE = 410  # the store no longer has the history after the cursor
+TOO_MANY = 429  # from here on the store has not handled the call
 MS_PER_SECOND = 1000
 REGISTRY_TABLE = "servers"
 OPERATOR_TABLE = "op"
 INSTANCE_TABLE = "instances"
 
 
+class _Watch:
+    """A watch whose connection may have fallen silent."""
+
+    def __init__(self, *, client, exchange):
+        self.client = client
+        self.exchange = exchange
+
+    def cancel(self):
+        """End the watch; the next call uses a new connection."""
+        if self.exchange is not None:
+            self.exchange.cancel()
+        self.client.drop_idle()
+
+
 class StoreClient:
     """HTTP client of the platform's store.
 
@@ -48,6 +63,10 @@
     port : int
     on_era : callable, optional
         Called with the era of an answer if it is later than before.
+    on_answer : callable, optional
+        Called when the store has handled a call, before `reply`.
+    on_silence : callable, optional
+        Called when a call got no answer, after `reply`.
 
     Attributes
     ----------
@@ -55,22 +74,38 @@
         Latest era of the store in any answer. It is that of the answer
         itself while a reply is called, as answers of earlier eras are
         dropped.
+
+    Notes
+    -----
+    All connections may fall silent at once. After a call without an answer
+    the idle ones are closed, so that the next call opens a new one.
     """
 
-    def __init__(self, *, pool, host, port, on_era=lambda era: None):
+    def __init__(
+        self,
+        *,
+        pool,
+        host,
+        port,
+        on_era=lambda era: None,
+        on_answer=lambda: None,
+        on_silence=lambda: None,
+    ):
         self.pool = pool
         self.host = host
         self.port = port
         self.on_era = on_era
+        self.on_answer = on_answer
+        self.on_silence = on_silence
         self.era = 0
 
     def get(self, path, reply, *, timeout=CALL_TIMEOUT):
         """Send a GET.
 
         `reply` gets the status and the body, or None and the reason of the
-        failure.
+        failure. Returns the call.
         """
-        self._call(reply, method="GET", path=path, timeout=timeout)
+        return self._call(reply, method="GET", path=path, timeout=timeout)
 
     def put(self, table, key, value, reply, *, expected_ver=None):
         """Write a row; `reply` as for `get`.
@@ -113,12 +148,18 @@
                 self.on_era(era)
 
         def on_reply(status, body):
+            if status is None:
+                self.drop_idle()
+            elif status < TOO_MANY:
+                self.on_answer()
             if is_outdated:
                 reply(None, "answer of an earlier era of the store")
             else:
                 reply(status, body)
+            if status is None:
+                self.on_silence()
 
-        call(
+        return call(
             self.pool,
             on_reply,
             on_headers=on_headers,
@@ -127,6 +168,10 @@
             **request,
         )
 
+    def drop_idle(self):
+        """Close the idle connections, which may be silent."""
+        self.pool.drop_idle_to(self.host, self.port)
+
     def read_table(self, table, reply):
         """Read a table.
 
@@ -167,7 +212,8 @@
         """Wait up to `wait` seconds for changes after `cursor`.
 
         `reply` gets StoreRows or None, the reason of a failure, and whether
-        the store no longer has the history after `cursor`.
+        the store no longer has the history after `cursor`. Returns the
+        watch, which may be cancelled.
         """
 
         def on_response(status, body):
@@ -181,11 +227,12 @@
                 reply(*_read_page(status, body), False)
 
         wait_ms = int(wait * MS_PER_SECOND)
-        self.get(
+        exchange = self.get(
             f"/api/rows-feed?table={table}&after={cursor.ver}&wait-ms={wait_ms}",
             on_response,
             timeout=wait + WATCH_MARGIN,
         )
+        return _Watch(client=self, exchange=exchange)
 
 
 def _read_era(headers):
@@ -265,7 +312,7 @@
             else:
                 reply(RegistryRead(True, cursor=position))
 
-        self.client.watch_table(REGISTRY_TABLE, cursor, wait, on_rows)
+        return self.client.watch_table(REGISTRY_TABLE, cursor, wait, on_rows)
 
     def _registry_read(self, rows):
         skipped = {}
@@ -302,7 +349,7 @@
             else:
                 reply(self._routing_read(rows))
 
-        self.client.watch_table(OPERATOR_TABLE, cursor, wait, on_rows)
+        return self.client.watch_table(OPERATOR_TABLE, cursor, wait, on_rows)
 
     def _routing_read(self, rows, reason=""):
         if rows is None:
--- a/wagtailfront/platform/tests/store_pool.py
+++ b/wagtailfront/platform/tests/store_pool.py
@@ -62,6 +62,9 @@
             status, answer = self.perform(method, path, body)
         self.respond(sink, status, answer, self.era)
 
+    def drop_idle_to(self, host, port):
+        """Close idle connections, of which there are none."""
+
     def perform(self, method, path, body):
         """Return the status and the answer to a request."""
         if method == "POST":
--- a/wagtailfront/platform/tests/test_cut_answers.py
+++ b/wagtailfront/platform/tests/test_cut_answers.py
@@ -28,6 +28,9 @@
         self.answer = answer
         self.is_reset = is_reset
 
+    def drop_idle_to(self, host, port):
+        """Close idle connections, of which there are none."""
+
     def request(self, *, sink, host, port, method, path, **options):
         exchange = Exchange(
             pool=self,
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -15,6 +15,7 @@
 from wagtailfront.forwarding.fleet_pace import FleetPace
 from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.forwarding.registry_follower import RegistryFollower
+from wagtailfront.forwarding.store_contact import StoreContact
 from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
 from wagtailfront.forwarding.tests.builders import (
     LogLines,
@@ -102,6 +103,7 @@
         self.directory = EndpointDirectory()
         follower = RegistryFollower(
             directory=self.directory,
+            contact=StoreContact(),
             on_change=lambda change: None,
             log=self.log,
             timers=self.timers,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -31,6 +31,7 @@
 from wagtailfront.forwarding.shutdown import Shutdown
 from wagtailfront.forwarding.stage_manager import StageManager
 from wagtailfront.forwarding.status_server import StatusServer
+from wagtailfront.forwarding.store_contact import StoreContact
 from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
 from wagtailfront.identifiers import new_id
 from wagtailfront.membership.peer_bus import PeerBus
@@ -110,7 +111,11 @@
             host=settings.store[0],
             port=settings.store[1],
             on_era=self._on_store_era,
+            on_answer=lambda: self.contact.record_answer(now=time.monotonic()),
+            on_silence=self._on_store_silence,
         )
+        self.contact = StoreContact()
+        self.watchers = {}
         self.forwarder = Forwarder(context=self._make_context())
         context = self.forwarder.context
         self.engines = EngineClient(
@@ -134,6 +139,7 @@
         )
         self.follower = RegistryFollower(
             directory=self.directory,
+            contact=self.contact,
             on_change=self._on_endpoint_change,
             log=log,
             timers=self.timers,
@@ -205,7 +211,7 @@
         )
 
     def _make_watcher(self, table, **options):
-        return StoreWatcher(
+        self.watchers[table] = StoreWatcher(
             table=table,
             versions=self.versions,
             pace=self.pace,
@@ -213,6 +219,7 @@
             log=self.log,
             **options,
         )
+        return self.watchers[table]
 
     def _make_routing(self):
         return self._make_watcher(
@@ -249,6 +256,7 @@
             streams=context.streams,
             history=self.directory.versions,
             versions=self.versions,
+            contact=self.contact,
             pace=self.pace,
             find_service=self.directory.find_service,
             timers=self.timers,
@@ -339,6 +347,11 @@
         self.log.decision("store_era", outcome="changed", era=era)
         self.versions.handle_era(era)
 
+    def _on_store_silence(self):
+        """Have open watches asked again, as they may be silent too."""
+        for watcher in self.watchers.values():
+            watcher.handle_silence()
+
     def _max_idle(self, record):
         if self.forwarder.context.notices.is_leaving(record.incarnation):
             return 0
