Limit what answers without end hold, and give up the largest first

Callers saw: nothing here yet; operators of other systems report a process that ran out of memory, and the requests of others that ended with it.

Cause: bytes of a body in tiny chunks, and of many headers, were kept as objects of some ten times their size; events that never end and answers that callers don't read had no common limit; when the common limit of bodies was reached, whichever answer came next failed. Change: one buffer and one part a read, 1,000 headers in a head, events and unread answers within limits for the instance, the largest is given up.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -52,13 +52,15 @@
         self.status = 0
         self.headers = []
         self.fields = None
-        self.chunks = []
-        self.size = 0
+        self.buffer = bytearray()
+        self.memory = self.context.body_memory.hold(
+            on_evicted=lambda: self.fail("response too large beside others")
+        )
 
     @property
     def body(self):
         """Return the bytes of the body received so far."""
-        return b"".join(self.chunks)
+        return bytes(self.buffer)
 
     @property
     def is_attributable(self):
@@ -103,7 +105,7 @@
                     self.record_arrival()
                 self.exchange.cancel()
             self.health.outstanding -= 1
-            self.context.body_memory.release(self.size)
+            self.memory.release()
             self.clear_pending()
 
     def clear_pending(self):
@@ -164,11 +166,10 @@
         return True
 
     def on_data(self, data):
-        if not self.context.body_memory.reserve(self.size, len(data)):
+        if self.memory.resize(len(self.buffer) + len(data)):
+            self.buffer += data
+        else:
             self.fail("response body too large")
-            return
-        self.size += len(data)
-        self.chunks.append(data)
 
     def on_failure(self, reason, sent):
         self.is_broken_off = True
@@ -299,6 +300,9 @@
         except ValueError as error:
             self.fail(str(error))
             return
+        if not self.memory.resize(len(self.splitter.partial)):
+            self.fail("event too large beside others")
+            return
         # Bytes of an event that is never completed are no progress.
         if events:
             self._record_progress()
--- a/wagtailfront/forwarding/body_memory.py
+++ b/wagtailfront/forwarding/body_memory.py
@@ -1,38 +1,88 @@
 """Memory for responses that are buffered until they are complete."""
 
-__all__ = ["BodyMemory"]
+__all__ = ["BodyMemory", "HeldBytes"]
 
 MAX_BODY = 16 * 1024 * 1024  # bytes of one response
 MAX_TOTAL = 48 * 1024 * 1024  # bytes; a sixth of a small instance's memory
 
 
+class HeldBytes:
+    """Bytes that are buffered of one response.
+
+    Parameters
+    ----------
+    memory : BodyMemory
+    on_evicted : callable
+        Called without arguments when the response must be given up.
+    """
+
+    def __init__(self, *, memory, on_evicted):
+        self.memory = memory
+        self.on_evicted = on_evicted
+        self.size = 0
+
+    def resize(self, size):
+        """Return whether so many bytes may be buffered from now on."""
+        memory, more = self.memory, size - self.size
+        if size > memory.max_body or not memory.make_room(self, size):
+            return False
+        self.size = size
+        memory.total += more
+        memory.holders.add(self)
+        return True
+
+    def release(self):
+        """Free the bytes."""
+        self.memory.total -= self.size
+        self.memory.holders.discard(self)
+        self.size = 0
+
+
 class BodyMemory:
     """Limits the bytes of one response, and of all responses together.
 
+    If there are too many together, the largest response is given up: it is
+    the one that may never end, while the others are needed for their callers.
+
     Parameters
     ----------
     max_body, max_total : int, optional
         Bytes.
 
+    Attributes
+    ----------
+    total : int
+        Bytes that are buffered now.
+
     Examples
     --------
-    >>> memory = BodyMemory(max_body=3, max_total=4)
-    >>> memory.reserve(0, 3), memory.reserve(3, 1), memory.reserve(0, 2)
-    (True, False, False)
+    >>> memory = BodyMemory(max_body=6, max_total=8)
+    >>> endless = memory.hold(on_evicted=lambda: print("evicted"))
+    >>> endless.resize(6), endless.resize(7)
+    (True, False)
+    >>> memory.hold(on_evicted=None).resize(3)
+    evicted
+    True
+    >>> memory.total
+    3
     """
 
     def __init__(self, *, max_body=MAX_BODY, max_total=MAX_TOTAL):
         self.max_body = max_body
         self.max_total = max_total
         self.total = 0
+        self.holders = set()
 
-    def reserve(self, size, more):
-        """Return whether a response of `size` bytes may grow by `more`."""
-        if size + more > self.max_body or self.total + more > self.max_total:
-            return False
-        self.total += more
-        return True
+    def hold(self, *, on_evicted):
+        """Return HeldBytes for one more response."""
+        return HeldBytes(memory=self, on_evicted=on_evicted)
 
-    def release(self, size):
-        """Free the bytes of a response."""
-        self.total -= size
+    def make_room(self, holder, size):
+        """Return whether a holder can have `size` bytes within the total."""
+        while self.total - holder.size + size > self.max_total:
+            largest = max(self.holders, key=lambda each: each.size, default=holder)
+            if largest is holder or largest.size <= size:
+                return False
+            largest.release()
+            largest.on_evicted()
+        return True
--- a/wagtailfront/forwarding/event_splitter.py
+++ b/wagtailfront/forwarding/event_splitter.py
@@ -6,6 +6,7 @@
 
 MAX_EVENT = 1024 * 1024  # bytes
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+LONGEST_END = 4  # bytes
 EVENT_ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.MULTILINE)
 
 
@@ -19,6 +20,8 @@
 
     Attributes
     ----------
+    partial : bytearray
+        Start of an event that is not complete.
     last_id : int or None
         Id of the last complete event that had one; `after` until then.
     has_partial_event : bool
@@ -35,7 +38,7 @@
     """
 
     def __init__(self, *, after=None):
-        self.partial = b""
+        self.partial = bytearray()
         self.last_id = after
 
     @property
@@ -51,11 +54,14 @@
             If an incomplete event exceeds `MAX_EVENT` bytes, or if ids do not
             increase, so that an event would be repeated.
         """
+        # An event may end with bytes of both.
+        start = max(0, len(self.partial) - LONGEST_END + 1)
         self.partial += data
         end = 0
-        for found in EVENT_END.finditer(self.partial):
+        for found in EVENT_END.finditer(self.partial, start):
             end = found.end()
-        complete, self.partial = self.partial[:end], self.partial[end:]
+        complete = bytes(self.partial[:end])
+        del self.partial[:end]
         if len(self.partial) > MAX_EVENT:
             raise ValueError("event too large")
         for found in EVENT_ID.findall(complete):
--- a/wagtailfront/forwarding/framing.py
+++ b/wagtailfront/forwarding/framing.py
@@ -42,6 +42,7 @@
 LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 HEAD_OVERHEAD = 4  # bytes: ": " and CRLF
+MAX_HEADERS = 1000  # of a response; each takes some hundred bytes of memory
 BODILESS = (204, 304)
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -124,7 +125,7 @@
         self.max_head = max_head
         self.max_body = max_body
         self.parser = httptools.HttpRequestParser(self)
-        self.chunks = []
+        self.body = bytearray()
         self.body_bytes = 0
         self.requests = []
         self.failure = None
@@ -157,7 +158,7 @@
 
     def on_message_begin(self):
         super().on_message_begin()
-        self.chunks = []
+        self.body = bytearray()
         self.body_bytes = 0
         self.is_between_requests = False
 
@@ -172,7 +173,7 @@
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body:
             raise FramingError(413, "request body too large")
-        self.chunks.append(data)
+        self.body += data
 
     def on_message_complete(self):
         self.is_between_requests = True
@@ -182,7 +183,7 @@
                 method=self.parser.get_method(),
                 target=self.target,
                 headers=self.headers,
-                body=b"".join(self.chunks),
+                body=bytes(self.body),
                 keep_alive=self.parser.should_keep_alive(),
                 http_version=self.parser.get_http_version(),
             )
@@ -247,6 +248,7 @@
         self.is_close_delimited = False
         self.is_open = False
         self.parts = []
+        self.data = bytearray()
         self.framing_bytes = 0
         self.failure = None
 
@@ -262,9 +264,16 @@
         self.framing_bytes += len(data)
         if self.framing_bytes > MAX_FRAMING and self.failure is None:
             self.failure = FramingError(502, "response head or trailer too large")
+        self._end_data()
         parts, self.parts = self.parts, []
         return parts
 
+    def _end_data(self):
+        """Add the bytes of a body to the parts."""
+        if self.data:
+            self.parts.append(ResponseData(bytes(self.data)))
+            self.data.clear()
+
     def feed_end(self):
         """Return the parts that EOF completes, for a close-delimited body."""
         if self.failure is not None or not self.is_open:
@@ -278,6 +287,11 @@
         super().on_message_begin()
         self.is_open = True
 
+    def on_header(self, name, value):
+        super().on_header(name, value)
+        if len(self.headers) > MAX_HEADERS:
+            raise FramingError(502, "too many headers")
+
     def on_headers_complete(self):
         super().on_headers_complete()
         self.status = self.parser.get_status_code()
@@ -299,11 +313,13 @@
     def on_body(self, data):
         # Counts the bytes that follow in the same read as framing.
         self.framing_bytes = -len(data)
-        self.parts.append(ResponseData(data))
+        # One part for all chunks of a read, which may be tiny.
+        self.data += data
 
     def on_message_complete(self):
         if self.status < 200:
             return
+        self._end_data()
         self.is_open = False
         self.framing_bytes = 0
         keep_alive = self.parser.should_keep_alive() and not self.is_close_delimited
--- a/wagtailfront/programs/tests/test_planned_work.py
+++ b/wagtailfront/programs/tests/test_planned_work.py
@@ -1,21 +1,15 @@
 """Seeded test of a real process around changes of the configuration."""
 
 import math
-import os
 import random
 import signal
 import socket
 import struct
-import subprocess
-import sys
 import threading
 import time
-import urllib.request
 
 import pytest
 
-from wagtailfront.forwarding.tests.socket_instance import wait_for
-from wagtailfront.platform.paths import READY_PATH
 from wagtailfront.platform.tests.wire import signed_response
 from wagtailfront.programs.tests.forward_site import SERVICES, ForwardSite, read_answer
 
@@ -115,45 +109,6 @@
             time.sleep(idle * self.rng.choice([0.0, 0.0, 0.1, 1.0]))
 
 
-@pytest.fixture
-def process(monkeypatch):
-    """Return a function that starts the program at a site."""
-    started = []
-
-    def start(site):
-        environ = {
-            f"WAGTAILFRONT_{name.upper()}": f"127.0.0.1:{port}"
-            for name, port in site.ports.items()
-        }
-        environ |= {
-            "WAGTAILFRONT_INSTANCE": "i1",
-            "WAGTAILFRONT_DATA_CENTRE": "a",
-            "WAGTAILFRONT_STORE": f"127.0.0.1:{site.store.address[1]}",
-        }
-        child = subprocess.Popen(
-            [sys.executable, "-m", "wagtailfront.programs.forward"],
-            env=os.environ | environ,
-            stdout=subprocess.DEVNULL,
-        )
-        started.append(child)
-        wait_for(lambda: is_ready(site))
-        return child
-
-    yield start
-    for child in started:
-        child.kill()
-        child.wait()
-
-
-def is_ready(site):
-    """Return whether the instance is ready."""
-    url = f"http://127.0.0.1:{site.ports['status']}{READY_PATH}"
-    try:
-        return urllib.request.urlopen(url, timeout=1.0).status == 200
-    except OSError:
-        return False
-
-
 def change_and_signal(site, child, known, rng, until):
     """Change the configuration and send SIGHUP until a time."""
     change_at = 0.0
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -4,6 +4,7 @@
 import socket
 import ssl
 import time
+from collections import Counter
 
 from circuits import handler
 from circuits.net.sockets import TCPServer
@@ -14,12 +15,19 @@
 
 READ_BYTES = 65536
 MAX_PENDING_WRITE = 4 * 1024 * 1024  # bytes queued on one connection
+MAX_TOTAL_WRITE = 32 * 1024 * 1024  # bytes queued on all connections
 
 
 class HttpListener(TCPServer):
     """TCP server whose TLS handshakes do not block the event loop.
 
     Received bytes are passed to `parent.http.receive`.
+
+    Attributes
+    ----------
+    queued : Counter
+        Bytes by connection that wait until its peer reads.
+    total_queued : int
     """
 
     def __init__(self, bind, *, channel, context, limits):
@@ -27,6 +35,8 @@
         self.context = context
         self.limits = limits
         self.handshakes = {}
+        self.queued = Counter()
+        self.total_queued = 0
 
     @property
     def clients(self):
@@ -156,11 +166,25 @@
             return
         queue = self._buffers[sock]
         queue.append(data)
+        self._count_queued(sock, len(data))
         if len(queue) == 1:
             self._flush(sock)
-        elif sum(map(len, queue)) > MAX_PENDING_WRITE:
-            logger.warning("[http] Closed a connection: the peer reads too slowly.")
-            self._close(sock)
+        elif self.queued[sock] > MAX_PENDING_WRITE:
+            self._close_slow(sock)
+        while self.total_queued > MAX_TOTAL_WRITE:
+            self._close_slow(max(self.queued, key=self.queued.get))
+
+    def _close_slow(self, sock):
+        logger.warning("[http] Closed a connection: the peer reads too slowly.")
+        self._close(sock)
+
+    def _count_queued(self, sock, change):
+        self.queued[sock] += change
+        self.total_queued += change
+
+    def _close(self, sock):
+        self.total_queued -= self.queued.pop(sock, 0)
+        super()._close(sock)
 
     def _flush(self, sock):
         queue = self._buffers[sock]
@@ -168,6 +192,7 @@
             while queue:
                 count = sock.send(queue[0])
                 data = queue.popleft()
+                self._count_queued(sock, -count)
                 if count < len(data):
                     queue.appendleft(data[count:])
         except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
