Weigh requests against the end of a stop by the clock, not by a timer

Callers saw: nothing here; operators of other systems report requests that came late in the grace and were cut.

Cause: a timer began the refusals 3 s after SIGTERM, so while timers were late requests were taken that could outlast the instance. Change: the moment is set at SIGTERM and compared at each request. Shown by: test_a_late_timer_lets_no_request_outlast_the_instance failed in four of four cases before.

--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -69,13 +69,15 @@
     ----------
     limits : LimitsInForce
     serves_until : float
-        Time at which the instance stops; requests that may take longer are
-        refused.
+        Time at which the instance stops.
+    refuses_from : float
+        Time from which requests are refused that may take longer.
     """
 
     def __init__(self, *, context):
         self.context = context
         self.serves_until = math.inf
+        self.refuses_from = math.inf
         self.config = None
         self.config_era = 0
         self.table = None
@@ -157,8 +159,7 @@
         if service is None:
             self._answer(reply, fields.request_id, UNAVAILABLE, "no such service")
             return None
-        longest = time_limit(route, fields) + DEADLINE_GRACE
-        if self.context.clock() + longest > self.serves_until:
+        if self._may_outlast(time_limit(route, fields) + DEADLINE_GRACE):
             self._answer(
                 reply,
                 fields.request_id,
@@ -179,6 +180,11 @@
             origin=origin,
         )
 
+    def _may_outlast(self, longest):
+        """Return whether a request of so many seconds may be cut by a stop."""
+        now = self.context.clock()
+        return now >= self.refuses_from and now + longest > self.serves_until
+
     def _may_resume(self, origin, fields, route, reply):
         """Return whether a stream may go on; refuse the request otherwise."""
         self.context.log.decision(
--- a/wagtailfront/forwarding/shutdown.py
+++ b/wagtailfront/forwarding/shutdown.py
@@ -9,6 +9,9 @@
 # Seconds until the load balancer stops sending to an instance that is not
 # ready.
 BALANCER_DELAY = 3.0
+# Seconds by which requests are refused earlier, since SIGTERM is handled some
+# time after it was sent.
+REFUSAL_MARGIN = 0.05
 CHECK_INTERVAL = 0.25  # seconds between checks for open requests
 STOP_MARGIN = 0.5  # seconds before the platform kills the process
 WRITE_SECONDS = 0.1  # seconds until the last answers are written
@@ -64,16 +67,12 @@
         self.server.start_draining()
         self.log.decision("stop", outcome="leaving", requests=len(self.forwarder.tasks))
         stop_after = max(0.0, self.grace - STOP_MARGIN)
-        self.timers.after(
-            BALANCER_DELAY, lambda: self._refuse_long(stop_after - BALANCER_DELAY)
-        )
+        now = self.forwarder.context.clock()
+        self.forwarder.serves_until = now + stop_after
+        self.forwarder.refuses_from = now + BALANCER_DELAY - REFUSAL_MARGIN
         self.timers.after(BALANCER_DELAY, self._check)
         self.timers.after(stop_after, self._end_requests)
 
-    def _refuse_long(self, time_left):
-        """Refuse requests that may last longer than `time_left` seconds."""
-        self.forwarder.serves_until = self.forwarder.context.clock() + time_left
-
     def _check(self):
         self.server.close_idle()
         if self.forwarder.tasks or self.server.connections:
--- a/wagtailfront/forwarding/tests/test_shutdown.py
+++ b/wagtailfront/forwarding/tests/test_shutdown.py
@@ -101,6 +101,18 @@
     assert not instance.scene.pool.exchanges
 
 
+@pytest.mark.parametrize("waited", [2.96, 3.0, 3.02, 3.2])
+def test_a_late_timer_lets_no_request_outlast_the_instance(waited):
+    """Guards requests that come while the instance is late with its timers."""
+    instance = StoppingInstance()
+    instance.begin()
+    # No timer is called in this time.
+    instance.timers.now += waited
+    reply = instance.request(1000 * GRACE)
+    assert reply.status == 503
+    assert not instance.scene.pool.exchanges
+
+
 def test_a_request_that_ends_before_the_instance_is_served():
     """Guards callers whose data centre has no other instance."""
     instance = StoppingInstance()
