Play real processes that are out of step, and check three rules

Callers saw, on machines of the operators' own: streams of two software versions (ORDER), proper requests refused as wrong (DENIED), requests at an endpoint that had left (DRAIN).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo bench slopes faults format
+.PHONY: test demo bench slopes faults soak format
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -31,3 +31,7 @@
 
 faults: $(STAMP)
 	$(BIN)/python scripts/faults.py $(FAULTS)
+
+SEEDS ?= 1 2 3
+soak: $(STAMP)
+	$(BIN)/python scripts/soak.py --seeds $(SEEDS) $(SOAK)
