Move the announcements of instances into a module of their own

Change: StoreMembership moved to store_membership.py, unchanged. Measured: tests of platform and of the tree pass; no behaviour changed.

--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from wagtailfront.forwarding.interfaces import (
-    InstanceRow,
     RegistryRead,
     RoutingRead,
     StorePosition,
@@ -16,14 +15,13 @@
 from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.rows import (
     StoreRows,
-    read_instance_address,
     read_registry,
     read_routing,
     read_rows,
 )
 from wagtailfront.platform.skipped_rows import SkippedRows
 
-__all__ = ["StoreClient", "StoreMembership", "StoreRegistry", "StoreRouting"]
+__all__ = ["StoreClient", "StoreRegistry", "StoreRouting"]
 
 logger = logging.getLogger(__name__)
 
@@ -36,7 +34,6 @@
 MS_PER_SECOND = 1000
 REGISTRY_TABLE = "servers"
 OPERATOR_TABLE = "op"
-INSTANCE_TABLE = "instances"
 
 
 class _Watch:
@@ -368,48 +365,3 @@
             cursor=self.client.position(rows.ver),
             changed=self.client.position(_latest_version(rows.rows)),
         )
-
-
-class StoreMembership:
-    """Implements `MembershipStore` on the table of instances."""
-
-    def __init__(self, *, client, log):
-        self.client = client
-        self.log = log
-        self.skipped = SkippedRows(kind="instance_skipped", log=log)
-
-    def announce(self, row, reply):
-        """Write an instance's address."""
-
-        def on_response(status, body):
-            if status != 200:
-                reason = describe_failure(status, body)
-                self.log.decision("announcement", outcome="failed", reason=reason)
-            reply(status == 200)
-
-        self.client.put(INSTANCE_TABLE, row.instance, row.address.encode(), on_response)
-
-    def read(self, reply):
-        """Read the instances' addresses."""
-
-        def on_rows(rows, reason):
-            if rows is None:
-                self.log.decision("instances", outcome="unknown", reason=reason)
-                reply(None)
-            else:
-                reply(self._read_instances(rows.rows))
-
-        self.client.read_table(INSTANCE_TABLE, on_rows)
-
-    def _read_instances(self, rows):
-        instances, skipped = [], {}
-        for row in rows:
-            try:
-                address = read_instance_address(row)
-            except ValueError as error:
-                skipped[row.key] = str(error)
-                continue
-            version = self.client.position(row.ver)
-            instances.append(InstanceRow(row.key, address, version))
-        self.skipped.replace(skipped)
-        return instances
--- a/wagtailfront/platform/tests/test_cut_answers.py
+++ b/wagtailfront/platform/tests/test_cut_answers.py
@@ -7,10 +7,10 @@
 from wagtailfront.platform.engine_client import EngineClient
 from wagtailfront.platform.store_client import (
     StoreClient,
-    StoreMembership,
     StoreRegistry,
     StoreRouting,
 )
+from wagtailfront.platform.store_membership import StoreMembership
 from wagtailfront.transport.http_exchange import Exchange
 
 EMPTY_TABLE = b'{"rows":[],"ver":3}'
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -37,12 +37,14 @@
     read_rows,
 )
 from wagtailfront.platform.store_client import (
-    INSTANCE_TABLE,
     REGISTRY_TABLE,
     StoreClient,
-    StoreMembership,
     StoreRegistry,
 )
+from wagtailfront.platform.store_membership import (
+    INSTANCE_TABLE,
+    StoreMembership,
+)
 from wagtailfront.platform.store_table import StoreTable
 from wagtailfront.platform.tests.builders import (
     make_config,
--- a/wagtailfront/platform/tests/test_store.py
+++ b/wagtailfront/platform/tests/test_store.py
@@ -10,9 +10,9 @@
 from wagtailfront.platform.store_client import (
     REGISTRY_TABLE,
     StoreClient,
-    StoreMembership,
     StoreRegistry,
 )
+from wagtailfront.platform.store_membership import StoreMembership
 from wagtailfront.platform.store_table import StoreTable
 from wagtailfront.platform.tests.builders import make_registration, make_row
 from wagtailfront.platform.tests.store_pool import StorePool
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -43,10 +43,10 @@
 from wagtailfront.platform.paths import READY_PATH
 from wagtailfront.platform.store_client import (
     StoreClient,
-    StoreMembership,
     StoreRegistry,
     StoreRouting,
 )
+from wagtailfront.platform.store_membership import StoreMembership
 from wagtailfront.platform.store_table import StoreTable
 from wagtailfront.transport.http_client import HttpPool
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
