Do not count a request's body as the head of the request behind it

Cause: RequestReader counted all bytes of a read as part of an incomplete head, also those of the body that ended in the same read. Change: bytes of a read in which a request ended are not counted; a complete head is still checked by its own size. Evidence: two of the three new cases failed before (bodies of 499 and 5000 bytes with a limit of 500), all pass now, as do the other tests of framing and of limits.

--- a/wagtailfront/forwarding/framing.py
+++ b/wagtailfront/forwarding/framing.py
@@ -190,8 +190,12 @@
         )
 
     def _count_partial_head(self, size):
-        """Count the bytes of an incomplete head."""
-        if not self.is_between_requests and not self.in_body:
+        """Count the bytes of an incomplete head.
+
+        Those that arrive with the end of the request before it are left
+        out, as the parser does not say where the head begins.
+        """
+        if not (self.is_between_requests or self.in_body or self.requests):
             self.partial_head_bytes += size
 
     def _check_head(self):
--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -81,6 +81,17 @@
     assert failure.status == 400
 
 
+@pytest.mark.parametrize("size", [0, 499, 5000])
+def test_a_body_is_not_counted_as_the_head_behind_it(size):
+    """Guards pipelined requests against 431 for the body in the same read."""
+    reader = RequestReader(max_head=500, max_body=5000)
+    message = b"POST /a HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size + size * b"x"
+    requests = reader.feed(message + b"GET /b HTTP/1.1\r\nHo")
+    requests += reader.feed(b"st: h\r\n\r\n")
+    assert reader.failure is None
+    assert [request.target for request in requests] == [b"/a", b"/b"]
+
+
 def test_a_complete_request_before_garbage_is_served():
     """Guards requests that are followed by invalid bytes."""
     requests, failure = read_requests([REQUESTS + b"\x00garbage\r\n\r\n"])
