Log each request whose connection ended before its whole answer

A connection that ended with requests waiting left no line at all.

Change: a line `unanswered` and the counter `unanswered_requests_total` for each request that was read whole and whose connection ended without its whole answer: in progress, waiting, or read after the close. The reason says who ended it (the peer's FIN or reset, a broken-off answer, a slow peer, the listener, an answer or refusal that ends the connection); beside it the request's id and age, and the version and age of the configuration. The listener keeps why it closed a socket.

Not covered: an answer of which bytes were still queued when its peer reset the connection, and requests behind one that could not be parsed, whose end is unknown.

--- a/wagtailfront/forwarding/caller_connection.py
+++ b/wagtailfront/forwarding/caller_connection.py
@@ -1,26 +1,53 @@
 """State of one caller's connection."""
 
 from collections import deque
+from typing import NamedTuple
 
 from wagtailfront.forwarding.caller_limits import widest
-from wagtailfront.forwarding.framing import RequestReader
+from wagtailfront.forwarding.framing import Request, RequestReader
 
-__all__ = ["CallerConnection"]
+__all__ = ["CallerConnection", "ReceivedRequest"]
+
+
+class ReceivedRequest(NamedTuple):
+    """A whole request and the time at which it was read."""
+
+    request: Request
+    read_at: float
 
 
 class CallerConnection:
-    """State of one caller's socket; times in seconds."""
+    """State of one caller's socket; times in seconds.
+
+    Attributes
+    ----------
+    waiting : deque of ReceivedRequest
+        Requests that follow the one in progress.
+    current : ReceivedRequest or None
+        The request in progress, until its answer is complete.
+    close_reason : str or None
+        Why this instance closes the connection.
+    is_part_refused : bool
+        Whether a request of which the rest may follow has been refused.
+    """
 
     def __init__(self, *, sock, limits, now):
         self.sock = sock
         self.limits = limits
         self.reader = RequestReader(max_head=limits.max_head, max_body=limits.max_body)
         self.waiting = deque()
+        self.current = None
         self.task = None
-        self.is_busy = False
         self.is_closing = False
+        self.close_reason = None
+        self.is_part_refused = False
         self.last_activity = now
 
+    @property
+    def is_busy(self):
+        """Return whether a request is in progress."""
+        return self.current is not None
+
     @property
     def has_request(self):
         """Return whether a whole request is without its complete answer."""
@@ -31,6 +58,18 @@
         """Return whether no request has been read, not even in part."""
         return not self.has_request and self.reader.is_between_requests
 
+    def receive(self, data, *, now):
+        """Return the requests that `data` completes."""
+        return [ReceivedRequest(request, now) for request in self.reader.feed(data)]
+
+    def take_unanswered(self):
+        """Remove and return all requests without their complete answer."""
+        current = () if self.current is None else (self.current,)
+        unanswered = [*current, *self.waiting]
+        self.current = None
+        self.waiting.clear()
+        return unanswered
+
     def use_limits(self, limits):
         """Use the present limits, and for a request those it began under."""
         if limits is not self.limits:
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -1,5 +1,6 @@
 """Server for callers' HTTP connections."""
 
+import itertools
 import logging
 import socket
 import struct
@@ -16,7 +17,8 @@
     encode_head,
     status_line,
 )
-from wagtailfront.transport.http_listener import HttpListener
+from wagtailfront.forwarding.unanswered_log import UnansweredLog
+from wagtailfront.transport.http_listener import CLOSED_HERE, HttpListener
 from wagtailfront.transport.http_protocol import ServerLimits
 from wagtailfront.transport.ticker import Ticker
 
@@ -31,6 +33,11 @@
 MAX_PIPELINED = 8  # requests queued on one connection until it is read on
 # SO_LINGER with a timeout of 0: close() sends RST instead of FIN.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Why this instance closes a connection.
+BROKEN_ANSWER = "its answer was broken off"
+AFTER_ANSWER = "closed after an answer"
+AFTER_REFUSAL = "closed after a refusal"
+IDLE = "closed as idle"
 
 
 class sweep(Event):
@@ -142,6 +149,7 @@
         self.forwarder = forwarder
         self.clock = clock
         self.connections = {}
+        self.unanswered = UnansweredLog(forwarder=forwarder, clock=clock)
         self.is_draining = False
         self.http = self  # HttpListener passes received bytes to `parent.http`
         limits = ServerLimits(max_connections=max_connections)
@@ -160,24 +168,32 @@
             self.connections[sock] = connection
         connection.last_activity = now
         if connection.is_closing:
-            # The bytes may be a request that crossed the close.
-            self.forwarder.context.log.decision(
-                "unserved", outcome="connection closes", size=len(data)
-            )
+            self._drop(connection, data)
             return
         connection.use_limits(limits)
-        connection.waiting.extend(connection.reader.feed(data))
+        connection.waiting.extend(connection.receive(data, now=now))
         if len(connection.waiting) > MAX_PIPELINED:
             self.listener.pause_reading(sock)
         self._serve_next(connection)
 
+    def _drop(self, connection, data):
+        """Record what arrives on a connection that is being closed."""
+        self.unanswered.record_bytes(len(data), reason=connection.close_reason)
+        for received in connection.receive(data, now=self.clock()):
+            if connection.is_part_refused:
+                connection.is_part_refused = False
+                continue
+            self.unanswered.record(
+                received, reason=connection.close_reason, state="read after the close"
+            )
+
     def _serve_next(self, connection):
         while not connection.is_busy and not connection.is_closing:
             if connection.waiting:
-                request = connection.waiting.popleft()
+                connection.current = connection.waiting.popleft()
                 if len(connection.waiting) == MAX_PIPELINED:
                     self.listener.resume_reading(connection.sock)
-                self._serve(connection, request)
+                self._serve(connection, connection.current.request)
             elif connection.reader.failure is not None:
                 self._answer_failure(connection, connection.reader.failure.status)
             elif connection.reader.expects_continue:
@@ -187,7 +203,6 @@
                 return
 
     def _serve(self, connection, request):
-        connection.is_busy = True
         reply = Reply(server=self, connection=connection, request=request)
         try:
             task = self.forwarder.accept(request, reply)
@@ -206,17 +221,21 @@
     def _answer_failure(self, connection, status):
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         self.listener.write(connection.sock, encode_head(status_line(status), headers))
-        connection.is_closing = True
+        connection.is_part_refused = not connection.reader.is_between_requests
+        self._start_closing(connection, AFTER_REFUSAL)
         # Closing with unread bytes would reset it, answer included.
         self.listener.end_writing(connection.sock)
         self.forwarder.context.timers.after(
-            LINGER_SECONDS, lambda: self._close(connection)
+            LINGER_SECONDS, lambda: self._close(connection, AFTER_REFUSAL)
         )
 
     def end_reply(self, connection, keep_alive):
         """Serve the connection's next request, or close the connection."""
         connection.task = None
-        connection.is_busy = False
+        if connection.sock not in self.listener.clients:
+            # Writing the answer has ended the connection.
+            self._record_unanswered(connection)
+        connection.current = None
         connection.last_activity = self.clock()
         if keep_alive:
             # Deferred: the task that has just answered is still ending.
@@ -224,16 +243,21 @@
                 0.0, lambda: self._serve_next(connection)
             )
         else:
-            self._close(connection)
+            self._close(connection, AFTER_ANSWER)
 
-    def _close(self, connection):
-        connection.is_closing = True
+    def _start_closing(self, connection, reason):
+        if not connection.is_closing:
+            connection.is_closing = True
+            connection.close_reason = reason
+
+    def _close(self, connection, reason):
+        self._start_closing(connection, reason)
         if connection.sock in self.listener.clients:
             self.listener.close(connection.sock)
 
     def reset(self, connection):
         """Close a connection with RST."""
-        connection.is_closing = True
+        self._start_closing(connection, BROKEN_ANSWER)
         try:
             connection.sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
@@ -249,18 +273,28 @@
         connection = self.connections.pop(sock, None)
         if connection is None:
             return
+        self._record_unanswered(connection)
         connection.is_closing = True
-        connection.waiting.clear()
         task, connection.task = connection.task, None
         if task is not None:
             task.cancel()
 
+    def _record_unanswered(self, connection):
+        ended = self.listener.close_reasons.get(connection.sock, CLOSED_HERE)
+        # One that was being closed ends as this instance decided.
+        reason = connection.close_reason or ended
+        states = itertools.chain(
+            ["in progress"] if connection.is_busy else [], itertools.repeat("waiting")
+        )
+        for received, state in zip(connection.take_unanswered(), states, strict=False):
+            self.unanswered.record(received, reason=reason, state=state)
+
     @handler("sweep")
     def _on_sweep(self):
         for connection in list(self.connections.values()):
             if self._is_overdue(connection) and not self._read_more(connection):
                 if connection.reader.is_between_requests:
-                    self._close(connection)
+                    self._close(connection, IDLE)
                 else:
                     self._answer_failure(connection, 408)
 
@@ -288,4 +322,4 @@
         """Close the connections without a request in progress."""
         for connection in list(self.connections.values()):
             if connection.is_idle and not self._read_more(connection):
-                self._close(connection)
+                self._close(connection, IDLE)
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -68,6 +68,8 @@
     Attributes
     ----------
     limits : LimitsInForce
+    config_applied_at : float or None
+        Time of the latest change of the configuration.
     serves_until : float
         Time at which the instance stops.
     refuses_from : float
@@ -80,6 +82,7 @@
         self.refuses_from = math.inf
         self.config = None
         self.config_era = 0
+        self.config_applied_at = None
         self.table = None
         self.limits = LimitsInForce()
         self.tasks = set()
@@ -107,7 +110,8 @@
             return False
         self.config, self.config_era = config, era
         self.table = RouteTable(config.routes)
-        self.limits.replace(config.limits, now=self.context.clock())
+        self.config_applied_at = self.context.clock()
+        self.limits.replace(config.limits, now=self.config_applied_at)
         self.context.prefix_caches.add_services(config.services)
         return True
 
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -31,6 +31,12 @@
         "Refused requests to resume a stream.",
         ("reason",),
     ),
+    (
+        Counter,
+        "unanswered_requests_total",
+        "Requests whose connection ended before their whole answer.",
+        ("reason",),
+    ),
     (Counter, "endpoint_connections_total", "Connections opened to endpoints.", ()),
     (Gauge, "requests_in_progress", "Accepted requests in progress.", ()),
     (Gauge, "rate_limited_endpoints", "Endpoints that name a rate limit.", ()),
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -5,6 +5,7 @@
 import ssl
 import time
 from collections import Counter
+from weakref import WeakKeyDictionary
 
 from circuits import handler
 from circuits.net.sockets import TCPServer
@@ -16,6 +17,12 @@
 READ_BYTES = 65536
 MAX_PENDING_WRITE = 4 * 1024 * 1024  # bytes queued on one connection
 MAX_TOTAL_WRITE = 32 * 1024 * 1024  # bytes queued on all connections
+# Why a connection was closed.
+CLOSED_BY_PEER = "the peer ended its sending side"
+RESET_BY_PEER = "the peer reset the connection"
+SLOW_PEER = "the peer read too slowly"
+LISTENER_ENDED = "the listener ended"
+CLOSED_HERE = "closed by this instance"
 
 
 class HttpListener(TCPServer):
@@ -28,6 +35,8 @@
     queued : Counter
         Bytes by connection that wait until its peer reads.
     total_queued : int
+    close_reasons : WeakKeyDictionary
+        Why a socket was closed.
     """
 
     def __init__(self, bind, *, channel, context, limits):
@@ -37,6 +46,7 @@
         self.handshakes = {}
         self.queued = Counter()
         self.total_queued = 0
+        self.close_reasons = WeakKeyDictionary()
 
     @property
     def clients(self):
@@ -94,14 +104,14 @@
         for sock in list(self.handshakes):
             self.abort_handshake(sock)
         for sock in [*self._clients, self._sock]:
-            self._close(sock)
+            self._close(sock, LISTENER_ENDED)
 
     @handler("_disconnect", priority=1, override=True)
     def _on_disconnect(self, sock):
         if sock in self.handshakes:
             self.abort_handshake(sock)
         else:
-            self._close(sock)
+            self._close(sock, RESET_BY_PEER)
 
     @handler("_read", priority=1, override=True)
     def _on_read(self, sock):
@@ -142,10 +152,10 @@
             except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
                 return
             except OSError:
-                self._close(sock)
+                self._close(sock, RESET_BY_PEER)
                 return
             if not data:
-                self._close(sock)
+                self._close(sock, CLOSED_BY_PEER)
                 return
             self.parent.http.receive(sock, data)
             # Bytes buffered in the TLS layer cause no poll event.
@@ -176,13 +186,15 @@
 
     def _close_slow(self, sock):
         logger.warning("[http] Closed a connection: the peer reads too slowly.")
-        self._close(sock)
+        self._close(sock, SLOW_PEER)
 
     def _count_queued(self, sock, change):
         self.queued[sock] += change
         self.total_queued += change
 
-    def _close(self, sock):
+    def _close(self, sock, reason=CLOSED_HERE):
+        if sock in self._clients:
+            self.close_reasons[sock] = reason
         self.total_queued -= self.queued.pop(sock, 0)
         super()._close(sock)
 
@@ -200,7 +212,7 @@
                 self._poller.addWriter(self, sock)
             return
         except OSError:
-            self._close(sock)
+            self._close(sock, RESET_BY_PEER)
             return
         if sock in self._closeq:
             self._closeq.remove(sock)
