Announce a stop's close only where no request can follow

What callers saw: a request sent while a stream ran on the same connection got neither an answer nor a refusal, if the instance had got SIGTERM before the stream's head: the connection was closed at the end of the stream with the request waiting.

Cause: `Connection: close` was chosen in the head of a stream, from what had been read by then; requests were read on until its end.

Change: a stream announces nothing. At its end the connection is closed if no request waits, and else the next one is answered. Complete answers, whose head and end are one step, announce the close as before.

Evidence: test_a_request_behind_a_stream_of_a_stopping_instance_is_answered read only the last chunk before the change (b'0\r\n\r\n'), and passes with it.

Not changed: a caller that asks for `Connection: close` or uses HTTP/1.0 ends its connection by that, and may send nothing behind.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -66,6 +66,7 @@
             self._fail("an answer")
             return
         self.is_started = True
+        self._leave_if_last()
         length = (b"Content-Length", b"%d" % len(body))
         self._write(self._head(status, [*headers, length]) + body)
         self._end()
@@ -96,6 +97,8 @@
             return
         if self.is_chunked:
             self._write(LAST_CHUNK)
+        # Not in the head, as requests may arrive until the end of the stream.
+        self._leave_if_last()
         self._end()
 
     def abort(self):
@@ -109,9 +112,12 @@
         logger.error("[callers] A response got %s out of turn.", what)
         self.abort()
 
-    def _head(self, status, headers):
+    def _leave_if_last(self):
+        """Close the connection afterwards if the instance stops."""
         if self.server.is_draining and not self.connection.waiting:
             self.keep_alive = False
+
+    def _head(self, status, headers):
         if not self.keep_alive:
             headers = [*headers, (b"Connection", b"close")]
         return encode_head(status_line(status), headers)
--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -6,6 +6,7 @@
 import pytest
 
 from wagtailfront.forwarding.framing import LAST_CHUNK
+from wagtailfront.forwarding.tests.endpoint_stream import EndpointStream, begin_stream
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     LIMITS,
@@ -64,6 +65,20 @@
         assert caller.recv(100) == b""
 
 
+def test_a_request_behind_a_stream_of_a_stopping_instance_is_answered():
+    """Guards a request that is read once a stream's head has been sent."""
+    stream = EndpointStream()
+    with start_instances() as begin:
+        instance = begin(stream)
+        in_loop(instance, instance.server.start_draining)
+        with instance.connect() as caller:
+            begin_stream(caller, b"r1")
+            caller.sendall(GET % b"r2")
+            wait_for(lambda: next(iter(instance.server.connections.values())).waiting)
+            stream.goes_on.set()
+            assert b"200 OK" in read_until(caller, [b"200 OK"])
+
+
 def test_idle_connections_are_closed_only_without_a_request_waiting(
     instance, monkeypatch
 ):
--- a/wagtailfront/forwarding/tests/test_unanswered_log.py
+++ b/wagtailfront/forwarding/tests/test_unanswered_log.py
@@ -1,10 +1,10 @@
 """Tests that the log names each request whose connection ended early."""
 
 import json
-from threading import Event
 
 import pytest
 
+from wagtailfront.forwarding.tests.endpoint_stream import EndpointStream, begin_stream
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     read_until,
@@ -12,26 +12,8 @@
     wait_for,
 )
 from wagtailfront.observe.decision_log import DecisionLog
-from wagtailfront.platform.tests.wire import signed_response
 from wagtailfront.transport.http_listener import CLOSED_BY_PEER, RESET_BY_PEER
 
-EVENT = b"id: 1\ndata: a\n\n"
-
-
-class EndpointStream:
-    """Script of an endpoint that goes on with a stream when told to."""
-
-    def __init__(self):
-        self.goes_on = Event()
-
-    def __call__(self, connection, request_id, request):
-        head = signed_response(request_id, b"").replace(
-            b"Content-Length: 0", b"Content-Type: text/event-stream"
-        )
-        connection.sendall(head + EVENT)
-        self.goes_on.wait(10.0)
-        return False
-
 
 @pytest.fixture
 def stream():
@@ -58,12 +40,6 @@
     return lines
 
 
-def begin_stream(caller, *names):
-    """Send requests; read until the stream of the first one has begun."""
-    caller.sendall(b"".join(GET % name for name in names))
-    read_until(caller, [EVENT])
-
-
 def test_a_caller_that_closes_is_named_with_all_its_requests(instance, lines):
     """Guards the record of requests that end with their caller."""
     with instance.connect() as caller:
