Keep a stopping instance's connection for a request on its way

What callers saw: an instance that had got SIGTERM answered one request with `Connection: close` and closed the connection though part of the next one had been read; the rest of it met a reset, which can also destroy the answer before it.

Cause: the decision looked only at requests read whole, not at the reader or at bytes that had arrived and were not read yet.

Change: `has_more` counts both, and reads what has arrived before it decides.

Evidence: test_a_request_on_its_way_is_answered_by_a_stopping_instance[20] read b'' before the change, and passes with it ([44 bytes], a whole request, passed before).

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -114,7 +114,7 @@
 
     def _leave_if_last(self):
         """Close the connection afterwards if the instance stops."""
-        if self.server.is_draining and not self.connection.waiting:
+        if self.server.is_draining and not self.server.has_more(self.connection):
             self.keep_alive = False
 
     def _head(self, status, headers):
@@ -320,6 +320,14 @@
         self.listener.read_now(connection.sock)
         return connection.reader.bytes_read > before
 
+    def has_more(self, connection):
+        """Return whether requests follow, also if only in part."""
+        return (
+            bool(connection.waiting)
+            or not connection.reader.is_between_requests
+            or self._read_more(connection)
+        )
+
     def start_draining(self):
         """Close each connection after its current request."""
         self.is_draining = True
--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -79,6 +79,29 @@
             assert b"200 OK" in read_until(caller, [b"200 OK"])
 
 
+@pytest.mark.parametrize("size", [20, len(GET % b"r2")])
+def test_a_request_on_its_way_is_answered_by_a_stopping_instance(size):
+    """Guards a request of which some bytes have arrived before an answer."""
+    is_sent, may_answer = Event(), Event()
+
+    def answer_late(connection, request_id, request):
+        if request_id == b"r1":
+            is_sent.set()
+            may_answer.wait(10.0)
+        return echo(connection, request_id, request)
+
+    with start_instances() as begin:
+        instance = begin(answer_late)
+        in_loop(instance, instance.server.start_draining)
+        with instance.connect() as caller:
+            caller.sendall(GET % b"r1" + (GET % b"r2")[:size])
+            assert is_sent.wait(10.0)
+            may_answer.set()
+            read_until(caller, [b"r1/"])
+            caller.sendall((GET % b"r2")[size:])
+            assert b"r2/" in read_until(caller, [b"r2/"])
+
+
 def test_idle_connections_are_closed_only_without_a_request_waiting(
     instance, monkeypatch
 ):
