Read nothing more once the instance has decided to stop

What callers saw: a request was the first on a connection that had been silent, and arrived as a stopping instance with no other connection made its last check. It was read whole and passed on to an endpoint; then the process ended and the connection with it, without an answer.

Cause: after the decision to stop the event loop goes round a few times more and reads and serves what has arrived meanwhile. Connections without a byte do not count as connections of callers, so they do not delay the stop.

Change: with the decision the listener stops accepting and reading. Such a request stays unread, so its caller may repeat it; answers that are queued are still written.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -332,6 +332,10 @@
         """Close each connection after its current request."""
         self.is_draining = True
 
+    def end_reading(self):
+        """Leave unread what arrives, as nothing more can be answered."""
+        self.listener.end_reading()
+
     def close_idle(self):
         """Close the connections without a request in progress."""
         for connection in list(self.connections.values()):
--- a/wagtailfront/forwarding/shutdown.py
+++ b/wagtailfront/forwarding/shutdown.py
@@ -89,4 +89,6 @@
 
     def _stop(self):
         self.log.decision("stop", outcome="stopped", requests=len(self.forwarder.tasks))
+        # The event loop goes round a few times more.
+        self.server.end_reading()
         self.root.stop(0)
--- a/wagtailfront/forwarding/tests/test_shutdown.py
+++ b/wagtailfront/forwarding/tests/test_shutdown.py
@@ -27,6 +27,10 @@
     def __init__(self):
         self.connections = {1: "idle", 2: "busy"}
         self.is_draining = False
+        self.is_reading = True
+
+    def end_reading(self):
+        self.is_reading = False
 
     def start_draining(self):
         self.is_draining = True
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -47,6 +47,7 @@
         self.queued = Counter()
         self.total_queued = 0
         self.close_reasons = WeakKeyDictionary()
+        self.is_reading = True
 
     @property
     def clients(self):
@@ -115,6 +116,8 @@
 
     @handler("_read", priority=1, override=True)
     def _on_read(self, sock):
+        if not self.is_reading:
+            return
         if sock is self._sock:
             self._accept()
         elif sock in self.handshakes:
@@ -136,6 +139,12 @@
         if sock in self._clients and not self._poller.isReading(sock):
             self._poller.addReader(self, sock)
 
+    def end_reading(self):
+        """Accept and read nothing more on any connection."""
+        self.is_reading = False
+        for sock in [*self._clients, *self.handshakes, self._sock]:
+            self.pause_reading(sock)
+
     def end_writing(self, sock):
         """Send FIN after what was written; further bytes are still read."""
         # Queued bytes are followed by FIN when the connection is closed.
