Do not close a connection as idle while its caller reads an answer

What callers saw: a caller that took longer than the idle limit to read a large answer and sent its next request meanwhile got the first answer whole, and for the second neither an answer nor a refusal.

Cause: idle time was counted from the moment at which the answer was queued. A connection closed with bytes in its queue stays open until they are written, and what arrives until then is read and dropped. The idle limit and the last seconds of a stop both did this.

Evidence: test_a_caller_that_still_reads_an_answer_is_not_idle read only the first answer before the change, and passes with it.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -309,11 +309,18 @@
         if connection.has_request or connection.is_closing:
             return False
         now = self.clock()
+        if self._is_reading_answer(connection):
+            connection.last_activity = now
+            return False
         limits = widest(self.forwarder.limits.at(now), connection.limits)
         is_idle = connection.reader.is_between_requests
         limit = limits.idle_timeout if is_idle else limits.head_timeout
         return now - connection.last_activity > limit
 
+    def _is_reading_answer(self, connection):
+        """Return whether a part of an answer waits until the caller reads."""
+        return self.listener.queued.get(connection.sock, 0) > 0
+
     def _read_more(self, connection):
         """Read what has arrived; return whether there was anything."""
         before = connection.reader.bytes_read
@@ -339,5 +346,9 @@
     def close_idle(self):
         """Close the connections without a request in progress."""
         for connection in list(self.connections.values()):
-            if connection.is_idle and not self._read_more(connection):
+            if (
+                connection.is_idle
+                and not self._is_reading_answer(connection)
+                and not self._read_more(connection)
+            ):
                 self._close(connection, IDLE)
--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -1,10 +1,12 @@
 """Tests that a connection ends with no request that was read unanswered."""
 
+import socket
 import time
 from threading import Event
 
 import pytest
 
+from wagtailfront.forwarding.caller_server import SWEEP_INTERVAL
 from wagtailfront.forwarding.framing import LAST_CHUNK
 from wagtailfront.forwarding.tests.endpoint_stream import EndpointStream, begin_stream
 from wagtailfront.forwarding.tests.socket_instance import (
@@ -102,6 +104,28 @@
             assert b"r2/" in read_until(caller, [b"r2/"])
 
 
+def test_a_caller_that_still_reads_an_answer_is_not_idle():
+    """Guards a request that is sent while the answer before it is read."""
+    size = 1_000_000
+
+    def answer_at_length(connection, request_id, request):
+        body = request_id + b"/" + b"x" * size
+        connection.sendall(signed_response(request_id, body))
+        return True
+
+    with start_instances() as begin:
+        instance = begin(answer_at_length)
+        with instance.connect() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            (accepted,) = wait_for(lambda: instance.server.listener.clients)
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            caller.sendall(GET % b"r1")
+            wait_for(lambda: instance.server.listener.queued[accepted])
+            time.sleep(LIMITS.idle_timeout + 2 * SWEEP_INTERVAL)
+            caller.sendall(GET % b"r2")
+            assert b"r2/" in read_until(caller, [b"r2/"])
+
+
 def test_idle_connections_are_closed_only_without_a_request_waiting(
     instance, monkeypatch
 ):
