Serve a pipelined request once the answer before it has been written

What callers saw: with several pipelined requests whose answers are large (3 MB each), a caller that did not read for 0.3 s got the first answer; then the connection was closed and the others, read whole, got neither an answer nor a refusal.

Cause: the next request was served as soon as the answer before it was queued, so the instance itself filled the queue beyond 4 MB and closed the connection as one whose peer reads too slowly.

Change: the next request on a connection waits until the bytes of the answer before it have been written. The limit now acts on streams only, whose events cannot wait.

Evidence: test_large_answers_to_pipelined_requests_arrive_whole found the first of four answers before the change, and all four with it.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -162,6 +162,7 @@
         self.listener = HttpListener(
             bind, channel=channel, context=None, limits=limits
         ).register(self)
+        self.listener.on_flushed = self._on_flushed
         Ticker(interval=SWEEP_INTERVAL, make_event=sweep, target=channel).register(self)
 
     def receive(self, sock, data):
@@ -196,6 +197,8 @@
     def _serve_next(self, connection):
         while not connection.is_busy and not connection.is_closing:
             if connection.waiting:
+                if self._is_reading_answer(connection):
+                    return  # _on_flushed goes on
                 connection.current = connection.waiting.popleft()
                 if len(connection.waiting) == MAX_PIPELINED:
                     self.listener.resume_reading(connection.sock)
@@ -208,6 +211,11 @@
             else:
                 return
 
+    def _on_flushed(self, sock):
+        connection = self.connections.get(sock)
+        if connection is not None:
+            self._serve_next(connection)
+
     def _serve(self, connection, request):
         reply = Reply(server=self, connection=connection, request=request)
         try:
--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -200,3 +200,24 @@
         caller.settimeout(10.0)
         data = read_until(caller, [b"100 Continue"])
         assert data.startswith(LAST_CHUNK + b"HTTP/1.1 100 Continue")
+
+
+def test_large_answers_to_pipelined_requests_arrive_whole():
+    """Guards a caller that reads on against being closed as too slow."""
+    size = 3_000_000
+    names = [b"r%d." % number for number in range(4)]
+
+    def answer_at_length(connection, request_id, request):
+        body = b"x" * size + request_id + b"/"
+        connection.sendall(signed_response(request_id, body))
+        return True
+
+    with start_instances() as begin, begin(answer_at_length).connect() as caller:
+        caller.sendall(b"".join(GET % name for name in names))
+        time.sleep(0.3)
+        data = b""
+        while part := caller.recv(65536):
+            data += part
+            if data.endswith(names[-1] + b"/"):
+                break
+        assert [name + b"/" in data for name in names] == [True] * len(names)
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -37,6 +37,8 @@
     total_queued : int
     close_reasons : WeakKeyDictionary
         Why a socket was closed.
+    on_flushed : callable or None
+        Called with a socket once the bytes that waited have been written.
     """
 
     def __init__(self, bind, *, channel, context, limits):
@@ -48,6 +50,7 @@
         self.total_queued = 0
         self.close_reasons = WeakKeyDictionary()
         self.is_reading = True
+        self.on_flushed = None
 
     @property
     def clients(self):
@@ -177,6 +180,9 @@
             self._continue_handshake(sock)
             return
         self._flush(sock)
+        is_flushed = sock in self._clients and not self.queued[sock]
+        if is_flushed and self.on_flushed is not None:
+            self.on_flushed(sock)
 
     @handler("write", override=True)
     def write(self, sock, data):
