End each request of a stop apart from the others

What callers would see: if ending one request raised in the last step of a stop, all requests behind it got no answer from that step, and the process did not end by itself until it was killed, with every connection cut. Shown with a planted fault only.

Cause: one loop over all requests, in one callback that also schedules the end.

Change: the step is run as every other step of a request is, so a fault ends only it.

--- a/wagtailfront/forwarding/shutdown.py
+++ b/wagtailfront/forwarding/shutdown.py
@@ -84,7 +84,7 @@
         """Answer what is still in progress, then stop."""
         self.log.decision("stop", outcome="ending", requests=len(self.forwarder.tasks))
         for task in tuple(self.forwarder.tasks):
-            task.stop()
+            task.run(task.stop)
         self.timers.after(WRITE_SECONDS, self._stop)
 
     def _stop(self):
--- a/wagtailfront/forwarding/tests/test_stop_sockets.py
+++ b/wagtailfront/forwarding/tests/test_stop_sockets.py
@@ -1,11 +1,13 @@
 """Tests of the last steps of a stop, on real sockets."""
 
+import contextlib
 import signal
 import time
 from threading import Event
 
 import pytest
 
+from wagtailfront.forwarding.forward_task import ForwardTask
 from wagtailfront.forwarding.shutdown import WRITE_SECONDS, Shutdown
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
@@ -92,3 +94,30 @@
         except ConnectionResetError:
             data = b""
     assert bool(data) == bool(accepted)
+
+
+def fail_for(monkeypatch, method, request_id):
+    """Let a method of ForwardTask raise for one request."""
+    original = getattr(ForwardTask, method)
+
+    def fail(task, *arguments):
+        if task.fields.request_id == request_id:
+            raise RuntimeError("planted")
+        original(task, *arguments)
+
+    monkeypatch.setattr(ForwardTask, method, fail)
+
+
+def test_a_fault_in_one_request_keeps_no_other_from_its_answer(instance, monkeypatch):
+    """Guards requests in progress at the end of a stop."""
+    fail_for(monkeypatch, "stop", "r0")
+    with contextlib.ExitStack() as opened:
+        callers = [opened.enter_context(instance.connect()) for _ in range(4)]
+        for number, caller in enumerate(callers):
+            caller.sendall(GET % (b"r%d" % number))
+        wait_for(lambda: len(instance.forwarder.tasks) == len(callers))
+        instance.timers.after(0.0, instance.shutdown._end_requests)
+        assert [read_until(caller, [b"502"])[9:12] for caller in callers] == [
+            b"502"
+        ] * 4
+        wait_for(lambda: not instance.server.root.running)
