Do not restart the callers' listener for a fault in a cancelled request

What callers would see: if the end of a request whose caller had left raised, the supervisor restarted the listener, which cuts the connections of all callers with their requests. Shown with a planted fault only.

Cause: the step was called from the handler of `disconnect`, outside of the guard that every other step of a request has.

Change: it is run under that guard.

Evidence: test_a_fault_in_a_cancelled_request_does_not_restart_the_listener found the exception at the event loop before the change, and none with it.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -291,7 +291,7 @@
         connection.is_closing = True
         task, connection.task = connection.task, None
         if task is not None:
-            task.cancel()
+            task.run(task.cancel)
 
     def _record_unanswered(self, connection):
         ended = self.listener.close_reasons.get(connection.sock, CLOSED_HERE)
--- a/wagtailfront/forwarding/tests/test_stop_sockets.py
+++ b/wagtailfront/forwarding/tests/test_stop_sockets.py
@@ -6,6 +6,7 @@
 from threading import Event
 
 import pytest
+from circuits import BaseComponent, handler
 
 from wagtailfront.forwarding.forward_task import ForwardTask
 from wagtailfront.forwarding.shutdown import WRITE_SECONDS, Shutdown
@@ -18,6 +19,18 @@
 )
 
 
+class Faults(BaseComponent):
+    """Records exceptions that would restart a supervised component."""
+
+    def __init__(self):
+        super().__init__()
+        self.found = []
+
+    @handler("exception", channel="*")
+    def _on_exception(self, kind, value, traceback, **_context):
+        self.found.append(value)
+
+
 @pytest.fixture
 def instance():
     """Return an instance whose endpoint answers no request."""
@@ -121,3 +134,17 @@
             b"502"
         ] * 4
         wait_for(lambda: not instance.server.root.running)
+
+
+def test_a_fault_in_a_cancelled_request_does_not_restart_the_listener(
+    instance, monkeypatch
+):
+    """Guards all callers against a fault in the request of one that left."""
+    fail_for(monkeypatch, "cancel", "r0")
+    faults = Faults().register(instance.server.root)
+    with instance.connect() as caller:
+        caller.sendall(GET % b"r0")
+        wait_for(lambda: instance.forwarder.tasks)
+    wait_for(lambda: not instance.server.connections)
+    wait_for(lambda: not instance.forwarder.tasks)
+    assert faults.found == []
