Wait in the test of a stop until each request has reached the endpoint

The test was flaky (two of eight runs): a request that was not passed on yet gets 503, which is true, where the test expects 502.

--- a/wagtailfront/forwarding/tests/test_stop_sockets.py
+++ b/wagtailfront/forwarding/tests/test_stop_sockets.py
@@ -36,13 +36,16 @@
     """Return an instance whose endpoint answers no request."""
     before = signal.getsignal(signal.SIGHUP)
     may_end = Event()
+    begun = []
 
     def wait(connection, request_id, request):
+        begun.append(request_id)
         may_end.wait(10.0)
         return echo(connection, request_id, request)
 
     with start_instances() as begin:
         instance = begin(wait)
+        instance.begun = begun
         instance.shutdown = Shutdown(
             server=instance.server,
             forwarder=instance.forwarder,
@@ -128,7 +131,7 @@
         callers = [opened.enter_context(instance.connect()) for _ in range(4)]
         for number, caller in enumerate(callers):
             caller.sendall(GET % (b"r%d" % number))
-        wait_for(lambda: len(instance.forwarder.tasks) == len(callers))
+        wait_for(lambda: len(instance.begun) == len(callers))
         instance.timers.after(0.0, instance.shutdown._end_requests)
         assert [read_until(caller, [b"502"])[9:12] for caller in callers] == [
             b"502"
