--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -171,6 +171,7 @@
         self.half_closed = HalfClosedCallers(
             listener=self.listener, timers=forwarder.context.timers, clock=clock
         )
+        self.listener.on_flushed = self._on_flushed
         Ticker(interval=SWEEP_INTERVAL, make_event=sweep, target=channel).register(self)
 
     def receive(self, sock, data):
@@ -213,6 +214,8 @@
     def _serve_next(self, connection):
         while not connection.is_busy and not connection.is_closing:
             if connection.waiting:
+                if self._is_reading_answer(connection):
+                    return  # _on_flushed goes on
                 connection.current = connection.waiting.popleft()
                 is_read = connection.has_ended_sending
                 if len(connection.waiting) == MAX_PIPELINED and not is_read:
@@ -228,6 +231,11 @@
             else:
                 return
 
+    def _on_flushed(self, sock):
+        connection = self.connections.get(sock)
+        if connection is not None:
+            self._serve_next(connection)
+
     def _serve(self, connection, request):
         reply = Reply(server=self, connection=connection, request=request)
         try:
@@ -303,7 +311,7 @@
         connection.is_closing = True
         task, connection.task = connection.task, None
         if task is not None:
-            task.cancel()
+            task.run(task.cancel)
 
     def _record_unanswered(self, connection):
         ended = self.listener.close_reasons.get(connection.sock, CLOSED_HERE)
@@ -329,11 +337,18 @@
         if connection.has_request or connection.is_closing:
             return False
         now = self.clock()
+        if self._is_reading_answer(connection):
+            connection.last_activity = now
+            return False
         limits = widest(self.forwarder.limits.at(now), connection.limits)
         is_idle = connection.reader.is_between_requests
         limit = limits.idle_timeout if is_idle else limits.head_timeout
         return now - connection.last_activity > limit
 
+    def _is_reading_answer(self, connection):
+        """Return whether a part of an answer waits until the caller reads."""
+        return self.listener.queued.get(connection.sock, 0) > 0
+
     def _read_more(self, connection):
         """Read what has arrived; return whether there was anything."""
         before = connection.reader.bytes_read
@@ -359,5 +374,9 @@
     def close_idle(self):
         """Close the connections without a request in progress."""
         for connection in list(self.connections.values()):
-            if connection.is_idle and not self._read_more(connection):
+            if (
+                connection.is_idle
+                and not self._is_reading_answer(connection)
+                and not self._read_more(connection)
+            ):
                 self._close(connection, IDLE)
--- a/wagtailfront/forwarding/half_closed_callers.py
+++ b/wagtailfront/forwarding/half_closed_callers.py
@@ -48,7 +48,12 @@
             return
         if self.listener.is_reset(connection.sock):
             self.listener.drop(connection.sock, RESET_BY_PEER)
-        elif self.clock() - connection.written_at >= PATIENCE:
+        elif self._is_gone(connection):
             self.listener.drop(connection.sock, CLOSED_BY_PEER)
         else:
             self._check_later(connection)
+
+    def _is_gone(self, connection):
+        # Bytes that wait to be sent would have reset a closed connection.
+        is_reading = self.listener.queued.get(connection.sock, 0) > 0
+        return not is_reading and self.clock() - connection.written_at >= PATIENCE
