End prefills at once for callers that send no more

Cause: each caller that gave up kept its engine for another 0.2 s. Change: a request at an engine without an event so far ends with its caller's FIN, as before; calls, and streams that have begun, wait for the write that tells a caller that reads from one that has left.

--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -197,6 +197,9 @@
         connection = self.connections.get(sock)
         if connection is None or connection.is_closing or not connection.has_request:
             return False
+        if connection.task is not None and connection.task.is_prefilling:
+            # Most such callers have left, and prefills are dear to the others.
+            return False
         self.half_closed.keep(connection)
         return True
 
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -136,6 +136,11 @@
         elif not self.dispatcher.give_up_on_crashing_part():
             self.dispatcher.dispatch()
 
+    @property
+    def is_prefilling(self):
+        """Return whether an engine works on it without an event so far."""
+        return self.service.is_model and not self.stream.is_started
+
     def cancel(self):
         """End the task because the caller closed its connection."""
         if not self.is_done:
--- a/wagtailfront/forwarding/tests/test_half_closed_callers.py
+++ b/wagtailfront/forwarding/tests/test_half_closed_callers.py
@@ -6,7 +6,15 @@
 
 import pytest
 
-from wagtailfront.forwarding.tests.endpoint_stream import EndpointStream, begin_stream
+from wagtailfront.forwarding.tests import endpoint_stream
+from wagtailfront.forwarding.tests.builders import Scene
+from wagtailfront.forwarding.tests.endpoint_stream import EndpointStream
+from wagtailfront.forwarding.tests.open_runs import (
+    begin_stream,
+    event,
+    make_engines,
+    resumable,
+)
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     echo,
@@ -14,6 +22,7 @@
     start_instances,
     wait_for,
 )
+from wagtailfront.platform.tests.wire import EVENT_STREAM
 
 SOON = 0.05  # seconds; less than an answer may take
 GONE_WITHIN = 0.5  # seconds from a caller's close until endpoints stop
@@ -53,7 +62,7 @@
         return False
 
     with begin(stream).connect() as caller:
-        begin_stream(caller, b"r1")
+        endpoint_stream.begin_stream(caller, b"r1")
         caller.shutdown(socket.SHUT_WR)
         for event in goes_on:
             time.sleep(3 * SOON)
@@ -78,7 +87,7 @@
 
     instance = begin(stream)
     with instance.connect() as caller:
-        begin_stream(caller, b"r1")
+        endpoint_stream.begin_stream(caller, b"r1")
         caller.close()
         left.set()
         closed_at = time.monotonic()
@@ -95,3 +104,14 @@
         read_until(caller, [b"r1/"])
         caller.shutdown(socket.SHUT_WR)
         wait_for(lambda: not instance.server.connections)
+
+
+def test_an_engine_does_not_prefill_on_for_a_caller_that_sends_no_more():
+    """Guards other callers against prefills for those that have left."""
+    scene = Scene(make_engines(2), is_model=True)
+    route = resumable(2)
+    task, _reply = begin_stream(scene, route, is_begun=False)
+    assert task.is_prefilling
+    scene.pool.last.sink.on_head(200, EVENT_STREAM)
+    scene.pool.last.sink.on_data(event(1))
+    assert not task.is_prefilling
