Read an endpoint's early answer before reporting that its body was reset

Callers saw 502 for a request whose endpoint had answered: it answers before it has read a long body, and closes, which resets the connection. If the write of the rest of the body met the reset first, the pool closed the connection with the answer unread in its socket.

The pool now only stops writing, and the reads that follow hand over the answer or the end. The write has taken the socket's error by then, so the end that is read afterwards looks like a proper one; it counts as the write's failure, or an answer without a length that was reset would look whole.

Evidence: test_early_answer_is_passed_on_though_the_rest_of_the_body_is_reset failed before (502 instead of 200). The test of an answer without a length passed before, and fails if only the check of the end is left out. Answers that arrive just before a close or a reset while nothing is written were handed over before this change too (20 requests each).

--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -71,6 +71,7 @@
         self.reader = ResponseReader()
         self.exchange = None
         self.outgoing = b""
+        self.write_failure = None
         self.is_discarding = False
         self.keep_alive = False
         self.idle_limit = DEFAULT_IDLE_LIMIT
@@ -226,11 +227,23 @@
                 self.poller.addWriter(self, sock)
             return
         except OSError as error:
-            self._fail(connection, f"write: {error}")
+            self._handle_write_error(connection, error)
             return
         if self.poller.isWriting(sock):
             self.poller.removeWriter(sock)
 
+    def _handle_write_error(self, connection, error):
+        reason = f"write: {error}"
+        exchange = connection.exchange
+        is_sent = exchange is not None and exchange.is_sent
+        if not is_sent or not isinstance(error, ConnectionError):
+            self._fail(connection, reason)
+            return
+        # An early answer that arrived before the reset may still be unread.
+        connection.write_failure = reason
+        if self.poller.isWriting(connection.sock):
+            self.poller.removeWriter(connection.sock)
+
     @handler("_read")
     def _on_read(self, sock):
         connection = self.connections.get(sock)
@@ -247,6 +260,10 @@
             # EOF or unsolicited bytes on an idle connection.
             self.close(connection)
             return
+        if not data and connection.write_failure is not None:
+            # The error of the reset was taken by the write.
+            self._fail(connection, connection.write_failure)
+            return
         parts = connection.reader.feed(data) if data else connection.reader.feed_end()
         if not all(self._handle_part(connection, part) for part in parts):
             return
