Check that a request with open runs is never left without a way to end

No fault was seen. The interleavings of open runs and of calls now also check that a request which has not ended has an open run or a send that waits for a rate limit or a pause, not its deadline alone, and that its caller gets exactly one end. Engines of open runs may leave the registry and join it again.

Evidence: passes on the code before; fails ("stranded") if the send that waited for a rate limit is left out of RequestSender._launch_later.

--- a/wagtailfront/forwarding/tests/test_open_runs.py
+++ b/wagtailfront/forwarding/tests/test_open_runs.py
@@ -30,6 +30,7 @@
     SIGNED_ONLY,
 )
 
+ENDS = ("answered", "cancelled", "cut", "failed", "refused")
 SILENCE = 1.0  # seconds; longer than the limit for a silent engine
 
 
@@ -157,7 +158,7 @@
 
 ACTIONS = st.sampled_from(
     ["event", "two", "part", "head", "refuse", "error", "cut", "end", "silence"]
-    + ["silence", "unsent", "wait"]
+    + ["silence", "unsent", "wait", "leave", "join"]
 )
 
 
@@ -188,19 +189,55 @@
             scene.timers.advance(1.5)
         elif action == "wait":
             scene.timers.advance(0.2)
+        elif action == "join":
+            scene.directory.replace(make_engines(engines), now=scene.timers.now)
         else:
             exchanges = open_exchanges(scene)
-            if exchanges:
+            if exchanges and action == "leave":
+                _remove(scene, exchanges[which % len(exchanges)].record)
+            elif exchanges:
                 engine(exchanges[which % len(exchanges)]).act(action)
         _check(scene, task, reply, slack, max_attempts)
     task.cancel()
     _check(scene, task, reply, slack, max_attempts)
 
 
+def _remove(scene, record):
+    """Remove an endpoint from the registry."""
+    records = scene.directory.records.values()
+    scene.directory.replace(
+        [r for r in records if r.endpoint_id != record.endpoint_id],
+        now=scene.timers.now,
+    )
+
+
+def _check_progress(scene, task, reply):
+    """Check that a request is under way, or has ended exactly once."""
+    attempts = (task.attempt, task.silence.held)
+    known = {id(a.exchange) for a in attempts if a is not None}
+    assert {id(e) for e in open_exchanges(scene)} == known, "unknown open exchange"
+    assert known or task.is_done or _has_pending_send(scene, task), "stranded"
+    assert len(scene.done) == task.is_done
+    ends = [kind for kind in scene.log.kinds() if kind in ENDS]
+    assert len(ends) == task.is_done, ends
+    if ends != ["cancelled"]:
+        assert reply.is_complete + reply.is_aborted == task.is_done
+    return known
+
+
+def _has_pending_send(scene, task):
+    """Return whether a send waits for a rate limit or a pause."""
+    callbacks = [
+        getattr(timer.callback, "args", ())
+        for due, _number, timer in scene.timers.waiting
+        if timer in task.timers and due <= task.deadline
+    ]
+    return any("RequestSender.send" in repr(each) for each in callbacks)
+
+
 def _check(scene, task, reply, slack, max_attempts):
     is_open = open_exchanges(scene)
-    known = {id(a.exchange) for a in (task.attempt, task.silence.held) if a is not None}
-    assert {id(e) for e in is_open} == known, "unknown open exchange"
+    known = _check_progress(scene, task, reply)
     outstanding = sum(s.outstanding for s in scene.context.health.states.values())
     assert outstanding == len(is_open), "outstanding"
     ids = [int(i) for i in re.findall(rb"id: (\d+)", reply.body)]
@@ -305,8 +342,7 @@
 
 def _check_calls(scene, task, reply, route):
     is_open = open_exchanges(scene)
-    known = {id(a.exchange) for a in (task.attempt, task.silence.held) if a is not None}
-    assert {id(e) for e in is_open} == known, "unknown open exchange"
+    _check_progress(scene, task, reply)
     exchanges = scene.pool.exchanges
     ran = [e for e in exchanges if getattr(e, "has_run", True)]
     assert len({e.record.endpoint_id for e in ran}) <= route.max_attempts
