Keep a silent engine's run until another engine has sent an event

Callers saw streams that were cut, though their first engine was sound: it had been silent for about a second and would have gone on.

SilenceWatch ended the held run 0.3 s after the head of the second engine. What that one did then (nothing, a part of an event, a reset) was the caller's end. Before the head nothing but the deadline bounded the time for which both worked.

Now only an event of the second engine ends the held run. A second run that has sent none 0.35 s after its own prefill ends itself, head or not, and the held run is the current one again. One of two runs is let go of, and never the one that may still go on without a replacement.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -288,7 +288,6 @@
         is_stream = content_type.lower().startswith(EVENT_STREAM)
         if status == OK and is_stream and self.is_trusted:
             self.splitter = EventSplitter(after=self.task.stream.last_event_id)
-            self.task.silence.handle_head(self)
         return True
 
     def on_data(self, data):
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -1,5 +1,7 @@
 """Detection of endpoints that send no response for a while."""
 
+from wagtailfront.forwarding.placement import DECODE_ENGINE_PREFILL_RATE
+
 __all__ = ["SilenceWatch"]
 
 # An idempotent call without a response is repeated after this many target
@@ -12,9 +14,9 @@
 # Multiple of the expected prefill time that is allowed for queueing.
 QUEUE_FACTOR = 2.0
 MIN_RECHECK_DELAY = 0.02  # seconds; avoids checks in quick succession
-# Seconds for which two engines may work on one stream once the second one has
-# begun to answer.
-HANDOVER_SECONDS = 0.3
+# Seconds beyond its prefill within which a second engine must send an event of
+# a stream; until then both may work on it.
+HANDOVER_SECONDS = 0.35
 
 
 class SilenceWatch:
@@ -34,7 +36,9 @@
     -----
     An engine counts as silent only if this instance received nothing from
     it on any connection, since a single request may just be queued. It may
-    be sound and go on, so its run ends only once another one replaces it.
+    be sound and go on, so its run ends only once another one has sent an
+    event. A run that sends none in time ends itself, lest two engines work
+    on one stream for long.
     """
 
     def __init__(self, *, task):
@@ -45,6 +49,8 @@
         """Try other endpoints when that of an attempt is silent too long."""
         if self.task.service.is_model:
             timeout = ENGINE_SILENCE + QUEUE_FACTOR * attempt.expected
+            if self.held is not None:
+                self._limit_handover(attempt)
         else:
             targets = TIMEOUT_TARGETS * self.task.route.target_latency
             timeout = max(MIN_TIMEOUT, targets)
@@ -92,14 +98,16 @@
         else:
             self._check_after(timeout, attempt, timeout)
 
-    def handle_head(self, attempt):
-        """End the held attempt soon, as another endpoint streams an answer."""
-        if self.held is not None and attempt is not self.held:
-            self.task.after(HANDOVER_SECONDS, lambda: self._end_handover(attempt))
+    def _limit_handover(self, attempt):
+        """End an attempt beside the held one unless it soon makes progress."""
+
+        def end_handover():
+            if self.task.attempt is attempt:
+                self.resume("the other endpoint has sent no event in time")
 
-    def _end_handover(self, attempt):
-        if self.task.attempt is attempt:
-            self.release("another endpoint has begun to answer")
+        # Without the queue: the engine may have none, and be at work at once.
+        prefill = attempt.uncached_tokens / DECODE_ENGINE_PREFILL_RATE
+        self.task.after(HANDOVER_SECONDS + prefill, end_handover)
 
     def settle(self, attempt):
         """End the other open attempt, as `attempt` has made progress."""
--- a/wagtailfront/forwarding/tests/test_silent_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_silent_endpoints.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from wagtailfront.forwarding.placement import DECODE_ENGINE_PREFILL_RATE
 from wagtailfront.forwarding.tests.builders import (
     SAFE,
     Scene,
@@ -122,6 +123,53 @@
     assert scene.context.health.state(run.record.incarnation).outstanding == 0
 
 
+AFTER_HEAD = {
+    "nothing": [],
+    "part of an event": [b"id: 2\n"],
+    "an earlier event": [event(1)],
+    "no event stream": [b"\x00" * 2_000_000],
+}
+
+
+@pytest.mark.parametrize("data", AFTER_HEAD.values(), ids=AFTER_HEAD)
+@pytest.mark.parametrize("end", ["silence", "reset"])
+def test_sound_engine_keeps_its_stream_until_another_sends_an_event(data, end):
+    """Guards against a sound engine given up for the head of another one."""
+    scene = Scene(make_engines(3), is_model=True, slack=5)
+    _task, reply = begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
+    scene.timers.advance(1.0)
+    other = scene.pool.last
+    assert other is not run
+    other.sink.on_head(200, EVENT_STREAM)
+    for each in data:
+        other.sink.on_data(each)
+    scene.timers.advance(0.5)
+    if not other.is_cancelled and end == "reset":
+        other.fail()
+    assert not run.is_cancelled
+    end_stream(run, 2, 3)
+    assert reply.body == event(1) + event(2) + event(3)
+    assert reply.is_complete
+
+
+@pytest.mark.parametrize("has_head", [True, False])
+def test_two_engines_work_on_a_stream_for_a_bounded_time(has_head):
+    """Guards against two engines at work on a stream for over 400 ms."""
+    scene = Scene(make_engines(3), is_model=True, slack=5)
+    begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
+    scene.timers.advance(0.9)
+    while scene.pool.last is run:
+        scene.timers.advance(0.01)
+    other = scene.pool.last
+    if has_head:
+        other.sink.on_head(200, EVENT_STREAM)
+    prefill = other.sink.uncached_tokens / DECODE_ENGINE_PREFILL_RATE
+    scene.timers.advance(0.4 + prefill)
+    assert (run.is_cancelled, other.is_cancelled) == (False, True)
+
+
 OUTCOMES = st.sampled_from(["refuse", "cut", "unsent", "error", "head"])
 
 
