Read what arrived during a stall before an engine counts as silent

After a stall of the instance, timers are called before its sockets are read. All open streams then counted as silent at once, and each spent a repeat on a second run; a second run whose event had arrived ended for want of one, which is the caller's end if the first engine is dead. Callers saw cut streams.

Timers of SilenceWatch that are over 0.05 s late now act 0.02 s later, after the reads of what had arrived.

Evidence, in virtual time: both tests of an instance that stands still failed before. Not shown on a real process.

--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -14,6 +14,7 @@
 # Multiple of the expected prefill time that is allowed for queueing.
 QUEUE_FACTOR = 2.0
 MIN_RECHECK_DELAY = 0.02  # seconds; avoids checks in quick succession
+MAX_LATENESS = 0.05  # seconds; timers that are later were held up by a stall
 # Seconds beyond its prefill within which a second engine must send an event of
 # a stream; until then both may work on it.
 HANDOVER_SECONDS = 0.35
@@ -57,7 +58,21 @@
         self._check_after(timeout, attempt, timeout)
 
     def _check_after(self, delay, attempt, timeout):
-        self.task.after(delay, lambda: self._check(attempt, timeout))
+        self._after(delay, lambda: self._check(attempt, timeout))
+
+    def _after(self, delay, callback):
+        """Call a function after a delay, but not before reads that are due."""
+        clock = self.task.context.clock
+        due = clock() + delay
+
+        def call_when_read():
+            if clock() - due > MAX_LATENESS:
+                # What arrived while this instance stood still is read first.
+                self.task.after(MIN_RECHECK_DELAY, callback)
+            else:
+                callback()
+
+        self.task.after(delay, call_when_read)
 
     def _check(self, attempt, timeout):
         task = self.task
@@ -107,7 +122,7 @@
 
         # Without the queue: the engine may have none, and be at work at once.
         prefill = attempt.uncached_tokens / DECODE_ENGINE_PREFILL_RATE
-        self.task.after(HANDOVER_SECONDS + prefill, end_handover)
+        self._after(HANDOVER_SECONDS + prefill, end_handover)
 
     def settle(self, attempt):
         """End the other open attempt, as `attempt` has made progress."""
--- a/wagtailfront/forwarding/tests/test_silent_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_silent_endpoints.py
@@ -170,6 +170,38 @@
     assert (run.is_cancelled, other.is_cancelled) == (False, True)
 
 
+def stand_still(scene, seconds):
+    """Let time pass in which the instance neither reads nor calls timers."""
+    scene.timers.now += seconds
+    scene.timers.advance(0.0)
+
+
+def test_engine_is_not_silent_while_the_instance_stands_still():
+    """Guards the repeat budget against a second run of each open stream."""
+    scene = Scene(make_engines(3), is_model=True, slack=5)
+    begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
+    stand_still(scene, 2.0)
+    run.sink.on_data(event(2))
+    scene.timers.advance(0.5)
+    assert scene.pool.last is run
+
+
+def test_event_that_arrives_while_the_instance_stands_still_is_in_time():
+    """Guards a stream whose first engine never goes on."""
+    scene = Scene(make_engines(3), is_model=True, slack=5)
+    _task, reply = begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
+    scene.timers.advance(1.0)
+    other = scene.pool.last
+    stand_still(scene, 1.0)
+    other.sink.on_head(200, EVENT_STREAM)
+    other.sink.on_data(event(2))
+    assert (run.is_cancelled, other.is_cancelled) == (True, False)
+    end_stream(other, 3)
+    assert reply.is_complete
+
+
 OUTCOMES = st.sampled_from(["refuse", "cut", "unsent", "error", "head"])
 
 
