Use connections to endpoints that were made during a stall

After a stall of the instance of over 0.4 s, all connections that it was making had timed out, though they were made: their timers are called before the sockets are looked at. Each counted as a failure of its endpoint and used one of the sends of its request, so that callers may get a refusal, and sound endpoints are avoided.

The check of a new connection now follows 0.02 s after its timer, when events that came before it have been handled.

Evidence: test_connection_made_while_the_instance_stands_still_is_used, on real sockets, failed before (two connections opened instead of one).

--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -29,6 +29,8 @@
 
 READ_BYTES = 65536
 CONNECT_TIMEOUT = 0.4  # seconds; some round trips within a region
+# Seconds until events of sockets are handled that came before a late timer.
+EVENT_DELAY = 0.02
 TCP_USER_TIMEOUT_MS = 3000  # limit for unacknowledged bytes on a lost path
 SWEEP_INTERVAL = 1.0  # seconds between checks of idle connections
 DEFAULT_IDLE_LIMIT = 4.0  # seconds, if the endpoint sends no Keep-Alive
@@ -185,7 +187,9 @@
         refused = result != 0 and result not in IN_PROGRESS
         self.timers.after(
             0.0 if refused else CONNECT_TIMEOUT,
-            lambda: self._check_connect(connection),
+            lambda: self.timers.after(
+                EVENT_DELAY, lambda: self._check_connect(connection)
+            ),
         )
         self.poller.addWriter(self, sock)
         return connection
--- a/wagtailfront/forwarding/tests/test_endpoint_resets.py
+++ b/wagtailfront/forwarding/tests/test_endpoint_resets.py
@@ -1,15 +1,18 @@
-"""Tests of endpoints that answer and end their connection at once."""
+"""Tests of connections to endpoints that end or begin at a bad moment."""
 
 import socket
 import struct
 import threading
+import time
 
 import pytest
 
+from wagtailfront.forwarding.endpoint_pool import CONNECT_TIMEOUT
 from wagtailfront.forwarding.tests.builders import make_route
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     LIMITS,
+    echo,
     make_config,
     read_until,
     start_instances,
@@ -108,3 +111,20 @@
     """Guards against a reset that is taken for the end of an answer."""
     data = send_long_body(begin, lambda name: signed_head(name) + b"answered")
     assert data.startswith(b"HTTP/1.1 502 ")
+
+
+def test_connection_made_while_the_instance_stands_still_is_used(begin):
+    """Guards endpoints against a failure for the instance's own stall."""
+    instance = begin(echo)
+    opened, open_connection = [], instance.pool._open
+
+    def open_and_stand_still(record):
+        opened.append(open_connection(record))
+        time.sleep(2 * CONNECT_TIMEOUT)
+        return opened[-1]
+
+    instance.pool._open = open_and_stand_still
+    with instance.connect() as caller:
+        caller.sendall(GET % b"r1")
+        assert b"r1/" in read_until(caller, [b"r1/"])
+    assert len(opened) == 1
