--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -29,6 +29,8 @@
 
 READ_BYTES = 65536
 CONNECT_TIMEOUT = 0.4  # seconds; some round trips within a region
+# Seconds until events of sockets are handled that came before a late timer.
+EVENT_DELAY = 0.02
 TCP_USER_TIMEOUT_MS = 3000  # limit for unacknowledged bytes on a lost path
 SWEEP_INTERVAL = 1.0  # seconds between checks of idle connections
 DEFAULT_IDLE_LIMIT = 4.0  # seconds, if the endpoint sends no Keep-Alive
@@ -71,6 +73,7 @@
         self.reader = ResponseReader()
         self.exchange = None
         self.outgoing = b""
+        self.write_failure = None
         self.is_discarding = False
         self.keep_alive = False
         self.idle_limit = DEFAULT_IDLE_LIMIT
@@ -184,7 +187,9 @@
         refused = result != 0 and result not in IN_PROGRESS
         self.timers.after(
             0.0 if refused else CONNECT_TIMEOUT,
-            lambda: self._check_connect(connection),
+            lambda: self.timers.after(
+                EVENT_DELAY, lambda: self._check_connect(connection)
+            ),
         )
         self.poller.addWriter(self, sock)
         return connection
@@ -226,11 +231,23 @@
                 self.poller.addWriter(self, sock)
             return
         except OSError as error:
-            self._fail(connection, f"write: {error}")
+            self._handle_write_error(connection, error)
             return
         if self.poller.isWriting(sock):
             self.poller.removeWriter(sock)
 
+    def _handle_write_error(self, connection, error):
+        reason = f"write: {error}"
+        exchange = connection.exchange
+        is_sent = exchange is not None and exchange.is_sent
+        if not is_sent or not isinstance(error, ConnectionError):
+            self._fail(connection, reason)
+            return
+        # An early answer that arrived before the reset may still be unread.
+        connection.write_failure = reason
+        if self.poller.isWriting(connection.sock):
+            self.poller.removeWriter(connection.sock)
+
     @handler("_read")
     def _on_read(self, sock):
         connection = self.connections.get(sock)
@@ -247,6 +264,10 @@
             # EOF or unsolicited bytes on an idle connection.
             self.close(connection)
             return
+        if not data and connection.write_failure is not None:
+            # The error of the reset was taken by the write.
+            self._fail(connection, connection.write_failure)
+            return
         parts = connection.reader.feed(data) if data else connection.reader.feed_end()
         if not all(self._handle_part(connection, part) for part in parts):
             return
