--- a/wagtailfront/forwarding/tests/test_unanswered_log.py
+++ b/wagtailfront/forwarding/tests/test_unanswered_log.py
@@ -1,6 +1,7 @@
 """Tests that the log names each request whose connection ended early."""
 
 import json
+import socket
 
 import pytest
 
@@ -56,6 +57,17 @@
     assert b"wagtailfront_unanswered_requests_total{" in metrics
 
 
+def test_a_caller_that_ends_only_its_sending_side_is_named(instance, lines):
+    """Guards the record of a FIN, which counts as the caller's leaving."""
+    with instance.connect() as caller:
+        begin_stream(caller, b"r1")
+        caller.shutdown(socket.SHUT_WR)
+        wait_for(lambda: lines)
+        wait_for(lambda: not instance.forwarder.tasks)
+    assert lines[0]["request"] == "r1"
+    assert lines[0]["outcome"] == CLOSED_BY_PEER
+
+
 def test_a_stream_that_is_broken_off_is_named(instance, lines, stream):
     """Guards the record of answers that this instance resets."""
     with instance.connect() as caller:
