--- a/wagtailfront/forwarding/tests/test_faulty_answers.py
+++ b/wagtailfront/forwarding/tests/test_faulty_answers.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wagtailfront.forwarding.caller_server import Reply
+from wagtailfront.forwarding.caller_reply import Reply
 from wagtailfront.forwarding.tests.builders import (
     STREAMING,
     UNSAFE,
