Move the parsing of requests into a module of its own

Change: RequestReader and Request stand in request_reader.py; the head of a message that both readers collect is MessageHead. No behaviour changes.

--- a/wagtailfront/forwarding/caller_connection.py
+++ b/wagtailfront/forwarding/caller_connection.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from wagtailfront.forwarding.caller_limits import widest
-from wagtailfront.forwarding.framing import RequestReader
+from wagtailfront.forwarding.request_reader import RequestReader
 
 __all__ = ["CallerConnection"]
 
--- a/wagtailfront/forwarding/framing.py
+++ b/wagtailfront/forwarding/framing.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 framing of forwarded requests and responses."""
+"""HTTP/1.1 framing of forwarded messages, and parsing of responses."""
 
 from http import HTTPStatus
 from typing import NamedTuple
@@ -8,13 +8,12 @@
 from wagtailfront.transport.http_exchange import MAX_FRAMING
 
 __all__ = [
-    "Request",
-    "RequestReader",
     "ResponseReader",
     "ResponseHead",
     "ResponseData",
     "ResponseEnd",
     "FramingError",
+    "MessageHead",
     "HOP_BY_HOP",
     "find_header",
     "encode_head",
@@ -55,18 +54,7 @@
         self.status = status
 
 
-class Request(NamedTuple):
-    """A complete request; header names keep the case received."""
-
-    method: bytes
-    target: bytes
-    headers: list
-    body: bytes
-    keep_alive: bool
-    http_version: str
-
-
-class _Message:
+class MessageHead:
     """Parser callbacks that collect the head of a message."""
 
     def __init__(self):
@@ -95,110 +83,6 @@
         self.in_body = True
 
 
-class RequestReader(_Message):
-    """Parses requests from a caller's bytes.
-
-    Parameters
-    ----------
-    max_head, max_body : int
-        Bytes.
-
-    Attributes
-    ----------
-    failure : FramingError or None
-        Error that ended parsing; requests returned before it are complete.
-    is_between_requests : bool
-        Whether no request is partly received.
-    bytes_read : int
-        Bytes received so far.
-
-    Examples
-    --------
-    >>> reader = RequestReader(max_head=1000, max_body=1000)
-    >>> lines = [b"POST /a HTTP/1.1", b"Content-Length: 2", b"", b"hi"]
-    >>> [request.body for request in reader.feed(bytes([13, 10]).join(lines))]
-    [b'hi']
-    """
-
-    def __init__(self, *, max_head, max_body):
-        super().__init__()
-        self.max_head = max_head
-        self.max_body = max_body
-        self.parser = httptools.HttpRequestParser(self)
-        self.body = bytearray()
-        self.body_bytes = 0
-        self.requests = []
-        self.failure = None
-        self.expects_continue = False
-        self.is_between_requests = True
-        self.partial_head_bytes = 0
-        self.bytes_read = 0
-
-    def feed(self, data):
-        """Return the requests that `data` completes; sets `failure`."""
-        self.bytes_read += len(data)
-        if self.failure is not None:
-            return []
-        try:
-            self.parser.feed_data(data)
-            self._count_partial_head(len(data))
-            self._check_head()
-        except FramingError as error:
-            self.failure = error
-        except httptools.HttpParserUpgrade:
-            self.failure = FramingError(400, "protocol upgrades are not served")
-        except httptools.HttpParserError as error:
-            self.failure = (
-                error.__context__
-                if isinstance(error.__context__, FramingError)
-                else FramingError(400, f"not an HTTP request: {error}")
-            )
-        done, self.requests = self.requests, []
-        return done
-
-    def on_message_begin(self):
-        super().on_message_begin()
-        self.body = bytearray()
-        self.body_bytes = 0
-        self.is_between_requests = False
-
-    def on_headers_complete(self):
-        super().on_headers_complete()
-        self.partial_head_bytes = 0
-        self._check_head()
-        expected = find_header(self.headers, b"expect") or b""
-        self.expects_continue = expected.lower() == b"100-continue"
-
-    def on_body(self, data):
-        self.body_bytes += len(data)
-        if self.body_bytes > self.max_body:
-            raise FramingError(413, "request body too large")
-        self.body += data
-
-    def on_message_complete(self):
-        self.is_between_requests = True
-        self.expects_continue = False
-        self.requests.append(
-            Request(
-                method=self.parser.get_method(),
-                target=self.target,
-                headers=self.headers,
-                body=bytes(self.body),
-                keep_alive=self.parser.should_keep_alive(),
-                http_version=self.parser.get_http_version(),
-            )
-        )
-
-    def _count_partial_head(self, size):
-        """Count the bytes of an incomplete head."""
-        if not self.is_between_requests and not self.in_body:
-            self.partial_head_bytes += size
-
-    def _check_head(self):
-        if max(self.head_bytes, self.partial_head_bytes) > self.max_head:
-            raise FramingError(431, "request head too large")
-
-
 class ResponseHead(NamedTuple):
     """Status and headers of a response."""
 
@@ -224,7 +108,7 @@
     keep_alive: bool
 
 
-class ResponseReader(_Message):
+class ResponseReader(MessageHead):
     """Parses responses on a connection to an endpoint.
 
     Attributes
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -22,9 +22,9 @@
 from wagtailfront.forwarding.forward_context import ForwardContext
 from wagtailfront.forwarding.forward_task import ForwardTask
 from wagtailfront.forwarding.forwarder import AttemptBudgets, PrefixCachesByService
-from wagtailfront.forwarding.framing import Request
 from wagtailfront.forwarding.interfaces import PromptPart, RequestFields
 from wagtailfront.forwarding.rate_limits import RateLimits
+from wagtailfront.forwarding.request_reader import Request
 from wagtailfront.forwarding.routes import (
     RequestKind,
     Route,
--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -3,12 +3,12 @@
 import pytest
 
 from wagtailfront.forwarding.framing import (
-    RequestReader,
     ResponseData,
     ResponseEnd,
     ResponseHead,
     ResponseReader,
 )
+from wagtailfront.forwarding.request_reader import RequestReader
 from wagtailfront.transport.http_exchange import MAX_FRAMING
 
 CHUNKED = b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
