Serve a request that offers another protocol with its body

Callers: each booking with `Connection: Upgrade` and `Upgrade: h2c` ran with an empty body and was answered 200; on a kept connection a 400 that answers no request followed. Cause: the parser completes a message at the head of an offer, and of CONNECT, before it raises HttpParserUpgrade; the request was taken as whole. Change: such a message is not taken. Its head is parsed again without the header Upgrade, then the bytes behind it. CONNECT fails at its head with 400.

--- a/wagtailfront/forwarding/request_reader.py
+++ b/wagtailfront/forwarding/request_reader.py
@@ -4,10 +4,18 @@
 
 import httptools
 
-from wagtailfront.forwarding.framing import FramingError, MessageHead, find_header
+from wagtailfront.forwarding.framing import (
+    FramingError,
+    MessageHead,
+    encode_head,
+    find_header,
+)
 
 __all__ = ["Request", "RequestReader"]
 
+CONNECT = b"CONNECT"
+UPGRADE = b"upgrade"
+
 
 class Request(NamedTuple):
     """A complete request; header names keep the case received."""
@@ -23,6 +31,9 @@
 class RequestReader(MessageHead):
     """Parses requests from a caller's bytes.
 
+    An offer of another protocol (the header Upgrade) is ignored, as RFC 9110,
+    section 7.8, allows. CONNECT is refused.
+
     Parameters
     ----------
     max_head, max_body : int
@@ -65,13 +76,10 @@
         if self.failure is not None:
             return []
         try:
-            self.parser.feed_data(data)
-            self._count_partial_head(len(data))
+            self._parse(data)
             self._check_head()
         except FramingError as error:
             self.failure = error
-        except httptools.HttpParserUpgrade:
-            self.failure = FramingError(400, "protocol upgrades are not served")
         except httptools.HttpParserError as error:
             self.failure = (
                 error.__context__
@@ -81,6 +89,34 @@
         done, self.requests = self.requests, []
         return done
 
+    def _parse(self, data):
+        """Parse `data`, also beyond heads that offer another protocol."""
+        rest = memoryview(data)
+        while rest:
+            try:
+                self.parser.feed_data(rest)
+            except httptools.HttpParserUpgrade as error:
+                (size,) = error.args
+                rest = rest[size:]
+                self._ignore_upgrade()
+            else:
+                self._count_partial_head(len(rest))
+                return
+
+    def _ignore_upgrade(self):
+        """Parse the last head once more, without its offer.
+
+        The parser ends a message at such a head and leaves out its body.
+        """
+        first_line = b"%b %b HTTP/%b" % (
+            self.parser.get_method(),
+            self.target,
+            self.parser.get_http_version().encode(),
+        )
+        headers = [header for header in self.headers if header[0].lower() != UPGRADE]
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.feed_data(encode_head(first_line, headers))
+
     def on_message_begin(self):
         super().on_message_begin()
         self.body = bytearray()
@@ -91,6 +127,8 @@
         super().on_headers_complete()
         self.partial_head_bytes = 0
         self._check_head()
+        if self.parser.get_method() == CONNECT:
+            raise FramingError(400, "CONNECT is not served")
         expected = find_header(self.headers, b"expect") or b""
         self.expects_continue = expected.lower() == b"100-continue"
 
@@ -101,6 +139,8 @@
         self.body += data
 
     def on_message_complete(self):
+        if self.parser.should_upgrade():
+            return  # the head is parsed again without its offer
         self.is_between_requests = True
         self.expects_continue = False
         self.requests.append(
--- a/wagtailfront/transport/tests/test_split_reads.py
+++ b/wagtailfront/transport/tests/test_split_reads.py
@@ -19,11 +19,14 @@
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNKS + b"0\r\n\r\n",
     b"\r\nHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" + BODY,
 ]
+OFFER = b"POST /a HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
 REQUESTS = [
     b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n" + BODY,
     b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
     + CHUNKS
     + b"0\r\n\r\n",
+    OFFER + b"Content-Length: 9\r\n\r\n" + BODY,
+    OFFER + b"Transfer-Encoding: chunked\r\n\r\n" + CHUNKS + b"0\r\n\r\n",
 ]
 
 
@@ -122,6 +125,7 @@
             sock.setblocking(False)
             answer = root.wait_for(lambda sock=sock: try_read(sock))
             assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
+            assert answer.endswith(BODY)
         root.wait_for(lambda: not echo.server.http.incoming)
 
 
