Do not pass on headers that Connection lists

Callers: an endpoint got HTTP2-Settings of a request whose Connection lists it; the users' page has headers passed on "except those that concern only one connection". Cause: a fixed set of hop-by-hop headers was left out, and the options of Connection were not read (RFC 9110, section 7.6.1). Change: listed headers are left out of requests and answers. Those that the page names stay, since a caller could otherwise remove X-Request-Id. Evidence: test_headers_that_connection_lists_are_not_passed_on failed on the code before (http2-settings in the head).

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -11,9 +11,29 @@
 BODILESS_METHODS = (b"GET", b"HEAD")
 
 
-def end_to_end_headers(headers):
-    """Return `headers` without the hop-by-hop ones."""
-    return [header for header in headers if header[0].lower() not in HOP_BY_HOP]
+def end_to_end_headers(headers, *, kept=frozenset()):
+    """Return `headers` without those that concern only one connection.
+
+    Parameters
+    ----------
+    headers : list of (bytes, bytes)
+    kept : set of bytes, optional
+        Names in lower case that remain even if Connection lists them.
+
+    Examples
+    --------
+    >>> headers = [(b"Connection", b"X-A"), (b"X-A", b"1"), (b"X-B", b"2")]
+    >>> end_to_end_headers(headers)
+    [(b'X-B', b'2')]
+    """
+    listed = {
+        option.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for option in value.split(b",")
+    }
+    left_out = HOP_BY_HOP | (listed - kept)
+    return [header for header in headers if header[0].lower() not in left_out]
 
 
 class _Attempt:
@@ -57,6 +77,11 @@
             on_evicted=lambda: self.fail("response too large beside others")
         )
 
+    @property
+    def answer_headers(self):
+        """Return the headers of the response that its caller gets."""
+        return end_to_end_headers(self.headers, kept=self.context.dialect.end_to_end)
+
     @property
     def body(self):
         """Return the bytes of the body received so far."""
@@ -115,9 +140,9 @@
 
     def _encode(self, options):
         request = self.task.request
-        headers = self.context.dialect.endpoint_headers(
-            end_to_end_headers(request.headers), options
-        )
+        dialect = self.context.dialect
+        passed = end_to_end_headers(request.headers, kept=dialect.end_to_end)
+        headers = dialect.endpoint_headers(passed, options)
         if request.body or request.method not in BODILESS_METHODS:
             headers.append((b"Content-Length", b"%d" % len(request.body)))
         first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -4,7 +4,6 @@
 import logging
 
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
-from wagtailfront.forwarding.attempt import end_to_end_headers
 from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES, RETRY_AFTER
 from wagtailfront.forwarding.request_dispatch import (
     GATEWAY_TIMEOUT,
@@ -276,9 +275,7 @@
         self.log.decision(
             "answered", str(attempt.status), endpoint=attempt.record.endpoint_id
         )
-        self.reply.answer(
-            attempt.status, end_to_end_headers(attempt.headers), attempt.body
-        )
+        self.reply.answer(attempt.status, attempt.answer_headers, attempt.body)
         self.end("answered")
 
     def _handle_refusal(self, attempt):
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -142,7 +142,15 @@
 
 
 class Dialect(Protocol):
-    """Header names and formats towards callers and endpoints."""
+    """Header names and formats towards callers and endpoints.
+
+    Attributes
+    ----------
+    end_to_end : frozenset of bytes
+        Names in lower case that never concern only one connection.
+    """
+
+    end_to_end: frozenset[bytes]
 
     def read_request(self, headers) -> RequestFields:
         """Decode a caller's headers; ValueError if one cannot be read."""
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -1,7 +1,5 @@
 """Stream to a caller across all endpoints that generate parts of it."""
 
-from wagtailfront.forwarding.attempt import end_to_end_headers
-
 __all__ = ["StreamRelay"]
 
 
@@ -72,4 +70,4 @@
             endpoint=attempt.record.endpoint_id,
             version=attempt.record.software_version,
         )
-        task.reply.start(attempt.status, end_to_end_headers(attempt.headers))
+        task.reply.start(attempt.status, attempt.answer_headers)
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -64,6 +64,25 @@
     )
 )
 
+# A caller that lists them in Connection must not have them removed.
+END_TO_END = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        MODEL,
+        TOKENS,
+        PROMPT_PARTS,
+        LAST_EVENT,
+        RESUMES,
+        SIGNATURE,
+        NOT_RUN,
+        RETRY_AFTER,
+        HOST,
+        b"Content-Type",
+        b"Content-Encoding",
+    )
+)
+
 
 class _Handle(msgspec.Struct):
     """Body of a prefill response; `handle` names the KV cache to fetch."""
@@ -75,6 +94,8 @@
 class PlatformDialect:
     """Implements `wagtailfront.forwarding.interfaces.Dialect`."""
 
+    end_to_end = END_TO_END
+
     def read_request(self, headers):
         """Decode a caller's headers; ValueError if one is malformed."""
         values = {name.lower(): value for name, value in headers}
