Count only the bytes of a head towards its limit

Cause: all bytes of a read counted towards the incomplete head at its end, those of the body before it too. Change: a read that ends another request is not counted; a head's own bytes are checked when it is complete, as before. Evidence: test_the_head_behind_a_long_body_is_not_too_large failed on the code before (sizes 1 and 30); a head without end behind a request still fails with 431 (a guard that passed before).

--- a/wagtailfront/forwarding/request_reader.py
+++ b/wagtailfront/forwarding/request_reader.py
@@ -155,8 +155,11 @@
         )
 
     def _count_partial_head(self, size):
-        """Count the bytes of an incomplete head."""
-        if not self.is_between_requests and not self.in_body:
+        """Count the bytes of an incomplete head.
+
+        A read that ends another request holds bytes of that one too.
+        """
+        if not (self.is_between_requests or self.in_body or self.requests):
             self.partial_head_bytes += size
 
     def _check_head(self):
--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -103,6 +103,26 @@
     assert failure.status == status
 
 
+@pytest.mark.parametrize("size", [1, 30, 90])
+def test_the_head_behind_a_long_body_is_not_too_large(size):
+    """Guards pipelined requests whose bytes arrive with those of a body."""
+    head = b"GET /b HTTP/1.1\r\nHost: h\r\nX: %b\r\n\r\n" % (b"a" * 400)
+    body = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n" + b"a" * 100
+    data = body + head
+    cut = len(data) - size
+    requests, failure = read_requests([data[:cut], data[cut:]])
+    assert failure is None
+    assert [request.target for request in requests] == [b"/a", b"/b"]
+
+
+def test_an_endless_head_behind_a_request_fails():
+    """Guards memory against a head that begins in the read of another."""
+    pieces = [REQUESTS + b"GET /b HTTP/1.1\r\nX: ", *[b"a" * 100] * 6]
+    requests, failure = read_requests(pieces)
+    assert len(requests) == 3
+    assert failure.status == 431
+
+
 @pytest.mark.parametrize("split", [in_bytes, lambda data: [data]])
 @pytest.mark.parametrize("framing", RESPONSES)
 def test_complete_responses(framing, split):
