Keep crash evidence for each caller that a request names

Callers: one caller's order crashed an endpoint each time it came, as the same order of others, which is sound, cleared the evidence; and the two attempts of one lookup had the lookups of all callers refused. Change: the fingerprint includes the header Authorization, if there is one.

--- a/wagtailfront/decisions/crash_evidence.py
+++ b/wagtailfront/decisions/crash_evidence.py
@@ -76,6 +76,7 @@
     since: float
     cleared: bool = False
     confirmed_by: set = field(default_factory=set)
+    attempts_since: set = field(default_factory=set)  # those in flight
 
 
 class CrashEvidence:
@@ -138,16 +139,30 @@
     def start(self, fingerprint, endpoint):
         """Record an attempt at `fingerprint` on `endpoint`."""
         self.in_flight.append((fingerprint, endpoint))
+        for suspicion in self._all(fingerprint):
+            suspicion.attempts_since.add(endpoint)
 
     def cancel(self, fingerprint, endpoint):
         """Record that an attempt ended without evidence either way."""
         self.in_flight.remove((fingerprint, endpoint))
+        for suspicion in self._all(fingerprint):
+            suspicion.attempts_since.discard(endpoint)
 
-    def complete(self, fingerprint, endpoint):
-        """Record that an attempt completed, and clear its fingerprint."""
-        self.in_flight.remove((fingerprint, endpoint))
-        for suspicion in self.suspicions.get(fingerprint, {}).values():
-            suspicion.cleared = True
+    def complete(self, fingerprint, endpoint, *, is_of_one_caller=False):
+        """Record that an attempt completed, and clear its fingerprint.
+
+        Parameters
+        ----------
+        fingerprint, endpoint : str
+        is_of_one_caller : bool, optional
+            Whether the fingerprint includes the caller. Then only crashes
+            that were known when the attempt began are cleared; `endpoint`
+            must be a name of the attempt alone.
+        """
+        for suspicion in self._all(fingerprint):
+            is_later = endpoint in suspicion.attempts_since
+            suspicion.cleared |= is_later or not is_of_one_caller
+        self.cancel(fingerprint, endpoint)
 
     def record_crash(self, endpoint, crash, *, now):
         """Suspect the fingerprints in flight on `endpoint`; return them."""
@@ -158,6 +173,8 @@
         )
         self.in_flight = [entry for entry in self.in_flight if entry[1] != endpoint]
         for fingerprint in suspects:
+            for suspicion in self._all(fingerprint):
+                suspicion.attempts_since.discard(endpoint)
             self._record(fingerprint, crash, endpoint, now)
         return suspects
 
@@ -250,11 +267,15 @@
             for suspicion in self._active(fingerprint, now)
         )
 
+    def _all(self, fingerprint):
+        """Return the suspicions of `fingerprint`, also the cleared ones."""
+        return self.suspicions.get(fingerprint, {}).values()
+
     def _active(self, fingerprint, now):
         """Return the suspicions that count against `fingerprint` at `now`."""
         return [
             suspicion
-            for suspicion in self.suspicions.get(fingerprint, {}).values()
+            for suspicion in self._all(fingerprint)
             if not suspicion.cleared and now - suspicion.since < self.lifetime
         ]
 
@@ -279,12 +300,21 @@
         self.suspicions = {key: crashes for key, crashes in current.items() if crashes}
 
 
-def request_fingerprint(model, body):
+def request_fingerprint(model, body, *, caller=""):
     """Return the fingerprint of a request with `body` bytes to `model`.
 
+    Parameters
+    ----------
+    model : str
+    body : bytes
+    caller : str, optional
+        Names the caller; without it, equal requests of all callers have one
+        fingerprint. Neither this nor `model` contains NUL.
+
     Examples
     --------
     >>> request_fingerprint("m", b"{}") == request_fingerprint("m", b"{ }")
     False
     """
-    return xxhash.xxh3_128_hexdigest(model.encode() + b"\0" + body)
+    name = f"\0{caller}\0{model}" if caller else model
+    return xxhash.xxh3_128_hexdigest(name.encode() + b"\0" + body)
--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -1,5 +1,7 @@
 """One attempt of a request at one endpoint, and its response."""
 
+import functools
+
 from wagtailfront.forwarding.event_splitter import EventSplitter
 from wagtailfront.forwarding.framing import HOP_BY_HOP, encode_head, find_header
 
@@ -278,7 +280,11 @@
 
     def record_success(self):
         """Clear the crash evidence against the request."""
-        self._untrack(self.context.evidence.complete)
+        complete = functools.partial(
+            self.context.evidence.complete,
+            is_of_one_caller=bool(self.task.fields.caller),
+        )
+        self._untrack(complete)
 
     def record_crash(self):
         """Record that the endpoint failed before its answer was complete.
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -102,7 +102,9 @@
         self.silence = SilenceWatch(task=self)
         self.stream = StreamRelay(task=self)
         self.fingerprint = request_fingerprint(
-            request.target.decode("latin-1"), repr(fields.parts).encode() + request.body
+            request.target.decode("latin-1"),
+            repr(fields.parts).encode() + request.body,
+            caller=fields.caller,
         )
 
     # Start and end
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -47,6 +47,8 @@
         Event after which the caller resumes a stream.
     resumes : str or None
         Id of the caller's attempt that got the first event of that stream.
+    caller : str
+        Names the caller, the same in all its requests; empty if unknown.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
     resumes: str | None = None
+    caller: str = ""
 
     @property
     def shared_parts(self):
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -32,6 +32,7 @@
 TOKENS = b"X-Token-Count"  # prompt tokens, then the limit of output tokens
 PROMPT_PARTS = b"X-Prompt-Prefix"  # all parts; the request's own is last
 LAST_EVENT = b"Last-Event-Id"
+CALLER = b"Authorization"  # the page names no header for the caller
 RESUMES = b"Resumes"  # the attempt of the caller that began the stream
 SIGNATURE = b"X-Response-Stamp"  # proof that an engine produced the response
 NOT_RUN = b"X-Not-Executed"
@@ -74,6 +75,7 @@
         PROMPT_PARTS,
         LAST_EVENT,
         RESUMES,
+        CALLER,
         SIGNATURE,
         NOT_RUN,
         RETRY_AFTER,
@@ -115,6 +117,7 @@
             parts=_read_parts(text(PROMPT_PARTS)),
             last_event_id=int(last_event) if last_event.isdigit() else None,
             resumes=text(RESUMES) or None,
+            caller=text(CALLER),
         )
 
     def endpoint_headers(self, headers, options):
--- a/wagtailfront/platform/tests/test_headers.py
+++ b/wagtailfront/platform/tests/test_headers.py
@@ -14,6 +14,7 @@
     (b"X-Prompt-Prefix", b"5c1e:800, 91bd:410"),
     (b"Last-Event-Id", b"12"),
     (b"Resumes", b"r0"),
+    (b"Authorization", b"Bearer c1"),
     (b"X-Own", b"kept"),
 ]
 
@@ -24,6 +25,7 @@
     assert (fields.request_id, fields.host) == ("r1", "H.example")
     assert (fields.time_left, fields.last_event_id) == (1.5, 12)
     assert fields.resumes == "r0"
+    assert fields.caller == "Bearer c1"
     assert (fields.prompt_tokens, fields.max_output_tokens) == (1460, 80)
     assert fields.parts == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
 
