Send no third request in a long pause that an endpoint asked for

A refused trial with a shorter time also ended the pause sooner. Cause: at most 300 s were believed and the stated end was forgotten. Change: a pause keeps the latest end and has two trials before it.

--- a/wagtailfront/forwarding/endpoint_pauses.py
+++ b/wagtailfront/forwarding/endpoint_pauses.py
@@ -4,9 +4,11 @@
 
 __all__ = ["MAX_PAUSE", "EndpointPauses"]
 
-# Seconds; far above the time limit of any route. After a longer pause a single
-# request shows whether the endpoint takes work again.
+# Seconds; far above the time limit of any route. In a longer pause single
+# requests show whether the endpoint takes work again.
 MAX_PAUSE = 300.0
+MAX_TRIALS = 2  # the platform tolerates no third request in a pause
+FOREVER = 1e9  # seconds; longer pauses are as long, so that times stay finite
 # After a pause requests come back one by one, so that an endpoint that was
 # full is not full again at once.
 RETURN_SPREAD = 0.25  # seconds in which the first request is sent
@@ -21,16 +23,19 @@
     Attributes
     ----------
     until : float
-        Time of its end.
+        Time of its end, or of the first trial in a long pause.
+    ends : float
+        Latest end that the endpoint asked for.
     next_send : float
         When the next request may be sent.
-    is_shortened : bool
-        Whether the endpoint asked for more than MAX_PAUSE.
+    trials : int
+        Requests that may still be sent before `ends`.
     """
 
     until: float
+    ends: float
     next_send: float
-    is_shortened: bool
+    trials: int
 
 
 class EndpointPauses:
@@ -66,28 +71,31 @@
 
     def begin(self, incarnation, seconds, *, now):
         """Begin or lengthen a pause; return whether anything changed."""
-        until = now + min(seconds, MAX_PAUSE)
+        ends = now + min(seconds, FOREVER)
         known = self.pauses.get(incarnation)
-        if until <= now or (known is not None and until <= known.until):
+        if ends <= now or (known is not None and ends <= known.ends):
             return False
+        is_longer = known is not None and now < known.ends
+        trials = known.trials if is_longer else MAX_TRIALS
+        until = min(ends, now + MAX_PAUSE) if trials else ends
         spread = RETURN_SPREAD * min(1.0, until - now)
         self.pauses[incarnation] = _Pause(
             until=until,
+            ends=ends,
             next_send=until + self.rng.uniform(0.0, spread),
-            is_shortened=seconds > MAX_PAUSE,
+            trials=trials,
         )
         return True
 
     def record_served(self, incarnation, *, sent, now):
         """Record an answer to a request sent at `sent` that was not refused.
 
-        It lets work return after a shortened pause; return whether it does.
+        A trial lets work return in a long pause; return whether it does.
         """
         pause = self.pauses.get(incarnation)
-        if pause is None or not pause.is_shortened or sent < pause.until:
+        if pause is None or not pause.until <= sent < pause.ends:
             return False
-        pause.is_shortened = False
-        pause.until = pause.next_send = now
+        pause.until = pause.ends = pause.next_send = now
         return True
 
     def is_paused(self, incarnation, *, now):
@@ -110,9 +118,12 @@
         if pause is None:
             return 0.0
         send_at = max(now, pause.next_send)
-        if pause.is_shortened:
-            pause.next_send = send_at + MAX_PAUSE
-        elif send_at > now or now < pause.until + RETURN_SECONDS:
+        if send_at < pause.ends:
+            pause.trials -= 1
+            after_end = pause.ends + self.rng.uniform(0.0, RETURN_SPREAD)
+            next_trial = send_at + MAX_PAUSE if pause.trials else after_end
+            pause.next_send = min(next_trial, after_end)
+        elif send_at > now or now < pause.ends + RETURN_SECONDS:
             pause.next_send = send_at + RETURN_SPACING
         else:
             del self.pauses[incarnation]
@@ -123,6 +134,5 @@
         self.pauses = {
             incarnation: pause
             for incarnation, pause in self.pauses.items()
-            if pause.is_shortened
-            or max(pause.until + RETURN_SECONDS, pause.next_send) > now
+            if max(pause.ends + RETURN_SECONDS, pause.next_send) > now
         }
