--- a/wagtailfront/forwarding/tests/test_forward_task.py
+++ b/wagtailfront/forwarding/tests/test_forward_task.py
@@ -66,23 +66,6 @@
     assert reply.headers == [*SIGNED, (b"X-Own", b"1")]
 
 
-def test_headers_that_connection_lists_are_not_passed_on():
-    """Guards endpoints against HTTP2-Settings, and the id of a request."""
-    scene = Scene(PLAIN)
-    listed = (b"Connection", b"upgrade, http2-settings , X-Request-Id")
-    settings_header = (b"HTTP2-Settings", b"AAMA")
-    kept = (b"X-Request-Id", b"r1")
-    headers = [kept, listed, (b"Upgrade", b"h2c"), settings_header, (b"X-Own", b"1")]
-    _task, reply = scene.start(make_route(UNSAFE), make_request(headers=headers))
-    lines = header_lines(scene.pool.last)
-    names = {line.partition(b":")[0].lower() for line in lines}
-    assert names.isdisjoint({b"connection", b"upgrade", b"http2-settings"})
-    assert {b"X-Request-Id: r1", b"X-Own: 1"} <= set(lines)
-    answer = [*SIGNED, (b"Connection", b"X-Hop"), (b"X-Hop", b"1"), (b"X-Own", b"1")]
-    scene.pool.last.respond(404, answer, b"no")
-    assert reply.headers == [*SIGNED, (b"X-Own", b"1")]
-
-
 def test_unsafe_call_that_was_cut_is_neither_repeated_nor_reported_not_run():
     """Guards against a second run, and against a false not-run statement."""
     scene = Scene(PLAIN)
--- a/wagtailfront/forwarding/tests/test_upgrade_offers.py
+++ b/wagtailfront/forwarding/tests/test_upgrade_offers.py
@@ -7,6 +7,13 @@
 
 from wagtailfront.forwarding.framing import CONTINUE
 from wagtailfront.forwarding.request_reader import RequestReader
+from wagtailfront.forwarding.tests.builders import (
+    UNSAFE,
+    Scene,
+    make_record,
+    make_request,
+    make_route,
+)
 from wagtailfront.forwarding.tests.drawn_requests import conversations, requests
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
@@ -14,6 +21,7 @@
     read_until,
     start_instances,
 )
+from wagtailfront.platform.tests.wire import SIGNED
 
 OFFER = (
     b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
@@ -137,3 +145,20 @@
     assert data.count(b"HTTP/1.1 ") == 1
     assert data.startswith(b"HTTP/1.1 400 ")
     assert instance.endpoint.requests == []
+
+
+def test_headers_that_connection_lists_are_not_passed_on():
+    """Guards endpoints against HTTP2-Settings, and the id of a request."""
+    scene = Scene([make_record()])
+    listed = (b"Connection", b"upgrade, http2-settings , X-Request-Id")
+    settings_header = (b"HTTP2-Settings", b"AAMA")
+    kept = (b"X-Request-Id", b"r1")
+    headers = [kept, listed, (b"Upgrade", b"h2c"), settings_header, (b"X-Own", b"1")]
+    _task, reply = scene.start(make_route(UNSAFE), make_request(headers=headers))
+    lines = scene.pool.last.payload.partition(b"\r\n\r\n")[0].split(b"\r\n")
+    names = {line.partition(b":")[0].lower() for line in lines}
+    assert names.isdisjoint({b"connection", b"upgrade", b"http2-settings"})
+    assert {b"X-Request-Id: r1", b"X-Own: 1"} <= set(lines)
+    answer = [*SIGNED, (b"Connection", b"X-Hop"), (b"X-Hop", b"1"), (b"X-Own", b"1")]
+    scene.pool.last.respond(404, answer, b"no")
+    assert reply.headers == [*SIGNED, (b"X-Own", b"1")]
