--- a/wagtailfront/forwarding/caller_connection.py
+++ b/wagtailfront/forwarding/caller_connection.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from wagtailfront.forwarding.caller_limits import widest
-from wagtailfront.forwarding.framing import Request, RequestReader
+from wagtailfront.forwarding.request_reader import Request, RequestReader
 
 __all__ = ["CallerConnection", "ReceivedRequest"]
 
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -4,7 +4,6 @@
 import logging
 
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
-from wagtailfront.forwarding.attempt import end_to_end_headers
 from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES, RETRY_AFTER
 from wagtailfront.forwarding.request_dispatch import (
     GATEWAY_TIMEOUT,
@@ -103,7 +102,9 @@
         self.silence = SilenceWatch(task=self)
         self.stream = StreamRelay(task=self)
         self.fingerprint = request_fingerprint(
-            request.target.decode("latin-1"), repr(fields.parts).encode() + request.body
+            request.target.decode("latin-1"),
+            repr(fields.parts).encode() + request.body,
+            caller=fields.caller,
         )
 
     # Start and end
@@ -281,9 +282,7 @@
         self.log.decision(
             "answered", str(attempt.status), endpoint=attempt.record.endpoint_id
         )
-        self.reply.answer(
-            attempt.status, end_to_end_headers(attempt.headers), attempt.body
-        )
+        self.reply.answer(attempt.status, attempt.answer_headers, attempt.body)
         self.end("answered")
 
     def _handle_refusal(self, attempt):
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -47,6 +47,8 @@
         Event after which the caller resumes a stream.
     resumes : str or None
         Id of the caller's attempt that got the first event of that stream.
+    caller : str
+        Names the caller, the same in all its requests; empty if unknown.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
     resumes: str | None = None
+    caller: str = ""
 
     @property
     def shared_parts(self):
@@ -142,7 +145,15 @@
 
 
 class Dialect(Protocol):
-    """Header names and formats towards callers and endpoints."""
+    """Header names and formats towards callers and endpoints.
+
+    Attributes
+    ----------
+    end_to_end : frozenset of bytes
+        Names in lower case that never concern only one connection.
+    """
+
+    end_to_end: frozenset[bytes]
 
     def read_request(self, headers) -> RequestFields:
         """Decode a caller's headers; ValueError if one cannot be read."""
--- /dev/null
+++ b/wagtailfront/forwarding/request_reader.py
@@ -0,0 +1,167 @@
+"""Parsing of callers' HTTP/1.1 requests."""
+
+from typing import NamedTuple
+
+import httptools
+
+from wagtailfront.forwarding.framing import (
+    FramingError,
+    MessageHead,
+    encode_head,
+    find_header,
+)
+
+__all__ = ["Request", "RequestReader"]
+
+CONNECT = b"CONNECT"
+UPGRADE = b"upgrade"
+
+
+class Request(NamedTuple):
+    """A complete request; header names keep the case received."""
+
+    method: bytes
+    target: bytes
+    headers: list
+    body: bytes
+    keep_alive: bool
+    http_version: str
+
+
+class RequestReader(MessageHead):
+    """Parses requests from a caller's bytes.
+
+    An offer of another protocol (the header Upgrade) is ignored, as RFC 9110,
+    section 7.8, allows. CONNECT is refused.
+
+    Parameters
+    ----------
+    max_head, max_body : int
+        Bytes.
+
+    Attributes
+    ----------
+    failure : FramingError or None
+        Error that ended parsing; requests returned before it are complete.
+    is_between_requests : bool
+        Whether no request is partly received.
+    bytes_read : int
+        Bytes received so far.
+
+    Examples
+    --------
+    >>> reader = RequestReader(max_head=1000, max_body=1000)
+    >>> lines = [b"POST /a HTTP/1.1", b"Content-Length: 2", b"", b"hi"]
+    >>> [request.body for request in reader.feed(bytes([13, 10]).join(lines))]
+    [b'hi']
+    """
+
+    def __init__(self, *, max_head, max_body):
+        super().__init__()
+        self.max_head = max_head
+        self.max_body = max_body
+        self.parser = httptools.HttpRequestParser(self)
+        self.body = bytearray()
+        self.body_bytes = 0
+        self.requests = []
+        self.failure = None
+        self.expects_continue = False
+        self.is_between_requests = True
+        self.partial_head_bytes = 0
+        self.bytes_read = 0
+
+    def feed(self, data):
+        """Return the requests that `data` completes; sets `failure`."""
+        self.bytes_read += len(data)
+        if self.failure is not None:
+            return []
+        try:
+            self._parse(data)
+            self._check_head()
+        except FramingError as error:
+            self.failure = error
+        except httptools.HttpParserError as error:
+            self.failure = (
+                error.__context__
+                if isinstance(error.__context__, FramingError)
+                else FramingError(400, f"not an HTTP request: {error}")
+            )
+        done, self.requests = self.requests, []
+        return done
+
+    def _parse(self, data):
+        """Parse `data`, also beyond heads that offer another protocol."""
+        rest = memoryview(data)
+        while rest:
+            try:
+                self.parser.feed_data(rest)
+            except httptools.HttpParserUpgrade as error:
+                (size,) = error.args
+                rest = rest[size:]
+                self._ignore_upgrade()
+            else:
+                self._count_partial_head(len(rest))
+                return
+
+    def _ignore_upgrade(self):
+        """Parse the last head once more, without its offer.
+
+        The parser ends a message at such a head and leaves out its body.
+        """
+        first_line = b"%b %b HTTP/%b" % (
+            self.parser.get_method(),
+            self.target,
+            self.parser.get_http_version().encode(),
+        )
+        headers = [header for header in self.headers if header[0].lower() != UPGRADE]
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.feed_data(encode_head(first_line, headers))
+
+    def on_message_begin(self):
+        super().on_message_begin()
+        self.body = bytearray()
+        self.body_bytes = 0
+        self.is_between_requests = False
+
+    def on_headers_complete(self):
+        super().on_headers_complete()
+        self.partial_head_bytes = 0
+        self._check_head()
+        if self.parser.get_method() == CONNECT:
+            raise FramingError(400, "CONNECT is not served")
+        expected = find_header(self.headers, b"expect") or b""
+        self.expects_continue = expected.lower() == b"100-continue"
+
+    def on_body(self, data):
+        self.body_bytes += len(data)
+        if self.body_bytes > self.max_body:
+            raise FramingError(413, "request body too large")
+        self.body += data
+
+    def on_message_complete(self):
+        if self.parser.should_upgrade():
+            return  # the head is parsed again without its offer
+        self.is_between_requests = True
+        self.expects_continue = False
+        self.requests.append(
+            Request(
+                method=self.parser.get_method(),
+                target=self.target,
+                headers=self.headers,
+                body=bytes(self.body),
+                keep_alive=self.parser.should_keep_alive(),
+                http_version=self.parser.get_http_version(),
+            )
+        )
+
+    def _count_partial_head(self, size):
+        """Count the bytes of an incomplete head.
+
+        A read that ends another request holds bytes of that one too.
+        """
+        if not (self.is_between_requests or self.in_body or self.requests):
+            self.partial_head_bytes += size
+
+    def _check_head(self):
+        if max(self.head_bytes, self.partial_head_bytes) > self.max_head:
+            raise FramingError(431, "request head too large")
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -32,6 +32,7 @@
 TOKENS = b"X-Token-Count"  # prompt tokens, then the limit of output tokens
 PROMPT_PARTS = b"X-Prompt-Prefix"  # all parts; the request's own is last
 LAST_EVENT = b"Last-Event-Id"
+CALLER = b"Authorization"  # the page names no header for the caller
 RESUMES = b"Resumes"  # the attempt of the caller that began the stream
 SIGNATURE = b"X-Response-Stamp"  # proof that an engine produced the response
 NOT_RUN = b"X-Not-Executed"
@@ -64,6 +65,26 @@
     )
 )
 
+# A caller that lists them in Connection must not have them removed.
+END_TO_END = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        MODEL,
+        TOKENS,
+        PROMPT_PARTS,
+        LAST_EVENT,
+        RESUMES,
+        CALLER,
+        SIGNATURE,
+        NOT_RUN,
+        RETRY_AFTER,
+        HOST,
+        b"Content-Type",
+        b"Content-Encoding",
+    )
+)
+
 
 class _Handle(msgspec.Struct):
     """Body of a prefill response; `handle` names the KV cache to fetch."""
@@ -75,6 +96,8 @@
 class PlatformDialect:
     """Implements `wagtailfront.forwarding.interfaces.Dialect`."""
 
+    end_to_end = END_TO_END
+
     def read_request(self, headers):
         """Decode a caller's headers; ValueError if one is malformed."""
         values = {name.lower(): value for name, value in headers}
@@ -94,6 +117,7 @@
             parts=_read_parts(text(PROMPT_PARTS)),
             last_event_id=int(last_event) if last_event.isdigit() else None,
             resumes=text(RESUMES) or None,
+            caller=text(CALLER),
         )
 
     def endpoint_headers(self, headers, options):
