End the run at a silent engine, not the other, once no sound engine is silent so long

Cause: it was always the second of two runs that ended. Change: another engine is tried after 1.2 s instead of 0.9 s, so that the first one has been silent for longer than 1.5 s when one of the two has to end; then it is the first. Before, it is the second, as for plain services.

--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -9,15 +9,18 @@
 # latencies, and at the earliest after MIN_TIMEOUT, to tolerate short stalls.
 TIMEOUT_TARGETS = 2.0
 MIN_TIMEOUT = 0.25  # seconds
-# Seconds without a byte from an engine on any connection. A batch step full
-# of prefill chunks takes a tenth of this.
-ENGINE_SILENCE = 0.9
+# Seconds for which a sound endpoint may send nothing and then go on.
+SOUND_SILENCE = 1.5
+# Seconds without a byte from an engine on any connection until another one is
+# tried. With HANDOVER_SECONDS it exceeds SOUND_SILENCE, so that the first
+# engine need not be sound any more when its run has to end.
+ENGINE_SILENCE = 1.2
 # Multiple of the expected prefill time that is allowed for queueing.
 QUEUE_FACTOR = 2.0
 MIN_RECHECK_DELAY = 0.02  # seconds; avoids checks in quick succession
 MAX_LATENESS = 0.05  # seconds; timers that are later were held up by a stall
-# Seconds beyond its prefill within which a second engine must send an event of
-# a stream; until then both may work on it.
+# Seconds beyond its prefill for which a second engine may work on a stream
+# beside the first one.
 HANDOVER_SECONDS = 0.35
 
 
@@ -39,8 +42,8 @@
     An engine counts as silent only if this instance received nothing from
     it on any connection, since a single request may just be queued. It may
     be sound and go on, so its run ends only once another one has sent an
-    event. A run that sends none in time ends itself, lest two engines work
-    on one stream for long.
+    event. If that takes too long, one of the two runs of a stream ends: that
+    at the silent engine only if no sound one is silent for so long.
     """
 
     def __init__(self, *, task):
@@ -116,16 +119,23 @@
             self._check_after(timeout, attempt, timeout)
 
     def _limit_handover(self, attempt):
-        """End an attempt beside the held one unless it soon makes progress."""
+        """End one of two attempts unless one of them soon makes progress."""
 
         def end_handover():
-            if self.task.attempt is attempt:
-                self.resume("the other endpoint has sent no event in time")
+            if self.task.attempt is attempt and self.held is not None:
+                self._end_handover()
 
         # Without the queue: the engine may have none, and be at work at once.
         prefill = attempt.uncached_tokens / DECODE_ENGINE_PREFILL_RATE
         self._after(HANDOVER_SECONDS + prefill, end_handover)
 
+    def _end_handover(self):
+        silence = self.task.context.clock() - self.held.last_progress_at
+        if silence >= SOUND_SILENCE:
+            self.release("it is silent for longer than a sound one")
+        else:
+            self.resume("the other endpoint has sent no event in time")
+
     def settle(self, attempt):
         """End the other open attempt, as `attempt` has made progress."""
         if self.held is None:
