--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -63,6 +63,14 @@
     ]
 
 
+def test_a_partial_head_is_counted_without_the_requests_before_it():
+    """Guards sound pipelined requests against a refusal as too large."""
+    post = b"POST /c HTTP/1.1\r\nContent-Length: 100\r\n\r\n" + b"a" * 100
+    requests, failure = read_requests([post * 6 + post[:20], post[20:]])
+    assert failure is None
+    assert len(requests) == 7
+
+
 @pytest.mark.parametrize(
     "lines",
     [
--- a/wagtailfront/platform/tests/silent_store.py
+++ b/wagtailfront/platform/tests/silent_store.py
@@ -68,6 +68,13 @@
 
     async def _serve(self, reader, writer):
         self.open.add(writer)
+        try:
+            await self._serve_requests(reader, writer)
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    async def _serve_requests(self, reader, writer):
         while (request := await read_request(reader)) is not None:
             method, target, _head, body = request
             if writer in self.silent:
@@ -78,8 +85,6 @@
                 data = msgspec.json.encode(answer)
                 head = b"HTTP/1.1 %d X\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n"
                 writer.write(head % (status, len(data)) + data)
-        self.open.discard(writer)
-        writer.close()
 
     async def _answer(self, method, target, body):
         loop = asyncio.get_running_loop()
--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -99,6 +99,15 @@
     ]
 
 
+def prompt_headers(*, model, tokens, part):
+    """Return the headers of a prompt that is one part of so many tokens."""
+    return [
+        (b"X-Model", model),
+        (b"X-Token-Count", b"%d,40" % tokens),
+        (b"X-Prompt-Prefix", b"%b:%d" % (part, tokens)),
+    ]
+
+
 def resumed_event(payload):
     """Return the id of the event after which a request resumes, or 0."""
     found = re.findall(rb"Last-Event-Id: (\d+)", payload)
--- a/wagtailfront/programs/tests/process_fleet.py
+++ b/wagtailfront/programs/tests/process_fleet.py
@@ -86,10 +86,13 @@
     size : int
     seed : int
         Of the choices that callers make.
+    log_folder : pathlib.Path, optional
+        Where the decision log of each instance is kept.
     """
 
-    def __init__(self, *, size, seed):
+    def __init__(self, *, size, seed, log_folder=None):
         self.size = size
+        self.log_folder = log_folder
         self.rng = random.Random(seed)
         self.checker = RuleChecker()
         self.store = SilentStore()
@@ -101,14 +104,18 @@
 
     async def __aenter__(self):
         await self.store.start()
-        await self.configure(1, "/a/", "/stream/")
-        for number in range(4):
-            await self.add_endpoint(f"e{number}", "v1")
+        await self.prepare()
         for number in range(self.size):
             self._start_instance(number)
         await self._wait_until_ready()
         return self
 
+    async def prepare(self):
+        """Write the rows that the instances read when they start."""
+        await self.configure(1, "/a/", "/stream/")
+        for number in range(4):
+            await self.add_endpoint(f"e{number}", "v1")
+
     async def __aexit__(self, *failure):
         for child in self.children:
             child.kill()
@@ -132,13 +139,19 @@
         }
         self.callers.append(ports["callers"])
         self.status_ports.append(ports["status"])
-        self.children.append(
-            subprocess.Popen(
-                [sys.executable, "-m", "wagtailfront.programs.forward"],
-                env=os.environ | environ,
-                stdout=subprocess.DEVNULL,
+        with self._open_log(number) as log:
+            self.children.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "wagtailfront.programs.forward"],
+                    env=os.environ | environ,
+                    stdout=log,
+                )
             )
-        )
+
+    def _open_log(self, number):
+        if self.log_folder is None:
+            return open(os.devnull, "wb")
+        return open(self.log_folder / f"i{number}.jsonl", "wb")
 
     async def _wait_until_ready(self):
         limit = time.monotonic() + READY_SECONDS
--- a/wagtailfront/programs/tests/test_planned_work.py
+++ b/wagtailfront/programs/tests/test_planned_work.py
@@ -1,6 +1,5 @@
 """Seeded test of a real process around changes of the configuration."""
 
-import math
 import random
 import signal
 import socket
@@ -12,34 +11,16 @@
 
 from wagtailfront.platform.tests.wire import signed_response
 from wagtailfront.programs.tests.forward_site import SERVICES, ForwardSite, read_answer
+from wagtailfront.programs.tests.known_limits import LIMIT_SHARE, KnownLimits
 
 SECONDS = 3.0
 CALLERS = 12
 SILENCE = 1.2  # seconds for which a sound endpoint sends nothing
 CHANGE_INTERVAL, SIGNAL_INTERVAL = 0.5, 0.05  # seconds
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\n"
-KNOWN_SECONDS = 2.0  # until callers keep to a change
 NARROW = {"idle-timeout-ms": 200, "header-timeout-ms": 200, "max-body-bytes": 2000}
 WIDE = {"idle-timeout-ms": 3000, "header-timeout-ms": 2000, "max-body-bytes": 200_000}
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of 0 seconds
-LIMIT_SHARE = 0.4  # part of a limit that callers use; they know none exactly
-
-
-class KnownLimits:
-    """Limits that callers may keep to around changes."""
-
-    def __init__(self):
-        self.versions = []
-
-    def add(self, limits):
-        self.versions.append((time.monotonic(), limits))
-
-    def widest(self, name):
-        """Return a limit of the versions that were in force just before."""
-        since = time.monotonic() - KNOWN_SECONDS
-        ends = [began for began, _limits in self.versions[1:]] + [math.inf]
-        in_force = zip(ends, self.versions, strict=True)
-        return max(limits[name] for end, (_, limits) in in_force if end > since)
 
 
 class Endpoint:
