End all instances of a play whose start failed; find outlasted engines

The checker also finds requests that were cut at their limit after an engine that had been given up for its silence went on.

--- a/wagtailfront/programs/tests/answer_checker.py
+++ b/wagtailfront/programs/tests/answer_checker.py
@@ -11,6 +11,7 @@
 SLACK = 0.25  # seconds beyond the limit of a request
 KNOWN_SECONDS = 2.0  # seconds in which a change comes into force
 DENIALS = {400, 401, 403, 404, 405, 411, 413, 414, 417, 431, 500, 501, 505}
+REQUEST_ENDED = "the request has ended"
 BROKEN_OFF = ("reset", "closed by the endpoint", "read:", "write:")
 
 
@@ -143,6 +144,24 @@
             and (self.is_deadline(ending) or is_broken_off(lines))
         )
 
+    def find_outlasted(self, decisions):
+        """Return those cut at a limit after an engine given up had gone on."""
+        return [
+            lost
+            for lost in self.find_ended_without_answer()
+            if self.is_deadline(lost.ending)
+            and self._has_gone_on(
+                lost.ending, given_up(decisions.get(lost.ending.request, ()))
+            )
+        ]
+
+    def _has_gone_on(self, ending, endpoints):
+        texts = {f"{endpoint} went on" for endpoint in endpoints}
+        return any(
+            text in texts and at < ending.ended_at
+            for at, text in self.traces[ending.request]
+        )
+
     def find_denied(self):
         """Return endings with a status that blames a sound request."""
         return [end for end in self.endings if end.status in DENIALS]
@@ -171,6 +190,16 @@
     return bool(failed) and failed[-1].startswith(BROKEN_OFF)
 
 
+def given_up(lines):
+    """Return the endpoints whose silent runs ended before the request did."""
+    return {
+        line["endpoint"]
+        for line in lines
+        if (line["kind"], line["outcome"]) == ("silent", "ended")
+        and line["reason"] != REQUEST_ENDED
+    }
+
+
 def read_decisions(folder):
     """Return the lines of the instances' decision logs by request."""
     decisions = defaultdict(list)
--- a/wagtailfront/programs/tests/process_fleet.py
+++ b/wagtailfront/programs/tests/process_fleet.py
@@ -107,7 +107,11 @@
         await self.prepare()
         for number in range(self.size):
             self._start_instance(number)
-        await self._wait_until_ready()
+        try:
+            await self._wait_until_ready()
+        except TimeoutError:
+            await self.__aexit__()
+            raise
         return self
 
     async def prepare(self):
--- a/wagtailfront/programs/tests/test_silent_beside_changes.py
+++ b/wagtailfront/programs/tests/test_silent_beside_changes.py
@@ -20,6 +20,8 @@
     result = play(seed=seed, seconds=SECONDS, folder=tmp_path)
     checker = result.checker
     lost = checker.find_lost(result.decisions)
+    outlasted = checker.find_outlasted(result.decisions)
+    print("cut at a limit after an engine given up had gone on:", len(outlasted))
     assert [describe(each, result) for each in lost] == []
     assert checker.find_denied() == []
     assert checker.find_late() == []
@@ -68,6 +70,17 @@
     assert bool(checker.find_lost({"r1": lines})) == is_lost
 
 
+def test_an_engine_that_was_given_up_and_went_on_is_found():
+    """Guards the count of requests whose first engine had gone on."""
+    checker = AnswerChecker()
+    checker.record_change({"/a/": 5.0}, at=0.0)
+    checker.record_ending(make_ending(ended_at=13.0))
+    checker.traces["r1"].append((12.0, "e1 went on"))
+    line = {"kind": "silent", "outcome": "ended", "endpoint": "e1", "reason": "x"}
+    assert checker.find_outlasted({"r1": []}) == []
+    assert len(checker.find_outlasted({"r1": [line]})) == 1
+
+
 def test_a_request_behind_a_closing_answer_is_lost():
     """Guards pipelined requests against a connection that is closed."""
     checker = AnswerChecker()
