--- a/wagtailfront/programs/tests/silent_endpoint.py
+++ b/wagtailfront/programs/tests/silent_endpoint.py
@@ -22,6 +22,7 @@
 NOT_FOUND = b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n"
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 OWN_SILENCE = 0.004  # share of the steps of an answer that are silent by themselves
+HEAD_SILENCE = 0.2  # share of streams that are silent after their head
 SILENCE = (0.8, 1.5)  # seconds
 IDLE_RESET = 0.03  # share of answers after which the idle connection is reset
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER of 0 seconds
@@ -101,6 +102,7 @@
         lines = header_lines(event_stream_headers(request_id))
         await asyncio.sleep(0.05 * self.rng.random())
         await self._send(label, writer, STREAM_HEAD + lines + b"\r\n")
+        await self._pass(label, writer, HEAD_SILENCE)
         count, gap = self.rng.randint(3, 20), self.rng.uniform(0.02, 0.12)
         for number in range(resumed_event(head) + 1, count + 1):
             event = b"id: %d\ndata: %b\n\n" % (number, self.version.encode())
@@ -119,10 +121,10 @@
         writer.write(data[cut:])
         await writer.drain()
 
-    async def _pass(self, label, writer):
+    async def _pass(self, label, writer, share=OWN_SILENCE):
         loop = asyncio.get_running_loop()
         until = self.silent_until
-        if self.rng.random() < OWN_SILENCE:
+        if self.rng.random() < share:
             until = max(until, loop.time() + self.rng.uniform(*SILENCE))
         if until > loop.time():
             self.checker.trace(label, f"{self.name} fell silent")
