Reset a cut answer that has no end of its own

Cause: circuits sends FIN before it closes a socket, so that the reset which followed came after what looks like the end of such an answer. Change: the listener closes sockets itself; an answer that ends with its connection is broken off with RST alone. One in chunks is cut with FIN, as its last chunk is missing and RST may overtake events that are on their way.

--- a/wagtailfront/forwarding/caller_reply.py
+++ b/wagtailfront/forwarding/caller_reply.py
@@ -72,10 +72,10 @@
         self._end()
 
     def abort(self):
-        """Reset the connection, which shows that the response is truncated."""
+        """End the connection in a way that shows the response is truncated."""
         if not self.is_ended:
             self.is_ended = True
-            self.server.reset(self.connection)
+            self.server.reset(self.connection, is_framed=self.is_chunked)
 
     def _fail(self, what):
         """Reset an open response, as `what` does not fit what was sent."""
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -2,8 +2,6 @@
 
 import itertools
 import logging
-import socket
-import struct
 import time
 
 from circuits import BaseComponent, Event, handler
@@ -31,8 +29,6 @@
 # Seconds in which a caller reads the refusal of a request that it still sends.
 LINGER_SECONDS = 1.0
 MAX_PIPELINED = 8  # requests queued on one connection until it is read on
-# SO_LINGER with a timeout of 0: close() sends RST instead of FIN.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Why this instance closes a connection.
 BROKEN_ANSWER = "its answer was broken off"
 AFTER_ANSWER = "closed after an answer"
@@ -204,18 +200,21 @@
         if connection.sock in self.listener.clients:
             self.listener.close(connection.sock)
 
-    def reset(self, connection):
-        """Close a connection with RST."""
+    def reset(self, connection, *, is_framed):
+        """Break off an answer so that it cannot be taken for a whole one.
+
+        Parameters
+        ----------
+        connection : CallerConnection
+        is_framed : bool
+            Whether the answer has an end of its own. Without one, only RST
+            tells its caller that more was to follow.
+        """
         self._start_closing(connection, BROKEN_ANSWER)
-        try:
-            connection.sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
-        except OSError as error:
-            logger.info(
-                "[callers] Cannot reset a connection that is already closed: %s", error
-            )
-        self.listener._close(connection.sock)
+        if is_framed:
+            self.listener.cut(connection.sock)
+        else:
+            self.listener.reset(connection.sock)
 
     @handler("disconnect")
     def _on_disconnect(self, sock):
--- a/wagtailfront/forwarding/half_closed_callers.py
+++ b/wagtailfront/forwarding/half_closed_callers.py
@@ -47,9 +47,9 @@
         if connection.sock not in self.listener.clients or not connection.has_request:
             return
         if self.listener.is_reset(connection.sock):
-            self.listener.drop(connection.sock, RESET_BY_PEER)
+            self.listener.reset(connection.sock, RESET_BY_PEER)
         elif self._is_gone(connection):
-            self.listener.drop(connection.sock, CLOSED_BY_PEER)
+            self.listener.reset(connection.sock, CLOSED_BY_PEER)
         else:
             self._check_later(connection)
 
--- a/wagtailfront/forwarding/tests/test_faulty_answers.py
+++ b/wagtailfront/forwarding/tests/test_faulty_answers.py
@@ -164,7 +164,7 @@
     def write(self, sock, data):
         self.written += data
 
-    def reset(self, connection):
+    def reset(self, connection, *, is_framed):
         self.resets += 1
 
     def end_reply(self, connection, keep_alive):
--- a/wagtailfront/forwarding/tests/test_half_closed_callers.py
+++ b/wagtailfront/forwarding/tests/test_half_closed_callers.py
@@ -1,6 +1,7 @@
 """Tests of callers that end their sending side after a whole request."""
 
 import socket
+import struct
 import time
 from threading import Event
 
@@ -115,3 +116,25 @@
     scene.pool.last.sink.on_head(200, EVENT_STREAM)
     scene.pool.last.sink.on_data(event(1))
     assert not task.is_prefilling
+
+
+@pytest.mark.parametrize("is_half_closed", [False, True])
+def test_a_stream_of_http_1_0_that_is_cut_does_not_look_complete(begin, is_half_closed):
+    """Guards answers that end with their connection."""
+    goes_on = Event()
+
+    def stream(connection, request_id, request):
+        EndpointStream.start(connection, request_id)
+        goes_on.wait(10.0)
+        reset = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        return False
+
+    with begin(stream).connect() as caller:
+        caller.sendall((GET % b"r1").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        read_until(caller, [endpoint_stream.EVENT])
+        if is_half_closed:
+            caller.shutdown(socket.SHUT_WR)
+        goes_on.set()
+        with pytest.raises(ConnectionError):
+            read_until(caller, [b"no such bytes"])
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -1,13 +1,16 @@
 """TCP listener with non-blocking TLS handshakes."""
 
+import contextlib
 import logging
 import socket
 import ssl
+import struct
 import time
 from collections import Counter
 from weakref import WeakKeyDictionary
 
 from circuits import handler
+from circuits.net.events import disconnect
 from circuits.net.sockets import TCPServer
 
 __all__ = ["HttpListener"]
@@ -17,6 +20,8 @@
 READ_BYTES = 65536
 MAX_PENDING_WRITE = 4 * 1024 * 1024  # bytes queued on one connection
 MAX_TOTAL_WRITE = 32 * 1024 * 1024  # bytes queued on all connections
+# SO_LINGER with a timeout of 0: close() sends RST instead of FIN.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Why a connection was closed.
 CLOSED_BY_PEER = "the peer ended its sending side"
 RESET_BY_PEER = "the peer reset the connection"
@@ -162,9 +167,16 @@
             return True
         return False
 
-    def drop(self, sock, reason):
-        """Close a connection without writing what is queued."""
-        self._close(sock, reason)
+    def reset(self, sock, reason=CLOSED_HERE):
+        """Close a connection with RST, which shows that bytes are missing.
+
+        Bytes that are on their way may get lost with it.
+        """
+        self._close(sock, reason, is_reset=True)
+
+    def cut(self, sock):
+        """Close a connection at once, after the bytes on their way."""
+        self._close(sock)
 
     def end_writing(self, sock):
         """Send FIN after what was written; further bytes are still read."""
@@ -220,17 +232,31 @@
 
     def _close_slow(self, sock):
         logger.warning("[http] Closed a connection: the peer reads too slowly.")
-        self._close(sock, SLOW_PEER)
+        self.reset(sock, SLOW_PEER)
 
     def _count_queued(self, sock, change):
         self.queued[sock] += change
         self.total_queued += change
 
-    def _close(self, sock, reason=CLOSED_HERE):
+    def _close(self, sock, reason=CLOSED_HERE, *, is_reset=False):
+        # Not that of circuits, which sends FIN before it closes a socket.
         if sock in self._clients:
+            self._clients.remove(sock)
             self.close_reasons[sock] = reason
+        elif sock is not None and sock is self._sock:
+            self._sock = None
+        else:
+            return
         self.total_queued -= self.queued.pop(sock, 0)
-        super()._close(sock)
+        self._poller.discard(sock)
+        self._buffers.pop(sock, None)
+        with contextlib.suppress(OSError):  # the peer may have closed it
+            if is_reset:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            else:
+                sock.shutdown(socket.SHUT_RDWR)
+        sock.close()
+        self.fire(disconnect(sock))
 
     def _flush(self, sock):
         queue = self._buffers[sock]
