--- a/wagtailfront/forwarding/caller_connection.py
+++ b/wagtailfront/forwarding/caller_connection.py
@@ -33,6 +33,8 @@
         Whether the caller sends no more, but may read its answers.
     written_at : float
         Time of the latest write, or since when none was expected.
+    queued, queued_at : int, float
+        Bytes that waited to be sent at the last check, and since when.
     """
 
     def __init__(self, *, sock, limits, now):
@@ -47,6 +49,7 @@
         self.is_part_refused = False
         self.has_ended_sending = False
         self.last_activity = self.written_at = now
+        self.queued, self.queued_at = 0, now
 
     @property
     def is_busy(self):
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -16,7 +16,7 @@
 )
 from wagtailfront.forwarding.half_closed_callers import HalfClosedCallers
 from wagtailfront.forwarding.unanswered_log import UnansweredLog
-from wagtailfront.transport.http_listener import CLOSED_HERE, HttpListener
+from wagtailfront.transport.http_listener import CLOSED_HERE, SLOW_PEER, HttpListener
 from wagtailfront.transport.http_protocol import ServerLimits
 from wagtailfront.transport.ticker import Ticker
 
@@ -28,6 +28,7 @@
 BAD_GATEWAY = 502  # does not say whether the request has run
 # Seconds in which a caller reads the refusal of a request that it still sends.
 LINGER_SECONDS = 1.0
+MAX_UNREAD_SECONDS = 30.0  # for which a caller may read nothing of an answer
 MAX_PIPELINED = 8  # requests queued on one connection until it is read on
 # Why this instance closes a connection.
 BROKEN_ANSWER = "its answer was broken off"
@@ -101,16 +102,22 @@
         self._serve_next(connection)
 
     def _keeps_half_closed(self, sock):
-        """Return whether a caller that sends no more may await an answer."""
+        """Return whether to keep a connection whose caller sends no more."""
         connection = self.connections.get(sock)
-        if connection is None or connection.is_closing or not connection.has_request:
-            return False
-        if connection.task is not None and connection.task.is_prefilling:
-            # Most such callers have left, and prefills are dear to the others.
+        if connection is None or not self._owes_answer(connection):
             return False
         self.half_closed.keep(connection)
         return True
 
+    def _owes_answer(self, connection):
+        """Return whether a caller that sends no more may await an answer."""
+        if self._is_reading_answer(connection):
+            return True
+        if connection.is_closing or not connection.has_request:
+            return False
+        # Most such callers have left, and prefills are dear to the others.
+        return connection.task is None or not connection.task.is_prefilling
+
     def _drop(self, connection, data):
         """Record what arrives on a connection that is being closed."""
         self.unanswered.record_bytes(len(data), reason=connection.close_reason)
@@ -150,7 +157,9 @@
     def _serve(self, connection, request):
         reply = Reply(server=self, connection=connection, request=request)
         try:
-            task = self.forwarder.accept(request, reply)
+            task = self.forwarder.accept(
+                request, reply, read_at=connection.current.read_at
+            )
         except Exception:
             # A fault in one request must not stop the whole server.
             logger.exception("[callers] Failed to start a request.")
@@ -240,7 +249,9 @@
     @handler("sweep")
     def _on_sweep(self):
         for connection in list(self.connections.values()):
-            if self._is_overdue(connection) and not self._read_more(connection):
+            if self._is_stalled(connection):
+                self.listener.reset(connection.sock, SLOW_PEER)
+            elif self._is_overdue(connection) and not self._read_more(connection):
                 if connection.reader.is_between_requests:
                     self._close(connection, IDLE)
                 else:
@@ -259,6 +270,13 @@
         limit = limits.idle_timeout if is_idle else limits.head_timeout
         return now - connection.last_activity > limit
 
+    def _is_stalled(self, connection):
+        """Return whether a caller has read nothing of its answer for long."""
+        now, queued = self.clock(), self.listener.queued.get(connection.sock, 0)
+        if queued != connection.queued:
+            connection.queued, connection.queued_at = queued, now
+        return queued > 0 and now - connection.queued_at > MAX_UNREAD_SECONDS
+
     def _is_reading_answer(self, connection):
         """Return whether a part of an answer waits until the caller reads."""
         return self.listener.queued.get(connection.sock, 0) > 0
@@ -270,7 +288,9 @@
         return connection.reader.bytes_read > before
 
     def has_more(self, connection):
-        """Return whether requests follow, also if only in part."""
+        """Return whether requests follow an answer, also if only in part."""
+        # A caller that sends no more may still read the answer.
+        connection.task = None
         return (
             bool(connection.waiting)
             or not connection.reader.is_between_requests
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -5,6 +5,7 @@
 
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
 from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES, RETRY_AFTER
+from wagtailfront.forwarding.late_timers import call_after_reads
 from wagtailfront.forwarding.request_dispatch import (
     GATEWAY_TIMEOUT,
     MAX_SENDS,
@@ -17,6 +18,7 @@
     find_origin,
     is_certain,
 )
+from wagtailfront.forwarding.routes import RequestKind
 from wagtailfront.forwarding.send_credit import SendCredit
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
@@ -54,6 +56,8 @@
         Version of the configuration that `route` comes from.
     origin : StreamOrigin, optional
         What began the stream, if the caller resumes one.
+    received : float, optional
+        Time at which the request was read; now by default.
     """
 
     def __init__(
@@ -68,6 +72,7 @@
         on_done,
         config_version=0,
         origin=None,
+        received=None,
     ):
         self.request = request
         self.fields = fields
@@ -83,7 +88,7 @@
         self.may_have_run = False  # never reset; a refusal is sent only while False
         self.is_done = False
         self.timers = []
-        self.received = context.clock()
+        self.received = context.clock() if received is None else received
         self.deadline = self.received + time_limit(route, fields)
         self.log = RequestLog(
             context=context,
@@ -111,10 +116,16 @@
 
     def begin(self):
         """Start the deadline and send the request to a first endpoint."""
-        self.after(self.deadline - self.received + DEADLINE_GRACE, self._expire)
-        self.credit.budget.record_request(now=self.received)
+        now = self.context.clock()
+        call_after_reads(
+            self.after,
+            clock=self.context.clock,
+            delay=max(0.0, self.deadline - now) + DEADLINE_GRACE,
+            callback=self._expire,
+        )
+        self.credit.budget.record_request(now=now)
         placement = self.context.evidence.place(
-            self.fingerprint, endpoints=(), live=(), now=self.received
+            self.fingerprint, endpoints=(), live=(), now=now
         )
         if placement.decision is Decision.REFUSE:
             self.give_up("it crashed endpoints that ran it", POISON_RETRY_AFTER)
@@ -142,6 +153,16 @@
         """Return whether an engine works on it without an event so far."""
         return self.service.is_model and not self.stream.is_started
 
+    @property
+    def outlasts_caller(self):
+        """Return whether it goes on for a caller that may have left.
+
+        The end of a call that cannot be repeated frees hardly anything.
+        """
+        is_call = self.route.kind is not RequestKind.STREAMING
+        is_sent = self.attempt is not None and self.attempt.may_have_run
+        return is_call and is_sent and not self.route.may_repeat
+
     def cancel(self):
         """End the task because the caller closed its connection."""
         if not self.is_done:
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -122,10 +122,18 @@
             return era > self.config_era and config != self.config
         return config.version > self.config.version
 
-    def accept(self, request, reply):
-        """Start a request; return its task, or None if it was rejected."""
+    def accept(self, request, reply, *, read_at=None):
+        """Start a request; return its task, or None if it was rejected.
+
+        Parameters
+        ----------
+        request : Request
+        reply : ReplySink
+        read_at : float, optional
+            Time from which its time limit counts; now by default.
+        """
         try:
-            task = self._make_task(request, reply)
+            task = self._make_task(request, reply, read_at)
         except Exception:
             # A fault in one request must not stop the others.
             logger.exception("[forward] Failed to start a request.")
@@ -136,7 +144,7 @@
             task.run(task.begin)
         return task
 
-    def _make_task(self, request, reply):
+    def _make_task(self, request, reply, read_at):
         """Return a request's task, or None if it was rejected."""
         try:
             fields = self.context.dialect.read_request(request.headers)
@@ -182,6 +190,7 @@
             on_done=self._on_done,
             config_version=self.config.version,
             origin=origin,
+            received=read_at,
         )
 
     def _may_outlast(self, longest):
--- a/wagtailfront/forwarding/half_closed_callers.py
+++ b/wagtailfront/forwarding/half_closed_callers.py
@@ -1,5 +1,6 @@
 """Callers that ended their sending side before their answer was complete."""
 
+from wagtailfront.forwarding.late_timers import call_after_reads
 from wagtailfront.transport.http_listener import CLOSED_BY_PEER, RESET_BY_PEER
 
 __all__ = ["HalfClosedCallers"]
@@ -41,19 +42,31 @@
             self._check_later(connection)
 
     def _check_later(self, connection):
-        self.timers.after(CHECK_INTERVAL, lambda: self._check(connection))
+        call_after_reads(
+            self.timers.after,
+            clock=self.clock,
+            delay=CHECK_INTERVAL,
+            callback=lambda: self._check(connection),
+        )
 
     def _check(self, connection):
-        if connection.sock not in self.listener.clients or not connection.has_request:
+        sock = connection.sock
+        # Bytes that wait to be sent would have reset a closed connection.
+        is_reading = self.listener.queued.get(sock, 0) > 0
+        if sock not in self.listener.clients:
             return
-        if self.listener.is_reset(connection.sock):
-            self.listener.reset(connection.sock, RESET_BY_PEER)
-        elif self._is_gone(connection):
+        if self.listener.is_reset(sock):
+            self.listener.reset(sock, RESET_BY_PEER)
+        elif is_reading or self._goes_on(connection.task):
+            self._check_later(connection)
+        elif connection.has_request:
+            self._end_if_gone(connection)
+
+    def _goes_on(self, task):
+        return task is not None and task.outlasts_caller
+
+    def _end_if_gone(self, connection):
+        if self.clock() - connection.written_at >= PATIENCE:
             self.listener.reset(connection.sock, CLOSED_BY_PEER)
         else:
             self._check_later(connection)
-
-    def _is_gone(self, connection):
-        # Bytes that wait to be sent would have reset a closed connection.
-        is_reading = self.listener.queued.get(connection.sock, 0) > 0
-        return not is_reading and self.clock() - connection.written_at >= PATIENCE
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -1,5 +1,6 @@
 """Detection of endpoints that send no response for a while."""
 
+from wagtailfront.forwarding.late_timers import call_after_reads
 from wagtailfront.forwarding.placement import DECODE_ENGINE_PREFILL_RATE
 from wagtailfront.forwarding.routes import RequestKind
 
@@ -18,7 +19,6 @@
 # Multiple of the expected prefill time that is allowed for queueing.
 QUEUE_FACTOR = 2.0
 MIN_RECHECK_DELAY = 0.02  # seconds; avoids checks in quick succession
-MAX_LATENESS = 0.05  # seconds; timers that are later were held up by a stall
 # Seconds beyond its prefill for which a second engine may work on a stream
 # beside the first one.
 HANDOVER_SECONDS = 0.35
@@ -66,27 +66,19 @@
         self._after(delay, lambda: self._check(attempt, timeout))
 
     def _after(self, delay, callback):
-        """Call a function after a delay, but not before reads that are due."""
-        clock = self.task.context.clock
-        due = clock() + delay
-
-        def call_when_read():
-            if clock() - due > MAX_LATENESS:
-                # What arrived while this instance stood still is read first.
-                self.task.after(MIN_RECHECK_DELAY, callback)
-            else:
-                callback()
-
-        self.task.after(delay, call_when_read)
+        call_after_reads(
+            self.task.after,
+            clock=self.task.context.clock,
+            delay=delay,
+            callback=callback,
+        )
 
     def _check(self, attempt, timeout):
         task = self.task
         if task.is_done or task.attempt is not attempt:
             return
         now = task.context.clock()
-        last_response_at = attempt.last_progress_at
-        if task.service.is_model:
-            last_response_at = max(last_response_at, attempt.health.last_response_at)
+        last_response_at = self._last_response_at(attempt)
         if now - last_response_at < timeout:
             remaining = max(MIN_RECHECK_DELAY, last_response_at + timeout - now)
             self._check_after(remaining, attempt, timeout)
@@ -120,22 +112,30 @@
 
     def _limit_handover(self, attempt):
         """End one of two attempts unless one of them soon makes progress."""
-
-        def end_handover():
-            if self.task.attempt is attempt and self.held is not None:
-                self._end_handover()
-
+        if self.task.attempt is not attempt or self.held is None:
+            return
+        if not attempt.may_have_run:
+            # Its endpoint is still being connected to.
+            self._after(MIN_RECHECK_DELAY, lambda: self._limit_handover(attempt))
+            return
         # Without the queue: the engine may have none, and be at work at once.
         prefill = attempt.uncached_tokens / DECODE_ENGINE_PREFILL_RATE
-        self._after(HANDOVER_SECONDS + prefill, end_handover)
+        self._after(HANDOVER_SECONDS + prefill, lambda: self._end_handover(attempt))
 
-    def _end_handover(self):
-        silence = self.task.context.clock() - self.held.last_progress_at
+    def _end_handover(self, attempt):
+        if self.task.attempt is not attempt or self.held is None:
+            return
+        silence = self.task.context.clock() - self._last_response_at(self.held)
         if silence >= SOUND_SILENCE:
             self.release("it is silent for longer than a sound one")
         else:
             self.resume("the other endpoint has sent no event in time")
 
+    def _last_response_at(self, attempt):
+        if not self.task.service.is_model:
+            return attempt.last_progress_at
+        return max(attempt.last_progress_at, attempt.health.last_response_at)
+
     def settle(self, attempt):
         """End the other open attempt, as `attempt` has made progress."""
         if self.held is None:
--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -6,8 +6,10 @@
 
 import pytest
 
+from wagtailfront.forwarding import caller_server
 from wagtailfront.forwarding.caller_server import SWEEP_INTERVAL
 from wagtailfront.forwarding.framing import LAST_CHUNK
+from wagtailfront.forwarding.tests.builders import SAFE, make_route
 from wagtailfront.forwarding.tests.endpoint_stream import EndpointStream, begin_stream
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
@@ -118,6 +120,8 @@
 
     with start_instances() as begin:
         instance = begin(answer_at_length)
+        route = make_route(SAFE, timeout=20.0)
+        instance.forwarder.apply_config(make_config(route, version=2))
         with instance.connect() as caller:
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             (accepted,) = wait_for(lambda: instance.server.listener.clients)
@@ -129,6 +133,28 @@
             assert b"r2/" in read_until(caller, [b"r2/"])
 
 
+@pytest.mark.parametrize("close", [b"", b"Connection: close\r\n"])
+def test_a_caller_that_reads_nothing_of_its_answer_is_reset(monkeypatch, close):
+    """Guards descriptors and memory against callers that stand still."""
+    monkeypatch.setattr(caller_server, "MAX_UNREAD_SECONDS", SWEEP_INTERVAL)
+
+    def answer_at_length(connection, request_id, request):
+        connection.sendall(signed_response(request_id, b"x" * 3_000_000))
+        return True
+
+    with start_instances() as begin:
+        instance = begin(answer_at_length)
+        with instance.connect() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            (accepted,) = wait_for(lambda: instance.server.listener.clients)
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            caller.sendall((GET % b"r1").replace(b"Host", close + b"Host"))
+            wait_for(lambda: instance.server.listener.queued[accepted])
+            wait_for(lambda: not instance.server.connections)
+            with pytest.raises(ConnectionError):
+                read_until(caller, [b"no such bytes"])
+
+
 def test_idle_connections_are_closed_only_without_a_request_waiting(
     instance, monkeypatch
 ):
--- a/wagtailfront/forwarding/tests/test_half_closed_callers.py
+++ b/wagtailfront/forwarding/tests/test_half_closed_callers.py
@@ -4,11 +4,18 @@
 import struct
 import time
 from threading import Event
+from types import SimpleNamespace
 
 import pytest
 
+from wagtailfront.forwarding.half_closed_callers import PATIENCE, HalfClosedCallers
 from wagtailfront.forwarding.tests import endpoint_stream
-from wagtailfront.forwarding.tests.builders import Scene
+from wagtailfront.forwarding.tests.builders import (
+    UNSAFE,
+    Scene,
+    VirtualTimers,
+    make_route,
+)
 from wagtailfront.forwarding.tests.endpoint_stream import EndpointStream
 from wagtailfront.forwarding.tests.open_runs import (
     begin_stream,
@@ -19,13 +26,16 @@
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     echo,
+    make_config,
     read_until,
     start_instances,
     wait_for,
 )
-from wagtailfront.platform.tests.wire import EVENT_STREAM
+from wagtailfront.platform.tests.wire import EVENT_STREAM, signed_response
+from wagtailfront.transport.http_listener import CLOSED_BY_PEER
 
 SOON = 0.05  # seconds; less than an answer may take
+LONG_BODY = b"x" * 3_000_000  # more than the buffers of a connection hold
 GONE_WITHIN = 0.5  # seconds from a caller's close until endpoints stop
 
 
@@ -51,6 +61,32 @@
     assert [name for name in names if name + b"/" in data] == names
 
 
+@pytest.mark.parametrize("close", [b"", b"Connection: close\r\n"])
+@pytest.mark.parametrize("pause", [0.0, 0.6])
+def test_a_caller_that_sends_no_more_reads_a_long_answer_to_its_end(
+    begin, close, pause
+):
+    """Guards answers that wait until their caller reads."""
+
+    def answer_long(connection, request_id, request):
+        connection.sendall(signed_response(request_id, LONG_BODY))
+        return True
+
+    instance = begin(answer_long)
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.settimeout(10.0)
+        caller.connect(("127.0.0.1", instance.server.listener.port))
+        caller.sendall((GET % b"r1").replace(b"Host", close + b"Host"))
+        wait_for(lambda: any(instance.server.listener.queued.values()))
+        wait_for(lambda: not instance.forwarder.tasks)
+        time.sleep(pause)
+        caller.shutdown(socket.SHUT_WR)
+        time.sleep(2 * SOON)
+        data = read_until(caller, [b"no such bytes"])
+    assert data.endswith(LONG_BODY)
+
+
 def test_a_begun_stream_goes_on_for_a_caller_that_sends_no_more(begin):
     """Guards streams whose caller reads on."""
     goes_on = [Event() for _ in range(5)]
@@ -138,3 +174,41 @@
         goes_on.set()
         with pytest.raises(ConnectionError):
             read_until(caller, [b"no such bytes"])
+
+
+def test_a_long_call_that_cannot_be_repeated_is_answered(begin):
+    """Guards bookings whose caller ended its sending side."""
+
+    def answer_late(connection, request_id, request):
+        time.sleep(4 * PATIENCE)
+        return echo(connection, request_id, request)
+
+    instance = begin(answer_late)
+    instance.forwarder.apply_config(make_config(make_route(UNSAFE), version=2))
+    with instance.connect() as caller:
+        caller.sendall(GET % b"r1")
+        caller.shutdown(socket.SHUT_WR)
+        assert b"r1/" in read_until(caller, [b"no such bytes"])
+
+
+def test_a_check_that_a_stall_held_up_lets_reads_come_first():
+    """Guards streams whose events arrived while the instance stood still."""
+    timers = VirtualTimers()
+    resets = []
+    listener = SimpleNamespace(
+        clients=["s"],
+        queued={},
+        pause_reading=lambda sock: None,
+        is_reset=lambda sock: False,
+        reset=lambda sock, reason: resets.append(reason),
+    )
+    connection = SimpleNamespace(
+        sock="s", has_ended_sending=False, has_request=True, task=None
+    )
+    callers = HalfClosedCallers(listener=listener, timers=timers, clock=timers.clock)
+    callers.keep(connection)
+    timers.now += 3 * PATIENCE
+    timers.advance(0.0)
+    assert resets == []
+    timers.advance(0.1)
+    assert resets == [CLOSED_BY_PEER]
--- a/wagtailfront/forwarding/tests/test_silent_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_silent_endpoints.py
@@ -188,6 +188,34 @@
     assert (reply.body, reply.is_complete) == (event(1) + event(2), True)
 
 
+def test_silent_engine_that_sends_elsewhere_keeps_its_run():
+    """Guards a sound engine that goes on with its other streams first."""
+    scene = Scene(make_engines(3), is_model=True, slack=5)
+    begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
+    scene.timers.advance(SILENCE)
+    assert scene.pool.last is not run
+    run.sink.health.last_response_at = scene.timers.now
+    scene.timers.advance(1.0)
+    assert not run.is_cancelled
+
+
+def test_silent_run_is_kept_while_another_engine_is_connected_to():
+    """Guards a sound engine's stream against one that cannot be reached."""
+    scene = Scene(make_engines(3), is_model=True, slack=5)
+    begin_stream(scene, RESUMABLE)
+    run = scene.pool.last
+    scene.pool.is_connected = False
+    scene.timers.advance(SILENCE)
+    other = scene.pool.last
+    assert other is not run
+    scene.timers.advance(1.0)
+    assert not run.is_cancelled
+    other.is_sent = True
+    scene.timers.advance(1.0)
+    assert run.is_cancelled
+
+
 def stand_still(scene, seconds):
     """Let time pass in which the instance neither reads nor calls timers."""
     scene.timers.now += seconds
--- a/wagtailfront/forwarding/tests/test_sockets.py
+++ b/wagtailfront/forwarding/tests/test_sockets.py
@@ -20,6 +20,8 @@
     wait_for,
 )
 from wagtailfront.platform.tests.wire import (
+    deadline_line,
+    read_deadline,
     refusal_response,
     signed_response as answer,
 )
@@ -319,6 +321,22 @@
     assert (LAST_CHUNK in data) is is_whole
 
 
+def test_a_pipelined_request_is_sent_on_with_the_time_that_is_left(start):
+    """Guards endpoints against work beyond a caller's deadline."""
+    left = {}
+
+    def answer_late(connection, request_id, request):
+        left[request_id] = read_deadline(request)
+        time.sleep(0.5)
+        return echo(connection, request_id, request)
+
+    get = GET.replace(b"Host", deadline_line(2500) + b"\r\nHost")
+    with start(answer_late).connect() as connection:
+        connection.sendall(get % b"r1" + get % b"r2")
+        read_until(connection, [b"r2/"])
+    assert left[b"r2"] <= 2000 < left[b"r1"] <= 2500
+
+
 def test_slow_and_idle_callers_are_disconnected(start):
     """Guards against callers that hold descriptors without a request."""
     instance = start(echo)
--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -25,6 +25,11 @@
     return b"%b: %d" % (DEADLINE, milliseconds)
 
 
+def read_deadline(request):
+    """Return the milliseconds that a request's head leaves for it."""
+    return int(re.search(rb"(?i)%b: (\d+)" % DEADLINE, request)[1])
+
+
 def kv_source_line(address, handle):
     """Return the header line of the source of a prompt's KV cache."""
     return b"%b: %b/%b" % (KV_SOURCE, address, handle)
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -259,6 +259,8 @@
         self.fire(disconnect(sock))
 
     def _flush(self, sock):
+        if sock not in self._clients:
+            return
         queue = self._buffers[sock]
         try:
             while queue:
