--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -157,9 +157,7 @@
     def _serve(self, connection, request):
         reply = Reply(server=self, connection=connection, request=request)
         try:
-            task = self.forwarder.accept(
-                request, reply, read_at=connection.current.read_at
-            )
+            task = self.forwarder.accept(request, reply)
         except Exception:
             # A fault in one request must not stop the whole server.
             logger.exception("[callers] Failed to start a request.")
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -56,8 +56,6 @@
         Version of the configuration that `route` comes from.
     origin : StreamOrigin, optional
         What began the stream, if the caller resumes one.
-    received : float, optional
-        Time at which the request was read; now by default.
     """
 
     def __init__(
@@ -72,7 +70,6 @@
         on_done,
         config_version=0,
         origin=None,
-        received=None,
     ):
         self.request = request
         self.fields = fields
@@ -88,7 +85,7 @@
         self.may_have_run = False  # never reset; a refusal is sent only while False
         self.is_done = False
         self.timers = []
-        self.received = context.clock() if received is None else received
+        self.received = context.clock()
         self.deadline = self.received + time_limit(route, fields)
         self.log = RequestLog(
             context=context,
@@ -116,16 +113,15 @@
 
     def begin(self):
         """Start the deadline and send the request to a first endpoint."""
-        now = self.context.clock()
         call_after_reads(
             self.after,
             clock=self.context.clock,
-            delay=max(0.0, self.deadline - now) + DEADLINE_GRACE,
+            delay=self.deadline - self.received + DEADLINE_GRACE,
             callback=self._expire,
         )
-        self.credit.budget.record_request(now=now)
+        self.credit.budget.record_request(now=self.received)
         placement = self.context.evidence.place(
-            self.fingerprint, endpoints=(), live=(), now=now
+            self.fingerprint, endpoints=(), live=(), now=self.received
         )
         if placement.decision is Decision.REFUSE:
             self.give_up("it crashed endpoints that ran it", POISON_RETRY_AFTER)
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -122,18 +122,10 @@
             return era > self.config_era and config != self.config
         return config.version > self.config.version
 
-    def accept(self, request, reply, *, read_at=None):
-        """Start a request; return its task, or None if it was rejected.
-
-        Parameters
-        ----------
-        request : Request
-        reply : ReplySink
-        read_at : float, optional
-            Time from which its time limit counts; now by default.
-        """
+    def accept(self, request, reply):
+        """Start a request; return its task, or None if it was rejected."""
         try:
-            task = self._make_task(request, reply, read_at)
+            task = self._make_task(request, reply)
         except Exception:
             # A fault in one request must not stop the others.
             logger.exception("[forward] Failed to start a request.")
@@ -144,7 +136,7 @@
             task.run(task.begin)
         return task
 
-    def _make_task(self, request, reply, read_at):
+    def _make_task(self, request, reply):
         """Return a request's task, or None if it was rejected."""
         try:
             fields = self.context.dialect.read_request(request.headers)
@@ -190,7 +182,6 @@
             on_done=self._on_done,
             config_version=self.config.version,
             origin=origin,
-            received=read_at,
         )
 
     def _may_outlast(self, longest):
