Log how each version of the configuration arrived

An instance whose calls to the store fail logged only the first failure, so the six seconds between two lines of an instance behind its peers could not be explained: no line named the call, how it failed, or what it received until then.

reached now names the failures before it, with reasons and bytes received; lost, reached and configuration name the call, its cause and duration, and the largest age of the change.

--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -1,12 +1,15 @@
 """Watching of tables of the platform's store."""
 
 import logging
+import time
+from collections import deque
+from typing import NamedTuple
 
 from circuits import BaseComponent, handler
 
 from wagtailfront.forwarding.interfaces import StorePosition
 
-__all__ = ["StoreWatcher", "StoreVersions"]
+__all__ = ["Arrival", "StoreWatcher", "StoreVersions"]
 
 logger = logging.getLogger(__name__)
 
@@ -20,6 +23,7 @@
 # Seconds that a watch may lag behind what a peer has seen: the store answers
 # all watches of a change within milliseconds.
 CATCH_UP_DELAY = 0.3
+MAX_LOGGED_FAILURES = 4  # reasons in a line of the log
 
 
 class StoreVersions:
@@ -99,6 +103,43 @@
                 self.listeners[table](StorePosition(era, version))
 
 
+class Arrival(NamedTuple):
+    """How an answer of the store was obtained; times in seconds.
+
+    Attributes
+    ----------
+    call : int
+        Number of the call; later calls have higher numbers.
+    call_kind : str
+        "read" for a full read, or "watch".
+    cause : str
+        Why the call was made.
+    took : float
+        Time from the call to the answer.
+    since_answer : float or None
+        Time since the answer before, which is the largest age of a change
+        in this one.
+    since_report : float or None
+        Time since a peer first reported a change that was not known here.
+    """
+
+    call: int
+    call_kind: str
+    cause: str
+    took: float
+    since_answer: float | None
+    since_report: float | None
+
+
+class _Call(NamedTuple):
+    """A call that waits for its answer."""
+
+    number: int
+    kind: str
+    cause: str
+    sent_at: float
+
+
 class StoreWatcher(BaseComponent):
     """Reads a table, then watches for changes.
 
@@ -116,6 +157,7 @@
     min_gap : float, optional
         Seconds between a response and the next watch, to batch changes that
         come close together.
+    clock : callable, optional
 
     Attributes
     ----------
@@ -125,6 +167,18 @@
         Whether a watch got no answer, and its changes are asked for at once.
     has_changed : bool
         Whether the latest answer contained a change.
+    arrival : Arrival or None
+        How the latest answer was obtained.
+    failures : int
+        Calls without an answer since the latest answer.
+    failed_at : float or None
+        Time of the first of them.
+    latest_failures : deque of str
+        Reasons of the latest of them.
+    answered_at : float or None
+        Time of the latest answer.
+    reported_at : float or None
+        Time at which a peer first reported a change that is not known yet.
 
     Notes
     -----
@@ -147,6 +201,7 @@
         timers,
         log,
         min_gap=0.0,
+        clock=time.monotonic,
     ):
         super().__init__()
         self.table = table
@@ -161,8 +216,16 @@
         self.is_resuming = False
         self.has_changed = False
         self.is_reachable = None
+        self.clock = clock
         self.call = None
         self.call_number = 0
+        self.cause = "start"
+        self.arrival = None
+        self.failures = 0
+        self.failed_at = None
+        self.latest_failures = deque(maxlen=MAX_LOGGED_FAILURES)
+        self.answered_at = None
+        self.reported_at = None
         self.catch_up_to = StorePosition()
         versions.listeners[table] = self.handle_newer_position
         versions.era_listeners[table] = lambda era: self.handle_newer_position(
@@ -177,17 +240,38 @@
         """Read or watch; the responses to earlier calls are ignored."""
         self.call_number += 1
         number = self.call_number
+        call = _Call(
+            number=number,
+            kind="read" if self.cursor is None else "watch",
+            cause=self.cause,
+            sent_at=self.clock(),
+        )
 
         def on_reply(read):
             if number == self.call_number:
+                self._record_arrival(call, read)
                 self._handle_safely(read)
 
         if self.cursor is None:
             self.source.read(on_reply)
             return
-        call = self.source.watch(self.cursor, self._next_wait(), on_reply)
+        watch = self.source.watch(self.cursor, self._next_wait(), on_reply)
         if number == self.call_number:
-            self.call = call
+            self.call = watch
+
+    def _record_arrival(self, call, read):
+        """Record how an answer, or the lack of one, was obtained."""
+        now = self.clock()
+        self.arrival = Arrival(
+            call=call.number,
+            call_kind=call.kind,
+            cause=call.cause,
+            took=round(now - call.sent_at, 4),
+            since_answer=_seconds_since(self.answered_at, now),
+            since_report=_seconds_since(self.reported_at, now),
+        )
+        if read.is_known:
+            self.answered_at = now
 
     def _next_wait(self):
         """Return for how many seconds the next watch waits for a change."""
@@ -199,8 +283,9 @@
         # connections fall silent.
         return self.pace.spread(wait) if self.has_changed else wait
 
-    def _resume(self):
+    def _resume(self, cause):
         """Ask for changes on another connection, and drop the open watch."""
+        self.cause = cause
         call, self.call = self.call, None
         if call is not None:
             call.cancel()
@@ -210,7 +295,7 @@
     def handle_silence(self):
         """Handle that another call to the store got no answer."""
         if self.cursor is not None and not self.is_resuming:
-            self._resume()
+            self._resume("silence of another call")
 
     def _handle_safely(self, read):
         """Handle a read; one that cannot be applied is made again."""
@@ -220,30 +305,33 @@
             # The watch must go on, and the store's client serves others too.
             logger.exception("[store] A read of %s was not applied.", self.table)
             self.cursor = None
+            self.cause = "answer not applied"
             self._call_store_after(WATCH_SECONDS)
 
     def _handle_read(self, read):
-        if read.is_known != self.is_reachable:
-            self.is_reachable = read.is_known
-            outcome = "reached" if read.is_known else "lost"
-            self.log.decision(self.table, outcome=outcome, reason=read.reason)
+        self._log_contact(read)
         is_outdated = read.cursor is not None and read.cursor.era < self.versions.era
         if is_outdated:
             self.log.decision(self.table, outcome="outdated", known=read.cursor)
         if not read.is_known:
             is_first = self.cursor is not None and not self.is_resuming
             self.is_resuming = True
+            self.cause = "failure"
             self.on_read(read)
             self._call_store_after(0.0 if is_first else RETRY_DELAY)
             return
         self.is_resuming = False
         if is_outdated:
             self.cursor = None
+            self.cause = "earlier era"
             self._call_store_after(RETRY_DELAY)
             return
         if read.cursor is None and self.cursor is not None:
             self.log.decision(self.table, outcome="history gone", reason=read.reason)
         self.cursor = read.cursor
+        self.cause = "history gone" if read.cursor is None else "previous answer"
+        if (read.cursor or StorePosition()) >= self.catch_up_to:
+            self.reported_at = None
         self.has_changed = read.changed.ver > 0
         self.versions.record(self.table, read.changed)
         self.on_read(read)
@@ -254,6 +342,28 @@
         )
         self._call_store_after(gap if read.cursor is not None else RETRY_DELAY)
 
+    def _log_contact(self, read):
+        """Log a call that failed after others that did not, or the reverse."""
+        if read.is_known != self.is_reachable:
+            self.is_reachable = read.is_known
+            self.log.decision(
+                self.table,
+                outcome="reached" if read.is_known else "lost",
+                reason=read.reason,
+                failures=self.failures,
+                failed_for=_seconds_since(self.failed_at, self.clock()),
+                latest_failures=tuple(self.latest_failures),
+                **self.arrival._asdict(),
+            )
+        if read.is_known:
+            self.failures, self.failed_at = 0, None
+            self.latest_failures.clear()
+            return
+        self.failures += 1
+        self.latest_failures.append(read.reason)
+        if self.failed_at is None:
+            self.failed_at = self.clock()
+
     def _call_store_after(self, delay):
         number = self.call_number
         self.timers.after(
@@ -265,14 +375,24 @@
         if position <= self.catch_up_to or (self.cursor or StorePosition()) >= position:
             return
         self.catch_up_to = position
+        if self.reported_at is None:
+            self.reported_at = self.clock()
         self.timers.after(CATCH_UP_DELAY, lambda: self._catch_up(position))
 
     def _catch_up(self, position):
         if self.cursor is None or self.cursor >= position:
             return
         self.log.decision(
-            self.table, outcome="behind", known=self.cursor, heard=position
+            self.table,
+            outcome="behind",
+            known=self.cursor,
+            heard=position,
+            dropped_call=self.call_number,
         )
         if self.cursor.era < position.era:
             self.cursor = None
-        self._resume()
+        self._resume("report of a peer")
+
+
+def _seconds_since(start, now):
+    return None if start is None else round(now - start, 4)
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -184,6 +184,8 @@
     ----------
     configs : list of int
         Versions of the configurations that it applied.
+    routing_arrivals : list of Arrival
+        How each of them arrived.
     """
 
     def __init__(self, *, store, peers=0, seed=1):
@@ -191,6 +193,7 @@
         self.timers = store.timers
         self.log = LogLines()
         self.configs = []
+        self.routing_arrivals = []
         self.versions = StoreVersions(tables=("routing", "registry"))
         self.contact = StoreContact()
         self.client = StoreClient(
@@ -216,6 +219,7 @@
             "pace": FleetPace(count_peers=lambda: peers, rng=random.Random(seed)),
             "timers": self.timers,
             "log": self.log,
+            "clock": self.timers.clock,
         }
         self.routing = StoreWatcher(
             table="routing",
@@ -241,6 +245,7 @@
         config = read.config
         if config and self.forwarder.apply_config(config, era=read.cursor.era):
             self.configs.append(config.version)
+            self.routing_arrivals.append(self.routing.arrival)
 
     @property
     def config(self):
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -340,6 +340,7 @@
             version=config.version,
             era=read.cursor.era,
             routes=len(config.routes),
+            **self.watchers["routing"].arrival._asdict(),
         )
         self.metrics.set("config_version", self.forwarder.config.version)
 
--- a/wagtailfront/transport/http_client.py
+++ b/wagtailfront/transport/http_client.py
@@ -304,7 +304,12 @@
             if not exchange.connected and now > exchange.connect_deadline:
                 exchange.fail("connect timed out")
             elif exchange.deadline is not None and now > exchange.deadline:
-                exchange.fail("timed out")
+                received = exchange.bytes_received
+                exchange.fail(
+                    f"timed out with {received} bytes received"
+                    if received
+                    else "timed out"
+                )
         for idle in self.idle.values():
             while idle and now - idle[0][1] > IDLE_LIFETIME:
                 sock, _since = idle.popleft()
--- a/wagtailfront/transport/http_exchange.py
+++ b/wagtailfront/transport/http_exchange.py
@@ -106,6 +106,7 @@
         self.body_left = math.inf
         self.has_excess = False
         self.last_progress = time.monotonic()
+        self.bytes_received = 0
 
     def cancel(self):
         """Close the connection without calling the sink."""
@@ -123,6 +124,7 @@
     def receive(self, data):
         """Parse bytes of the response and pass them to the sink."""
         self.last_progress = time.monotonic()
+        self.bytes_received += len(data)
         self.framing_bytes += len(data)
         if self.framing_bytes > MAX_FRAMING:
             return self.fail("response head or trailer too large")
