--- a/wagtailfront/platform/tests/builders.py
+++ b/wagtailfront/platform/tests/builders.py
@@ -29,28 +29,32 @@
     return {**fields, **changes}
 
 
+def make_wire_route(**changes):
+    """Return a route of the operator's; keywords replace its fields."""
+    fields = {
+        "name": "r",
+        "host": "h.example",
+        "prefix": "/a/",
+        "kind": "streaming",
+        "timeout-ms": 5000,
+        "target-latency-ms": 400,
+        "priority": 2,
+        "traffic-split": [
+            {"service": "s", "weight": 90},
+            {"service": "t", "weight": 0},
+        ],
+        "max-attempts": 2,
+        "resumable": True,
+        "gap-aim-ms": 250,
+    }
+    return {**fields, **changes}
+
+
 def make_config(**changes):
     """Return an operator's configuration; keywords replace its fields."""
     fields = {
         "version": 7,
-        "routes": [
-            {
-                "name": "r",
-                "host": "h.example",
-                "prefix": "/a/",
-                "kind": "streaming",
-                "timeout-ms": 5000,
-                "target-latency-ms": 400,
-                "priority": 2,
-                "traffic-split": [
-                    {"service": "s", "weight": 90},
-                    {"service": "t", "weight": 0},
-                ],
-                "max-attempts": 2,
-                "resumable": True,
-                "gap-aim-ms": 250,
-            }
-        ],
+        "routes": [make_wire_route()],
         "services": [
             {"name": "s", "max-connections": 9, "engine": {"kv-capacity-tokens": 5}},
             {"name": "t", "max-connections": 3},
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -1,7 +1,11 @@
 """Store that comes back from older copies, and instances that follow it."""
 
+import functools
+import math
 import random
 
+import msgspec
+
 from wagtailfront.authority.step_component import StepComponent
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.fleet_pace import FleetPace
@@ -22,6 +26,7 @@
 
 LATENCY = 0.004  # seconds
 REWRITE_DELAY = 0.3  # seconds
+PACKET_BYTES = 16384
 
 
 class DrillStore(StorePool):
@@ -90,10 +95,14 @@
         Whether the idle connections are silent; a call takes one of them.
     open : list
         Calls that were made.
+    bytes_per_second : float
+        Rate at which answers arrive, all calls together.
     """
 
-    def __init__(self, *, store):
+    def __init__(self, *, store, bytes_per_second=math.inf):
         self.store = store
+        self.bytes_per_second = bytes_per_second
+        self.busy_until = 0.0
         self.is_cut = False
         self.is_idle_silent = False
         self.open = []
@@ -108,11 +117,12 @@
         self.is_idle_silent = False
 
     def request(self, *, method, path, sink, timeout, body=b"", **options):
+        after = self.store.timers.after
         sink = _Once(sink)
         self.open = [each for each in self.open if not each.is_done]
         self.open.append(sink)
-        after = self.store.timers.after
-        after(timeout, lambda: sink.fail("timed out"))
+        sink.deadline = self.store.timers.now + timeout
+        self._check_deadline(sink)
         if self.is_cut or self.is_idle_silent:
             return sink
         if self.store.is_away:
@@ -122,6 +132,13 @@
         after(LATENCY, lambda: self._perform(*call))
         return sink
 
+    def _check_deadline(self, sink):
+        left = sink.deadline - self.store.timers.now
+        if left <= 0:
+            sink.fail("timed out")
+        elif not sink.is_done:
+            self.store.timers.after(left, lambda: self._check_deadline(sink))
+
     def _perform(self, method, path, body, sink, deadline):
         store = self.store
         sink.is_lost |= self.is_cut
@@ -146,10 +163,39 @@
             self._respond(sink, 200, answer, self.store.era)
 
     def _respond(self, sink, status, answer, era):
+        if not self._loses(sink):
+            data = msgspec.json.encode(answer)
+            headers = {"Store-Era": str(era), "content-length": str(len(data))}
+            sink.sink.on_head(status, headers)
+            self._send_rest(sink, data)
+
+    def _loses(self, sink):
+        """Return whether no more of an answer arrives."""
         sink.is_lost |= self.is_cut
-        if not sink.is_lost and not sink.is_done:
+        return sink.is_lost or sink.is_done
+
+    def _send_rest(self, sink, data):
+        """Let the next bytes of an answer arrive when the link is free."""
+        timers, part = self.store.timers, data[:PACKET_BYTES]
+        self.busy_until = max(self.busy_until, timers.now)
+        self.busy_until += len(part) / self.bytes_per_second
+        wait = self.busy_until - timers.now
+        arrive = functools.partial(self._receive, sink, part, data[PACKET_BYTES:])
+        if wait:
+            timers.after(wait, arrive)
+        else:
+            arrive()
+
+    def _receive(self, sink, part, rest):
+        if self._loses(sink):
+            return
+        sink.bytes_received += len(part)
+        sink.sink.on_data(part)
+        if rest and not sink.is_done:
+            self._send_rest(sink, rest)
+        elif not sink.is_done:
             sink.is_done = True
-            self.store.respond(sink.sink, status, answer, era)
+            sink.sink.on_end()
 
 
 class _Once:
@@ -159,6 +205,8 @@
         self.sink = sink
         self.is_done = False
         self.is_lost = False
+        self.bytes_received = 0
+        self.deadline = 0.0
 
     def cancel(self):
         self.is_done = True
@@ -179,6 +227,8 @@
         Number of its peers, which determines how long its watches wait.
     seed : int, optional
         Of the variation of these waits.
+    bytes_per_second : float, optional
+        Rate of its link.
 
     Attributes
     ----------
@@ -188,8 +238,8 @@
         How each of them arrived.
     """
 
-    def __init__(self, *, store, peers=0, seed=1):
-        self.link = StoreLink(store=store)
+    def __init__(self, *, store, peers=0, seed=1, bytes_per_second=math.inf):
+        self.link = StoreLink(store=store, bytes_per_second=bytes_per_second)
         self.timers = store.timers
         self.log = LogLines()
         self.configs = []
--- a/wagtailfront/platform/tests/store_pool.py
+++ b/wagtailfront/platform/tests/store_pool.py
@@ -1,5 +1,6 @@
 """In-memory store behind the interface of `HttpPool`."""
 
+import bisect
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -15,6 +16,8 @@
 
     Attributes
     ----------
+    changes : list of tuple
+        Version, table, key and value of each write, in order.
     failures : list of int or None
         Statuses of the next responses; None for a timeout.
     """
@@ -22,7 +25,7 @@
     def __init__(self, *, page_rows=500):
         self.page_rows = page_rows
         self.rows = {}
-        self.removed = {}
+        self.changes = []
         self.ver = 100
         self.era = 1
         self.calls = []
@@ -33,20 +36,19 @@
         self.ver += 1
         if value is None:
             self.rows.pop((table, key), None)
-            self.removed[table, key] = self.ver
         else:
-            self.removed.pop((table, key), None)
             self.rows[table, key] = (value, self.ver)
+        self.changes.append((self.ver, table, key, value))
         return self.ver
 
     def copy(self):
         """Return a copy of the store for `restore`."""
-        return dict(self.rows), dict(self.removed), self.ver
+        return dict(self.rows), tuple(self.changes), self.ver
 
     def restore(self, copy):
         """Come back from a copy, in a new era."""
-        rows, removed, self.ver = copy
-        self.rows, self.removed = dict(rows), dict(removed)
+        rows, changes, self.ver = copy
+        self.rows, self.changes = dict(rows), list(changes)
         self.era += 1
 
     def request(self, *, host, port, method, path, sink, body=b"", **options):
@@ -89,26 +91,34 @@
         sink.on_end()
 
     def _rows(self, fields):
-        after = int(fields.get("after", 0))
-        found = [
-            {"key": key, "value": value, "ver": ver}
-            for (table, key), (value, ver) in sorted(self.rows.items())
-            if table == fields["table"]
-            and key >= fields.get("from", "")
-            and ver > after
-        ]
-        if "after" in fields:
-            found += [
-                {"key": key, "ver": ver, "removed": True}
-                for (table, key), ver in self.removed.items()
-                if table == fields["table"] and ver > after
-            ]
-            found.sort(key=lambda row: row["ver"])
+        found = (
+            self._changed_rows(fields["table"], int(fields["after"]))
+            if "after" in fields
+            else self._present_rows(fields["table"], fields.get("from", ""))
+        )
         return {
             "rows": found[: self.page_rows],
             "has-more": len(found) > self.page_rows,
         }
 
+    def _present_rows(self, table, first_key):
+        return [
+            {"key": key, "value": value, "ver": ver}
+            for (row_table, key), (value, ver) in sorted(self.rows.items())
+            if row_table == table and key >= first_key
+        ]
+
+    def _changed_rows(self, table, after):
+        """Return every version of the rows since `after`, in order."""
+        first = bisect.bisect(self.changes, after, key=lambda change: change[0])
+        return [
+            {"key": key, "ver": ver, "removed": True}
+            if value is None
+            else {"key": key, "value": value, "ver": ver}
+            for ver, row_table, key, value in self.changes[first:]
+            if row_table == table
+        ]
+
     def _transact(self, body):
         for row in body["expect"]:
             held = self.rows.get((row["table"], row["key"]), ("", 0))
