Limit the silence of a call to the store, not the time its answer takes

What callers saw: 404 for a route that had been acknowledged. A call was given up 0.6 s after its wait (a full read after 1 s), whether or not its answer was arriving, and then made again from the start. An answer that takes longer on the instance's link never arrives: the same call is repeated until the store drops the history, and with a configuration larger than its link carries in 1 s an instance never starts.

Once an answer has begun, the limit is now 1 s without a byte, and 10 s in all; the wait for the first byte keeps its limit, which is what tells a silent connection.

--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -27,6 +27,9 @@
 
 CALL_TIMEOUT = 1.0  # seconds; a healthy store responds within milliseconds
 WATCH_MARGIN = 0.6  # seconds by which a watch's timeout exceeds its wait
+# Seconds without a byte of an answer that has begun. How long the whole one
+# takes depends on the size of the table and on the instance's link.
+STALL_TIMEOUT = 1.0
 ERA = "Store-Era"  # rises each time the store comes back from an older copy
 ERA_NUMBER = re.compile("[0-9]{1,15}")
 GONE = 410  # the store no longer has the history after the cursor
@@ -162,6 +165,7 @@
             on_headers=on_headers,
             host=self.host,
             port=self.port,
+            stall_timeout=STALL_TIMEOUT,
             **request,
         )
 
--- a/wagtailfront/transport/http_client.py
+++ b/wagtailfront/transport/http_client.py
@@ -106,6 +106,7 @@
         body=b"",
         sink,
         timeout=REQUEST_TIMEOUT,
+        stall_timeout=None,
         secure=False,
         fresh=False,
         may_send=None,
@@ -119,6 +120,10 @@
         sink : ResponseSink
         timeout : float or None
             Seconds until the exchange fails, counted from now.
+        stall_timeout : float, optional
+            Seconds without a further byte until an answer that has begun
+            fails; `timeout` then limits only the wait for its first byte.
+            The rest may take MAX_TRANSFER in all.
         fresh : bool
             Open a new connection even if an idle one is available.
         may_send : callable, optional
@@ -137,6 +142,7 @@
             payload=encode_request(host, port, method, path, headers, body),
             sink=sink,
             deadline=deadline,
+            stall_timeout=stall_timeout,
             may_send=may_send,
         )
         if self.poller is None:
--- a/wagtailfront/transport/http_exchange.py
+++ b/wagtailfront/transport/http_exchange.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "MAX_FRAMING",
+    "MAX_TRANSFER",
     "ResponseSink",
     "WholeResponse",
     "Exchange",
@@ -22,6 +23,8 @@
 # Bytes of a response that may be heads, chunk lines or trailers, from one part
 # of its body to the next.
 MAX_FRAMING = 128 * 1024
+# Seconds from the first to the last byte of an answer without a total limit.
+MAX_TRANSFER = 10.0
 
 
 class ResponseSink(Protocol):
@@ -84,13 +87,23 @@
     """One request on one connection, and the state of its response."""
 
     def __init__(
-        self, *, pool, address, secure, payload, sink, deadline, may_send=None
+        self,
+        *,
+        pool,
+        address,
+        secure,
+        payload,
+        sink,
+        deadline,
+        stall_timeout=None,
+        may_send=None,
     ):
         self.pool = pool
         self.address = address
         self.secure = secure
         self.sink = sink
         self.deadline = deadline
+        self.stall_timeout = stall_timeout
         self.may_send = may_send
         self.connect_deadline = None
         self.outgoing = deque([payload])
@@ -106,6 +119,7 @@
         self.body_left = math.inf
         self.has_excess = False
         self.last_progress = time.monotonic()
+        self.begun_at = None
         self.bytes_received = 0
 
     def cancel(self):
@@ -123,7 +137,7 @@
 
     def receive(self, data):
         """Parse bytes of the response and pass them to the sink."""
-        self.last_progress = time.monotonic()
+        self._record_progress(time.monotonic())
         self.bytes_received += len(data)
         self.framing_bytes += len(data)
         if self.framing_bytes > MAX_FRAMING:
@@ -156,6 +170,14 @@
             self.finish()
         return None
 
+    def _record_progress(self, now):
+        self.last_progress = now
+        if self.stall_timeout is None:
+            return
+        if self.begun_at is None:
+            self.begun_at = now
+        self.deadline = min(now + self.stall_timeout, self.begun_at + MAX_TRANSFER)
+
     def _is_head_valid(self):
         """Return whether there is a status, and at most one valid framing."""
         headers = self.parser.get_headers()
--- a/wagtailfront/transport/tests/test_http_server.py
+++ b/wagtailfront/transport/tests/test_http_server.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server and client with invalid and slow peers."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -9,6 +10,7 @@
 from hypothesis import given, settings, strategies as st
 
 from wagtailfront.callers.tests.builders import running
+from wagtailfront.transport import http_exchange
 from wagtailfront.transport.http_client import HttpPool, WholeResponse
 from wagtailfront.transport.http_server import HttpServer, ServerLimits
 
@@ -190,3 +192,44 @@
     with socket.create_server(("127.0.0.1", 0)) as server:
         status, reason, sent = fetch(server.getsockname()[1], timeout=0.3)
     assert (status, reason, sent) == (None, "timed out", True)
+
+
+@contextlib.contextmanager
+def slow_server(*, parts, gap):
+    """Serve an answer of `parts` bytes, `gap` seconds apart; give its port."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def serve():
+            connection, _address = server.accept()
+            with connection, contextlib.suppress(OSError):
+                connection.recv(65536)
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                connection.sendall(head % parts)
+                for _ in range(parts):
+                    time.sleep(gap)
+                    connection.sendall(b"x")
+
+        threading.Thread(target=serve, daemon=True).start()
+        yield server.getsockname()[1]
+
+
+def test_an_answer_that_arrives_slowly_is_not_given_up():
+    """Guards against large answers that are asked for again and again."""
+    with slow_server(parts=6, gap=0.2) as port:
+        status, _reason, body = fetch(port, timeout=0.5, stall_timeout=0.5)
+    assert (status, len(body)) == (200, 6)
+
+
+def test_an_answer_that_stalls_is_given_up():
+    """Guards against waiting for the rest of an answer without a limit."""
+    with slow_server(parts=2, gap=1.5) as port:
+        status, reason, _sent = fetch(port, timeout=0.5, stall_timeout=0.5)
+    assert (status, reason.split(" with")[0]) == (None, "timed out")
+
+
+def test_an_answer_that_trickles_is_given_up(monkeypatch):
+    """Guards against an answer that never ends but never stalls."""
+    monkeypatch.setattr(http_exchange, "MAX_TRANSFER", 0.6)
+    with slow_server(parts=50, gap=0.1) as port:
+        status, reason, _sent = fetch(port, timeout=0.5, stall_timeout=0.5)
+    assert (status, reason.split(" with")[0]) == (None, "timed out")
