Leave a watch alone that is being answered when a peer reports a change

What callers saw: 404 for an acknowledged route for longer than needed. 0.3 s after a peer's report the open watch was dropped and asked again on a new connection, also when its answer was arriving; one that takes longer than that starts again from its first byte, and each further report of a change dropped the call made for the one before.

A watch of which bytes have come, and a call that already asks for missed changes, now go on; they have time limits of their own. The position is checked again 0.3 s later.

--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -246,8 +246,9 @@
     def watch(self, cursor: StorePosition, wait: float, reply) -> Any:
         """Wait up to `wait` seconds for a change after `cursor`.
 
-        Returns the watch. Its method `cancel` ends it, so that `reply` is not
-        called; later calls then use other connections.
+        Returns the watch. Its attribute `is_arriving` tells whether a part
+        of the answer has been received. Its method `cancel` ends it, so that
+        `reply` is not called; later calls then use other connections.
         """
 
 
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -163,6 +163,8 @@
     ----------
     cursor : StorePosition or None
         Where the next watch starts; None before a full read.
+    watch : object or None
+        Open watch, as returned by the source.
     is_resuming : bool
         Whether a watch got no answer, and its changes are asked for at once.
     has_changed : bool
@@ -217,8 +219,8 @@
         self.has_changed = False
         self.is_reachable = None
         self.clock = clock
-        self.call = None
-        self.call_number = 0
+        self.watch = None
+        self.call_number = self.answered_number = 0
         self.cause = "start"
         self.arrival = None
         self.failures = 0
@@ -249,6 +251,7 @@
 
         def on_reply(read):
             if number == self.call_number:
+                self.answered_number, self.watch = number, None
                 self._record_arrival(call, read)
                 self._handle_safely(read)
 
@@ -256,8 +259,8 @@
             self.source.read(on_reply)
             return
         watch = self.source.watch(self.cursor, self._next_wait(), on_reply)
-        if number == self.call_number:
-            self.call = watch
+        if number == self.call_number > self.answered_number:
+            self.watch = watch
 
     def _record_arrival(self, call, read):
         """Record how an answer, or the lack of one, was obtained."""
@@ -286,15 +289,22 @@
     def _resume(self, cause):
         """Ask for changes on another connection, and drop the open watch."""
         self.cause = cause
-        call, self.call = self.call, None
-        if call is not None:
-            call.cancel()
+        watch, self.watch = self.watch, None
+        if watch is not None:
+            watch.cancel()
         self.is_resuming = True
         self._call_store()
 
+    @property
+    def is_being_answered(self):
+        """Return whether a part of the answer to the open watch has come."""
+        return self.watch is not None and self.watch.is_arriving
+
     def handle_silence(self):
         """Handle that another call to the store got no answer."""
-        if self.cursor is not None and not self.is_resuming:
+        if self.cursor is None or self.is_resuming:
+            return
+        if not self.is_being_answered:
             self._resume("silence of another call")
 
     def _handle_safely(self, read):
@@ -382,6 +392,11 @@
     def _catch_up(self, position):
         if self.cursor is None or self.cursor >= position:
             return
+        is_asking = self.is_resuming and self.watch is not None
+        if is_asking or self.is_being_answered:
+            # A call that was dropped for each report might never end.
+            self.timers.after(CATCH_UP_DELAY, lambda: self._catch_up(position))
+            return
         self.log.decision(
             self.table,
             outcome="behind",
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -46,6 +46,11 @@
         self.client = client
         self.exchange = exchange
 
+    @property
+    def is_arriving(self):
+        """Return whether a part of the answer has been received."""
+        return self.exchange.bytes_received > 0
+
     def cancel(self):
         """End the watch; the next call uses a new connection."""
         if self.exchange is not None:
