Read the configuration in full when the missed versions are larger

An instance cut from the store for 14 s beside a change each 1.5 s asked for some ten versions on its link, gave up with 212992 to 311296 bytes received, asked again, 20 failures in all, until the store had dropped the history; the full read after it took 0.09 s.

--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -222,12 +222,13 @@
     config : RoutingConfig or None
         None if there is none or if it has not changed.
     cursor : StorePosition or None
-        Where the next watch starts; None if the store no longer has the
-        history from there.
+        Where the next watch starts; None if the table is to be read in full.
     reason : str
-        Why the store did not answer.
+        Why the store did not answer, or why the table is to be read.
     changed : StorePosition
         Position of the latest change; that of no change has version 0.
+    largest_row : int
+        Bytes of the largest row in the answer; 0 if it has none.
     """
 
     is_known: bool
@@ -235,6 +236,7 @@
     cursor: StorePosition | None = None
     reason: str = ""
     changed: StorePosition = StorePosition()
+    largest_row: int = 0
 
 
 class RoutingSource(Protocol):
@@ -243,12 +245,16 @@
     def read(self, reply) -> None:
         """Read the configuration; `reply` gets a RoutingRead."""
 
-    def watch(self, cursor: StorePosition, wait: float, reply) -> Any:
+    def watch(
+        self, cursor: StorePosition, wait: float, reply, *, max_bytes: int | None = None
+    ) -> Any:
         """Wait up to `wait` seconds for a change after `cursor`.
 
-        Returns the watch. Its attribute `is_arriving` tells whether a part
-        of the answer has been received. Its method `cancel` ends it, so that
-        `reply` is not called; later calls then use other connections.
+        Changes that are larger than `max_bytes` are not read: the table is
+        to be read in full. Returns the watch. Its attribute `is_arriving`
+        tells whether a part of the answer has been received. Its method
+        `cancel` ends it, so that `reply` is not called; later calls then use
+        other connections.
         """
 
 
@@ -265,6 +271,8 @@
         As of a RoutingRead.
     is_gap : bool
         Whether an endpoint may have come and gone since the last read.
+    largest_row : int
+        0, as the table has many small rows.
     """
 
     is_known: bool
@@ -272,6 +280,7 @@
     cursor: StorePosition | None = None
     reason: str = ""
     changed: StorePosition = StorePosition()
+    largest_row: int = 0
     is_gap: bool = False
 
 
@@ -281,10 +290,12 @@
     def read(self, reply) -> None:
         """Read all registrations; `reply` gets a RegistryRead."""
 
-    def watch(self, cursor: StorePosition, wait: float, reply) -> Any:
+    def watch(
+        self, cursor: StorePosition, wait: float, reply, *, max_bytes: int | None = None
+    ) -> Any:
         """Wait up to `wait` seconds for a change after `cursor`.
 
-        Returns the watch, as that of a RoutingSource.
+        `max_bytes` and the watch are as of a RoutingSource.
         """
 
 
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -24,6 +24,10 @@
 # all watches of a change within milliseconds.
 CATCH_UP_DELAY = 0.3
 MAX_LOGGED_FAILURES = 4  # reasons in a line of the log
+# Versions of the largest row in an answer from which a full read is shorter,
+# and bytes of an answer that is short enough in any case.
+MAX_VERSIONS = 2
+MIN_CHANGES = 64 * 1024
 
 
 class StoreVersions:
@@ -171,6 +175,8 @@
         Whether the latest answer contained a change.
     arrival : Arrival or None
         How the latest answer was obtained.
+    largest_row : int
+        Bytes of the largest row in the latest answer that had one.
     failures : int
         Calls without an answer since the latest answer.
     failed_at : float or None
@@ -218,6 +224,7 @@
         self.is_resuming = False
         self.has_changed = False
         self.is_reachable = None
+        self.largest_row = 0
         self.clock = clock
         self.watch = None
         self.call_number = self.answered_number = 0
@@ -258,7 +265,9 @@
         if self.cursor is None:
             self.source.read(on_reply)
             return
-        watch = self.source.watch(self.cursor, self._next_wait(), on_reply)
+        watch = self.source.watch(
+            self.cursor, self._next_wait(), on_reply, max_bytes=self._max_bytes()
+        )
         if number == self.call_number > self.answered_number:
             self.watch = watch
 
@@ -286,6 +295,16 @@
         # connections fall silent.
         return self.pace.spread(wait) if self.has_changed else wait
 
+    def _max_bytes(self):
+        """Return the largest answer to a watch that is worth reading.
+
+        It contains every version of a row that was missed, and a full read
+        only the latest one.
+        """
+        if not self.largest_row:
+            return None
+        return max(MIN_CHANGES, MAX_VERSIONS * self.largest_row)
+
     def _resume(self, cause):
         """Ask for changes on another connection, and drop the open watch."""
         self.cause = cause
@@ -337,9 +356,10 @@
             self._call_store_after(RETRY_DELAY)
             return
         if read.cursor is None and self.cursor is not None:
-            self.log.decision(self.table, outcome="history gone", reason=read.reason)
+            self.log.decision(self.table, outcome="full read", reason=read.reason)
         self.cursor = read.cursor
-        self.cause = "history gone" if read.cursor is None else "previous answer"
+        self.cause = "previous answer" if read.cursor else "full read needed"
+        self.largest_row = read.largest_row or self.largest_row
         if (read.cursor or StorePosition()) >= self.catch_up_to:
             self.reported_at = None
         self.has_changed = read.changed.ver > 0
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -60,7 +60,7 @@
     def read(self, reply):
         self.calls.append(("read", None, reply))
 
-    def watch(self, cursor, wait, reply):
+    def watch(self, cursor, wait, reply, *, max_bytes=None):
         self.calls.append(("watch", cursor.ver, reply))
         self.waits.append(wait)
         number = len(self.waits)
--- a/wagtailfront/platform/calls.py
+++ b/wagtailfront/platform/calls.py
@@ -5,7 +5,20 @@
 __all__ = ["call", "describe_failure"]
 
 
-def call(pool, reply, *, on_headers=None, **request):
+class _BoundedResponse(WholeResponse):
+    """Sink that does not read a body which is announced as too long."""
+
+    def on_head(self, status, headers):
+        super().on_head(status, headers)
+        length = headers.get("content-length", "")
+        if self.exchange is None or not length.isdigit():
+            return
+        if int(length) > self.max_body:
+            self.exchange.cancel()
+            self.on_done(status, headers, None)
+
+
+def call(pool, reply, *, on_headers=None, max_body=None, **request):
     """Send a request over `pool`.
 
     Parameters
@@ -16,6 +29,9 @@
     on_headers : callable, optional
         Gets the status and the headers of a response, by name in any case,
         before `reply`.
+    max_body : int, optional
+        Bytes of the longest body to read. `reply` gets None in place of one
+        whose length is announced as larger.
     request
         Further arguments of `HttpPool.request`.
 
@@ -33,7 +49,11 @@
             on_headers(status, headers)
         reply(status, body)
 
-    sink = WholeResponse(on_done)
+    sink = (
+        WholeResponse(on_done)
+        if max_body is None
+        else _BoundedResponse(on_done, max_body=max_body)
+    )
     sink.exchange = pool.request(sink=sink, **request)
     return sink.exchange
 
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -104,13 +104,16 @@
         self.on_silence = on_silence
         self.era = 0
 
-    def get(self, path, reply, *, timeout=CALL_TIMEOUT):
+    def get(self, path, reply, *, timeout=CALL_TIMEOUT, max_body=None):
         """Send a GET.
 
         `reply` gets the status and the body, or None and the reason of the
-        failure. Returns the call.
+        failure. The body is None if it is longer than `max_body`. Returns
+        the call.
         """
-        return self._call(reply, method="GET", path=path, timeout=timeout)
+        return self._call(
+            reply, method="GET", path=path, timeout=timeout, max_body=max_body
+        )
 
     def put(self, table, key, value, reply, *, expected_ver=None):
         """Write a row; `reply` as for `get`.
@@ -214,12 +217,13 @@
         """Return the position of a version in the latest answer."""
         return StorePosition(self.era, ver)
 
-    def watch_table(self, table, cursor, wait, reply):
+    def watch_table(self, table, cursor, wait, reply, *, max_bytes=None):
         """Wait up to `wait` seconds for changes after `cursor`.
 
         `reply` gets StoreRows or None, the reason of a failure, and whether
-        the store no longer has the history after `cursor`. Returns the
-        watch, which may be cancelled.
+        the table is to be read in full: the store no longer has the history
+        after `cursor`, or the changes are larger than `max_bytes`. Returns
+        the watch, which may be cancelled.
         """
 
         def on_response(status, body):
@@ -229,6 +233,9 @@
             elif status == 200 and self.era != cursor.era:
                 reason = f"the store was restored to era {self.era} after {cursor}"
                 reply(None, reason, True)
+            elif status == 200 and body is None:
+                reason = f"the changes after {cursor} exceed {max_bytes} bytes"
+                reply(None, reason, True)
             else:
                 reply(*_read_page(status, body), False)
 
@@ -237,6 +244,7 @@
             f"/api/rows-feed?table={table}&after={cursor.ver}&wait-ms={wait_ms}",
             on_response,
             timeout=wait + WATCH_MARGIN,
+            max_body=max_bytes,
         )
         return _Watch(client=self, exchange=exchange)
 
@@ -296,12 +304,12 @@
 
         self.client.read_table(REGISTRY_TABLE, on_rows)
 
-    def watch(self, cursor, wait, reply):
+    def watch(self, cursor, wait, reply, *, max_bytes=None):
         """Wait for a change of the registrations."""
 
-        def on_rows(rows, reason, is_history_gone):
+        def on_rows(rows, reason, is_gap):
             if rows is None:
-                reply(RegistryRead(is_history_gone, reason=reason))
+                reply(RegistryRead(is_gap, reason=reason))
                 return
             position = self.client.position(rows.ver)
             # A later read may have completed before this watch.
@@ -322,7 +330,9 @@
             else:
                 reply(RegistryRead(True, cursor=position))
 
-        return self.client.watch_table(REGISTRY_TABLE, cursor, wait, on_rows)
+        return self.client.watch_table(
+            REGISTRY_TABLE, cursor, wait, on_rows, max_bytes=max_bytes
+        )
 
     def _registry_read(self, rows):
         skipped = {}
@@ -350,16 +360,18 @@
 
         self.client.read_table(OPERATOR_TABLE, on_rows)
 
-    def watch(self, cursor, wait, reply):
+    def watch(self, cursor, wait, reply, *, max_bytes=None):
         """Wait for a change of the configuration."""
 
-        def on_rows(rows, reason, is_history_gone):
+        def on_rows(rows, reason, is_gap):
             if rows is None:
-                reply(RoutingRead(is_history_gone, reason=reason))
+                reply(RoutingRead(is_gap, reason=reason))
             else:
                 reply(self._routing_read(rows))
 
-        return self.client.watch_table(OPERATOR_TABLE, cursor, wait, on_rows)
+        return self.client.watch_table(
+            OPERATOR_TABLE, cursor, wait, on_rows, max_bytes=max_bytes
+        )
 
     def _routing_read(self, rows, reason=""):
         if rows is None:
@@ -373,4 +385,5 @@
             config=config,
             cursor=self.client.position(rows.ver),
             changed=self.client.position(_latest_version(rows.rows)),
+            largest_row=max((len(row.value) for row in rows.rows), default=0),
         )
