--- a/wagtailfront/programs/tests/process_fleet.py
+++ b/wagtailfront/programs/tests/process_fleet.py
@@ -21,6 +21,7 @@
     signed_response,
 )
 from wagtailfront.programs.tests.forward_site import free_port
+from wagtailfront.programs.tests.loopback_proxy import LoopbackProxy
 from wagtailfront.programs.tests.rule_checker import RuleChecker
 
 __all__ = ["ProcessFleet"]
@@ -88,10 +89,15 @@
         Of the choices that callers make.
     log_folder : pathlib.Path, optional
         Where the decision log of each instance is kept.
+    store_links : dict of int to float, optional
+        Bytes per second on the links of some instances to the store, which
+        are in the attribute of that name as LoopbackProxy.
     """
 
-    def __init__(self, *, size, seed, log_folder=None):
+    def __init__(self, *, size, seed, log_folder=None, store_links=None):
         self.size = size
+        self.store_rates = store_links or {}
+        self.store_links = {}
         self.log_folder = log_folder
         self.rng = random.Random(seed)
         self.checker = RuleChecker()
@@ -104,6 +110,10 @@
 
     async def __aenter__(self):
         await self.store.start()
+        for number, rate in self.store_rates.items():
+            link = LoopbackProxy(target=self.store.port, bytes_per_second=rate)
+            await link.start()
+            self.store_links[number] = link
         await self.prepare()
         for number in range(self.size):
             self._start_instance(number)
@@ -125,6 +135,8 @@
             child.kill()
         for child in self.children:
             child.wait()
+        for link in self.store_links.values():
+            await link.close()
         # Lets the ends of their connections arrive.
         await asyncio.sleep(0.2)
 
@@ -139,7 +151,7 @@
         environ |= {
             "WAGTAILFRONT_INSTANCE": f"i{number}",
             "WAGTAILFRONT_DATA_CENTRE": "a",
-            "WAGTAILFRONT_STORE": f"{HOST}:{self.store.port}",
+            "WAGTAILFRONT_STORE": f"{HOST}:{self._store_port(number)}",
         }
         self.callers.append(ports["callers"])
         self.status_ports.append(ports["status"])
@@ -152,6 +164,9 @@
                 )
             )
 
+    def _store_port(self, number):
+        return self.store_links.get(number, self.store).port
+
     def _open_log(self, number):
         if self.log_folder is None:
             return open(os.devnull, "wb")
