--- a/wagtailfront/platform/tests/silent_store.py
+++ b/wagtailfront/platform/tests/silent_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import functools
 
 import msgspec
 
@@ -49,6 +50,15 @@
         server = await asyncio.start_server(self._serve, HOST, 0, backlog=1000)
         self.port = server.sockets[0].getsockname()[1]
 
+    async def start_view(self, translate):
+        """Listen on another free port; return it.
+
+        There `translate` is called with the table and each row that is read.
+        """
+        serve = functools.partial(self._serve, translate=translate)
+        server = await asyncio.start_server(serve, HOST, 0, backlog=1000)
+        return server.sockets[0].getsockname()[1]
+
     def silence(self):
         """Make all connections that are open silent; return how many."""
         self.silent |= self.open
@@ -66,20 +76,23 @@
         async with self.changed:
             self.changed.notify_all()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, translate=None):
         self.open.add(writer)
         try:
-            await self._serve_requests(reader, writer)
+            await self._serve_requests(reader, writer, translate)
         finally:
             self.open.discard(writer)
             writer.close()
 
-    async def _serve_requests(self, reader, writer):
+    async def _serve_requests(self, reader, writer, translate):
         while (request := await read_request(reader)) is not None:
             method, target, _head, body = request
             if writer in self.silent:
                 continue
             status, answer = await self._answer(method, target, body)
+            if translate is not None and "rows" in answer:
+                table = StorePool.read_query(target)["table"]
+                answer["rows"] = [translate(table, row) for row in answer["rows"]]
             await asyncio.sleep(ANSWER_SECONDS)
             if writer not in self.silent:
                 data = msgspec.json.encode(answer)
--- a/wagtailfront/programs/tests/forward_site.py
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -1,6 +1,7 @@
 """A forwarding instance with a store and endpoints on real sockets."""
 
 import contextlib
+import random
 import socket
 
 from wagtailfront.callers.tests.builders import running
@@ -17,12 +18,16 @@
 TIMEOUT = 10.0  # seconds
 SERVICES = ("s", "t")  # of the endpoints in turn
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\n\r\n"
+# Below those of outgoing connections.
+LISTENING_PORTS = range(10_240, 32_768)
 
 
 def free_port():
-    """Return a port that nothing listens on."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
+    """Return a port that no connection takes before the test does."""
+    for port in random.SystemRandom().sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
+    raise OSError("no port is free")
 
 
 def read_answer(connection):
--- a/wagtailfront/programs/tests/process_fleet.py
+++ b/wagtailfront/programs/tests/process_fleet.py
@@ -1,7 +1,9 @@
 """Real processes of the program before one store and some endpoints."""
 
 import asyncio
+import base64
 import contextlib
+import functools
 import itertools
 import os
 import random
@@ -10,6 +12,8 @@
 import sys
 import time
 
+import msgspec
+
 from wagtailfront.platform.paths import READY_PATH
 from wagtailfront.platform.tests.builders import make_registration
 from wagtailfront.platform.tests.silent_store import HOST, SilentStore, read_request
@@ -31,6 +35,7 @@
 EVENTS, EVENT_GAP = 12, 0.03
 REQUEST_ID = re.compile(rb"x-request-id: (\S+)", re.IGNORECASE)
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)")
+HEALTH_PATH = "/health"
 LIMIT_SECONDS = 6.0  # of a caller's attempt
 
 
@@ -51,6 +56,9 @@
         with contextlib.suppress(ConnectionError):
             while (request := await read_request(reader)) is not None:
                 _method, target, head, _body = request
+                if target == HEALTH_PATH:
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    continue
                 request_id = REQUEST_ID.search(head)[1]
                 self.checker.record_arrival(request_id.decode(), self.name)
                 await asyncio.sleep(WORK_SECONDS)
@@ -74,6 +82,15 @@
         writer.write(b"0\r\n\r\n")
 
 
+def _translate_row(links, table, row):
+    """Return a row of the registry with the address of an endpoint's link."""
+    if table != "servers" or row["key"] not in links or "value" not in row:
+        return row
+    value = msgspec.json.decode(base64.b64decode(row["value"]))
+    value["address"] = f"{HOST}:{links[row['key']].port}"
+    return {**row, "value": base64.b64encode(msgspec.json.encode(value)).decode()}
+
+
 def _has_ended(child):
     """Return whether a process has ended."""
     return child.poll() is not None
@@ -92,10 +109,31 @@
     store_links : dict of int to float, optional
         Bytes per second on the links of some instances to the store, which
         are in the attribute of that name as LoopbackProxy.
+    cut_off : collection of int, optional
+        Instances whose links to endpoints are in the attribute
+        `endpoint_links`, by instance and name, as LoopbackProxy.
+    limit : float, optional
+        Seconds that a caller waits for an attempt.
+    route : dict, optional
+        Fields of all routes that differ from the usual ones.
     """
 
-    def __init__(self, *, size, seed, log_folder=None, store_links=None):
+    def __init__(
+        self,
+        *,
+        size,
+        seed,
+        log_folder=None,
+        store_links=None,
+        cut_off=(),
+        limit=LIMIT_SECONDS,
+        route=None,
+    ):
         self.size = size
+        self.endpoint_links = {number: {} for number in cut_off}
+        self.view_ports = {}
+        self.limit = limit
+        self.route = route or {}
         self.store_rates = store_links or {}
         self.store_links = {}
         self.log_folder = log_folder
@@ -114,6 +152,9 @@
             link = LoopbackProxy(target=self.store.port, bytes_per_second=rate)
             await link.start()
             self.store_links[number] = link
+        for number, links in self.endpoint_links.items():
+            translate = functools.partial(_translate_row, links)
+            self.view_ports[number] = await self.store.start_view(translate)
         await self.prepare()
         for number in range(self.size):
             self._start_instance(number)
@@ -135,15 +176,15 @@
             child.kill()
         for child in self.children:
             child.wait()
-        for link in self.store_links.values():
+        links = (self.store_links, *self.endpoint_links.values())
+        for link in itertools.chain.from_iterable(map(dict.values, links)):
             await link.close()
         # Lets the ends of their connections arrive.
         await asyncio.sleep(0.2)
 
     def _start_instance(self, number):
-        ports = {
-            name: free_port() for name in ("callers", "status", "peers", "metrics")
-        }
+        names = ("callers", "status", "peers", "proxy", "metrics")
+        ports = {name: free_port() for name in names}
         environ = {
             f"WAGTAILFRONT_{name.upper()}": f"{HOST}:{port}"
             for name, port in ports.items()
@@ -165,6 +206,8 @@
             )
 
     def _store_port(self, number):
+        if number in self.view_ports:
+            return self.view_ports[number]
         return self.store_links.get(number, self.store).port
 
     def _open_log(self, number):
@@ -206,6 +249,7 @@
                 "timeout-ms": 6000,
                 "target-latency-ms": 2000,
                 "max-attempts": 1,
+                **self.route,
             }
             for prefix in prefixes
         ]
@@ -224,6 +268,9 @@
         endpoint = _Endpoint(name=name, version=version, checker=self.checker)
         await endpoint.start()
         self.endpoints[name] = endpoint
+        for links in self.endpoint_links.values():
+            links[name] = LoopbackProxy(target=endpoint.port)
+            await links[name].start()
         await self.register(name, "ready")
 
     async def register(self, name, state):
@@ -267,12 +314,12 @@
         """
         request = f"r{next(self.numbers):07}"
         headers = caller_headers(
-            request.encode(), seconds=LIMIT_SECONDS, after=after, resumes=resumes
+            request.encode(), seconds=self.limit, after=after, resumes=resumes
         )
         self.checker.record_request(request, f"i{instance}", path, at=time.monotonic())
         data = b""
         with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(LIMIT_SECONDS):
+            async with asyncio.timeout(self.limit):
                 port = self.callers[instance]
                 reader, writer = await asyncio.open_connection(HOST, port)
                 lines = b"GET %b HTTP/1.1\r\n" % path.encode() + header_lines(headers)
