Send requests through a peer while no endpoint of a service is in reach

Cause: an instance tried four endpoints and refused, and nothing led around its own links.

EndpointReach judges each service by connections that fail or open, and by silence and responses, confirmed by probes: lost within a second, restored by the first connection (or answer, where connections open and stay silent). While a service is lost, its requests go to a peer that says in its digests that it reaches the service, in the own data centre first; the peer serves them as its own callers', with its budget, notices, rates and versions, and never passes them on again. Failures of the cut are forgiven at its end.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -54,6 +54,7 @@
     """
 
     is_prefill = False
+    is_proxied = False
 
     def __init__(self, *, task, record, number, uncached_tokens=0, expected=0.0):
         self.task = task
@@ -62,7 +63,7 @@
         self.context = task.context
         self.record = record
         # Kept, as an endpoint that leaves the registry is forgotten.
-        self.health = self.context.health.state(record.incarnation)
+        self.health = self._find_health()
         # Unique, so that a crash is attributed to this request alone.
         self.label = f"{record.endpoint_id}/{task.fields.request_id}#{number}"
         self.started = self.last_progress_at = self.context.clock()
@@ -79,6 +80,9 @@
             on_evicted=lambda: self.fail("response too large beside others")
         )
 
+    def _find_health(self):
+        return self.context.health.state(self.record.incarnation)
+
     @property
     def answer_headers(self):
         """Return the headers of the response that its caller gets."""
@@ -174,6 +178,11 @@
             return False
         self.status, self.headers, self.fields = status, headers, fields
         self._record_progress()
+        self._record_head(status, fields)
+        return True
+
+    def _record_head(self, status, fields):
+        """Record what the head of a response says of the endpoint."""
         now, incarnation = self.context.clock(), self.record.incarnation
         self.context.crashing_parts.record_response(
             incarnation, sent=self.started, now=now
@@ -188,9 +197,8 @@
                 fields.notice,
                 status=status,
                 sent=self.started,
-                request_id=own_id,
+                request_id=self.task.fields.request_id,
             )
-        return True
 
     def on_data(self, data):
         if self.memory.resize(len(self.buffer) + len(data)):
@@ -266,6 +274,20 @@
             and self.fields.request_id is not None
         )
 
+    @property
+    def software_version(self):
+        """Return the version of the endpoint that answers."""
+        return self.record.software_version
+
+    def record_first_event(self):
+        """Record that the endpoint has begun to answer the caller."""
+        now = self.context.clock()
+        if self.uncached_tokens:
+            took = now - self.started
+            self.health.record_prefill_time(expected=self.expected, took=took)
+        self.clear_pending()
+        self.context.health.record_success(self.record, now=now)
+
     def launch(self, options):
         self.is_tracked = True
         self.context.evidence.start(self.task.fingerprint, self.label)
--- a/wagtailfront/forwarding/endpoint_directory.py
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -222,6 +222,12 @@
         record = self.records.get(incarnation.rpartition("/")[0])
         return None if record is None else record.service
 
+    def find_incarnation(self, incarnation):
+        """Return the record of an incarnation, or None."""
+        record = self.records.get((incarnation or "").rpartition("/")[0])
+        is_found = record is not None and record.incarnation == incarnation
+        return record if is_found else None
+
     def is_current(self, record):
         """Return whether the incarnation of a record may get new work."""
         known = self.records.get(record.endpoint_id)
--- a/wagtailfront/forwarding/endpoint_health.py
+++ b/wagtailfront/forwarding/endpoint_health.py
@@ -69,6 +69,13 @@
         state.avoid_until = now + pause
         return pause
 
+    def forgive(self, record, *, now):
+        """Drop failures that were not the endpoint's own."""
+        state = self.state(record.incarnation)
+        state.failures_in_row = 0
+        state.failure_share = 0.0
+        state.avoid_until = min(state.avoid_until, now)
+
     def record_error(self, record):
         """Record a response with an error status of the endpoint."""
         state = self.state(record.incarnation)
--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -4,6 +4,7 @@
 import re
 import time
 from collections import defaultdict, deque
+from typing import Protocol
 
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import BasePoller
@@ -23,7 +24,7 @@
 )
 from wagtailfront.transport.ticker import Ticker
 
-__all__ = ["EndpointPool", "max_idle_connections"]
+__all__ = ["EndpointPool", "ReachObserver", "max_idle_connections"]
 
 logger = logging.getLogger(__name__)
 
@@ -84,6 +85,32 @@
     """Close connections that exceeded their idle limit."""
 
 
+class ReachObserver(Protocol):
+    """Receiver of what connections show of the path to endpoints."""
+
+    def handle_connected(self, record) -> None:
+        """Handle that a connection was opened."""
+
+    def handle_unconnected(self, record) -> None:
+        """Handle that no connection could be opened."""
+
+    def handle_response(self, record) -> None:
+        """Handle a part of a response."""
+
+
+class _NoObserver:
+    """A ReachObserver that ignores everything."""
+
+    def handle_connected(self, record):
+        pass
+
+    def handle_unconnected(self, record):
+        pass
+
+    def handle_response(self, record):
+        pass
+
+
 class EndpointPool(BaseComponent):
     """Pool of connections to endpoints.
 
@@ -95,6 +122,7 @@
         Called for each new connection, for the metrics.
     max_idle : callable, optional
         Returns how many idle connections to keep to an EndpointRecord.
+    observer : ReachObserver, optional
 
     Notes
     -----
@@ -110,8 +138,10 @@
         clock=time.monotonic,
         on_connect=None,
         max_idle=lambda record: MAX_IDLE_CONNECTIONS,
+        observer=None,
     ):
         super().__init__(channel=channel)
+        self.observer = observer or _NoObserver()
         self.max_idle = max_idle
         self.timers = timers
         self.clock = clock
@@ -154,6 +184,13 @@
         exchange.is_returned = True
         return exchange
 
+    def connect(self, record):
+        """Open a connection to an endpoint, which becomes idle."""
+        try:
+            self._open(record)
+        except (OSError, ValueError) as error:
+            logger.warning("[endpoints] open %s: %s", record.address, error)
+
     def _start(self, exchange, connection):
         exchange.is_first, connection.is_new = connection.is_new, False
         exchange.connection = connection
@@ -179,6 +216,7 @@
             result = sock.connect_ex((record.host, record.port))
         except (OSError, ValueError):
             sock.close()
+            self.observer.handle_unconnected(record)
             raise
         connection = _Connection(sock=sock, record=record)
         self.connections[sock] = connection
@@ -215,7 +253,11 @@
             return False
         connection.is_open = True
         self.poller.addReader(self, sock)
-        return True
+        self.observer.handle_connected(connection.record)
+        if connection.exchange is None and sock in self.connections:
+            connection.keep_alive = True
+            self._release(connection)
+        return sock in self.connections
 
     def _flush(self, connection):
         sock = connection.sock
@@ -298,6 +340,7 @@
 
     def _deliver(self, connection, part):
         exchange = connection.exchange
+        self.observer.handle_response(connection.record)
         if exchange is None or exchange.is_done:
             # Bytes after a complete response: the framing is unreliable.
             connection.keep_alive = False
@@ -336,6 +379,8 @@
     def _fail(self, connection, reason):
         exchange, connection.exchange = connection.exchange, None
         self.close(connection)
+        if not connection.is_open:
+            self.observer.handle_unconnected(connection.record)
         if exchange is not None:
             exchange.fail(reason)
 
--- a/wagtailfront/forwarding/fleet_load.py
+++ b/wagtailfront/forwarding/fleet_load.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import Counter
+from typing import NamedTuple
 
 from wagtailfront.membership.messages import (
     MAX_PARTS,
@@ -11,7 +12,7 @@
     PlacementDigest,
 )
 
-__all__ = ["FleetLoad"]
+__all__ = ["FleetLoad", "ProxyOffer"]
 
 PEER_LIFETIME = 3.0  # seconds; peers send their full state every second
 EXPIRY_INTERVAL = 0.25  # seconds between checks for silent peers
@@ -20,13 +21,31 @@
 MAX_PROMPTS = 256  # placements in one digest
 
 
+class ProxyOffer(NamedTuple):
+    """Where an instance takes requests of its peers, and for which services.
+
+    Attributes
+    ----------
+    address : str
+        Empty if it takes none.
+    data_centre : str
+    lost_services : tuple of str
+        Services whose endpoints it does not reach itself.
+    """
+
+    address: str = ""
+    data_centre: str = ""
+    lost_services: tuple = ()
+
+
 class _Peer:
-    """Loads that one peer reported last."""
+    """What one peer reported last."""
 
     def __init__(self):
         self.loads = {}
         self.address = ""
         self.received_at = 0.0
+        self.offer = ProxyOffer()
 
 
 class FleetLoad:
@@ -139,6 +158,10 @@
             peer = self.peers[digest.incarnation] = _Peer()
         peer.address = digest.address or peer.address
         peer.received_at = now
+        if digest.proxy is not None:
+            peer.offer = ProxyOffer(
+                digest.proxy, digest.data_centre, digest.lost_services
+            )
         if digest.loads or digest.prompts:
             self.has_peer_requests = True
         reported = {load.endpoint: load for load in digest.loads}
@@ -183,6 +206,11 @@
             for load in self.peers.pop(incarnation).loads.values():
                 self._add(load, -1)
 
+    def proxy_offers(self, *, now):
+        """Return the ProxyOffer of each peer in touch that takes requests."""
+        self._expire(now)
+        return [peer.offer for peer in self.peers.values() if peer.offer.address]
+
     def live_addresses(self, *, now):
         """Return the addresses of the instances in touch, its own included.
 
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -17,6 +17,8 @@
     directory: Any
     confirm_registry: Any
     health: Any
+    reach: Any
+    proxies: Any
     rate_limits: Any
     notices: Any
     pool: Any
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -6,6 +6,8 @@
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
 from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES, RETRY_AFTER
 from wagtailfront.forwarding.late_timers import call_after_reads
+from wagtailfront.forwarding.proxied_attempt import ProxyDispatch
+from wagtailfront.forwarding.proxy_headers import origin_headers, unreached_headers
 from wagtailfront.forwarding.request_dispatch import (
     GATEWAY_TIMEOUT,
     MAX_SENDS,
@@ -56,6 +58,8 @@
         Version of the configuration that `route` comes from.
     origin : StreamOrigin, optional
         What began the stream, if the caller resumes one.
+    instructions : ProxyInstructions, optional
+        Of the peer that sent the request, if it is that of a peer's caller.
     """
 
     def __init__(
@@ -70,6 +74,7 @@
         on_done,
         config_version=0,
         origin=None,
+        instructions=None,
     ):
         self.request = request
         self.fields = fields
@@ -81,7 +86,8 @@
         self.attempt = None
         self.used_connections = set()
         self.sends = 0
-        self.runs = 0
+        self.is_proxied = instructions is not None
+        self.runs = instructions.runs if instructions else 0
         self.may_have_run = False  # never reset; a refusal is sent only while False
         self.is_done = False
         self.timers = []
@@ -101,6 +107,7 @@
         self.dispatcher = RequestDispatch(
             task=self, software_version=origin and origin.software_version
         )
+        self.proxy = ProxyDispatch(task=self)
         self.silence = SilenceWatch(task=self)
         self.stream = StreamRelay(task=self)
         self.fingerprint = request_fingerprint(
@@ -175,7 +182,7 @@
         self.is_done = True
         for timer in self.timers:
             timer.cancel()
-        self._drop_attempt()
+        self.drop_attempt()
         self.silence.release("the request has ended")
         self.context.metrics.count(
             "forwarded_total", service=self.service.name, outcome=outcome
@@ -226,10 +233,18 @@
         else:
             self.log.decision("refused", reason, retry_after=retry_after)
             headers = self.context.dialect.refusal_headers(retry_after)
+            if self.is_proxied and self.context.reach.is_lost(self.service.name):
+                headers += unreached_headers()
             self.reply.answer(UNAVAILABLE, headers, b"")
             self.end("refused")
 
-    def _drop_attempt(self):
+    def headers_to_caller(self, attempt):
+        """Return the headers of an endpoint's answer that the caller gets."""
+        origin = origin_headers(attempt.record) if self.is_proxied else []
+        return attempt.answer_headers + origin
+
+    def drop_attempt(self):
+        """Abandon the current attempt if there is one."""
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             attempt.drop()
@@ -240,7 +255,7 @@
         """Run the request after its prefill has been answered."""
         now = self.context.clock()
         record = attempt.record
-        self._drop_attempt()
+        self.drop_attempt()
         try:
             self.dispatcher.kv_source = attempt.read_handle()
             self.dispatcher.prefill_version = record.software_version
@@ -256,6 +271,9 @@
 
     def handle_answer(self, attempt):
         """Handle a complete response that is not a stream."""
+        if attempt.is_proxied:
+            self.proxy.handle_answer(attempt)
+            return
         status = attempt.status
         fault = self._find_fault(attempt)
         is_error = status >= SERVER_ERROR
@@ -269,7 +287,7 @@
         elif is_error and self.may_repeat() and self.reserve(1):
             self.context.health.record_error(attempt.record)
             self.log.decision("error", str(status), endpoint=attempt.record.endpoint_id)
-            self._repeat(attempt)
+            self.repeat_elsewhere(attempt)
         elif is_error and self.silence.resume(f"another answered {status}"):
             self.context.health.record_error(attempt.record)
         else:
@@ -299,13 +317,14 @@
         self.log.decision(
             "answered", str(attempt.status), endpoint=attempt.record.endpoint_id
         )
-        self.reply.answer(attempt.status, attempt.answer_headers, attempt.body)
+        headers = self.headers_to_caller(attempt)
+        self.reply.answer(attempt.status, headers, attempt.body)
         self.end("answered")
 
     def _handle_refusal(self, attempt):
         """Try again after an endpoint stated that the request did not run."""
         record = attempt.record
-        self._drop_attempt()
+        self.drop_attempt()
         self.context.health.record_shed(record, now=self.context.clock())
         if self.dispatcher.kv_source is None:
             self.dispatcher.tried.add(record.incarnation)
@@ -318,6 +337,9 @@
 
     def handle_failure(self, attempt, reason, sent):
         """Retry or end the request after an attempt that failed."""
+        if attempt.is_proxied:
+            self.proxy.handle_failure(attempt, reason, sent)
+            return
         if attempt is self.silence.held:
             self.context.health.record_failure(attempt.record, now=self.context.clock())
             attempt.record_crash()
@@ -337,12 +359,12 @@
         if sent and not attempt.is_prefill:
             attempt.record_crash()
             if self.may_repeat() and self.reserve(1):
-                self._repeat(attempt)
+                self.repeat_elsewhere(attempt)
             else:
                 self.may_have_run = True
                 self.give_up(reason, None)
             return
-        self._drop_attempt()
+        self.drop_attempt()
         self.dispatcher.tried.add(record.incarnation)
         self.dispatcher.dispatch()
 
@@ -382,7 +404,7 @@
         has_run = bool(self.attempt and self.attempt.may_have_run)
         self.may_have_run |= has_run
         self.runs += has_run - 1
-        self._drop_attempt()
+        self.drop_attempt()
         self.attempt = attempt
 
     def reserve(self, sends):
@@ -394,10 +416,11 @@
         self.log.decision("repeat", "charged" if is_allowed else "denied", spent=spent)
         return is_allowed
 
-    def _repeat(self, attempt):
+    def repeat_elsewhere(self, attempt):
+        """Send the request again after an attempt that may have run it."""
         self.may_have_run = True
         self._count_run(attempt)
-        self._drop_attempt()
+        self.drop_attempt()
         self.dispatcher.dispatch()
 
     def _count_run(self, attempt):
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Routing of accepted requests to their tasks."""
 
+import functools
 import logging
 import math
 from collections import defaultdict
@@ -12,9 +13,11 @@
     time_limit,
 )
 from wagtailfront.forwarding.prefix_cache import PrefixCacheEstimate
+from wagtailfront.forwarding.proxy_headers import unreached_headers
 from wagtailfront.forwarding.resumption import (
     find_origin,
     is_resumption,
+    named_origin,
     refusal,
 )
 from wagtailfront.forwarding.routes import RouteTable, choose_service
@@ -122,10 +125,13 @@
             return era > self.config_era and config != self.config
         return config.version > self.config.version
 
-    def accept(self, request, reply):
-        """Start a request; return its task, or None if it was rejected."""
+    def accept(self, request, reply, instructions=None):
+        """Start a request; return its task, or None if it was rejected.
+
+        `instructions` are those of a peer, if the request is of its caller.
+        """
         try:
-            task = self._make_task(request, reply)
+            task = self._make_task(request, reply, instructions)
         except Exception:
             # A fault in one request must not stop the others.
             logger.exception("[forward] Failed to start a request.")
@@ -136,36 +142,42 @@
             task.run(task.begin)
         return task
 
-    def _make_task(self, request, reply):
+    def _make_task(self, request, reply, instructions):
         """Return a request's task, or None if it was rejected."""
+        answer = functools.partial(
+            self._answer, reply, is_proxied=instructions is not None
+        )
         try:
             fields = self.context.dialect.read_request(request.headers)
             path = request.target.partition(b"?")[0].decode("ascii")
         except ValueError as error:
-            self._answer(reply, "", BAD_REQUEST, str(error))
+            answer("", BAD_REQUEST, str(error))
             return None
         if self.config is None:
-            self._answer(reply, fields.request_id, UNAVAILABLE, "no configuration yet")
+            answer(fields.request_id, UNAVAILABLE, "no configuration yet")
             return None
         route = self.table.find(fields.host, path)
         if route is None:
-            self._answer(reply, fields.request_id, NOT_FOUND, "no route")
+            answer(fields.request_id, NOT_FOUND, "no route")
+            return None
+        if instructions is not None and not route.leads_to(instructions.service):
+            answer(fields.request_id, UNAVAILABLE, "another configuration")
             return None
         origin = None
         if is_resumption(fields, route):
-            origin = find_origin(fields, route, self.context)
+            origin = named_origin(instructions) or find_origin(
+                fields, route, self.context
+            )
             if not self._may_resume(origin, fields, route, reply):
                 return None
-        name = origin.service if origin else None
         service = self.config.services.get(
-            name or choose_service(route, rng=self.context.rng)
+            self._choose_service(route, origin, instructions)
         )
         if service is None:
-            self._answer(reply, fields.request_id, UNAVAILABLE, "no such service")
+            answer(fields.request_id, UNAVAILABLE, "no such service")
             return None
         if self._may_outlast(time_limit(route, fields) + DEADLINE_GRACE):
-            self._answer(
-                reply,
+            answer(
                 fields.request_id,
                 UNAVAILABLE,
                 "the instance stops",
@@ -182,8 +194,17 @@
             on_done=self._on_done,
             config_version=self.config.version,
             origin=origin,
+            instructions=instructions,
         )
 
+    def _choose_service(self, route, origin, instructions):
+        """Return the name of the service that a request goes to."""
+        if origin is not None:
+            return origin.service
+        if instructions is not None:
+            return instructions.service
+        return choose_service(route, rng=self.context.rng)
+
     def _may_outlast(self, longest):
         """Return whether a request of so many seconds may be cut by a stop."""
         now = self.context.clock()
@@ -215,7 +236,13 @@
         return False
 
     def _answer(
-        self, reply, request_id, status, reason, retry_after=UNCONFIGURED_RETRY_AFTER
+        self,
+        reply,
+        request_id,
+        status,
+        reason,
+        retry_after=UNCONFIGURED_RETRY_AFTER,
+        is_proxied=False,
     ):
         self.context.log.decision(
             "rejected",
@@ -229,6 +256,8 @@
             if status == UNAVAILABLE
             else []
         )
+        if is_proxied:
+            headers += unreached_headers()
         reply.answer(status, headers, b"")
 
     def _on_done(self, task):
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -5,6 +5,7 @@
 import msgspec
 from circuits import BaseComponent, Event, handler
 
+from wagtailfront.forwarding.fleet_load import ProxyOffer
 from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.forwarding.relay_groups import (
     RelayTargets,
@@ -88,6 +89,8 @@
         Returns the service of an endpoint's incarnation, or None.
     timers : Timers
     log : DecisionLog
+    make_offer : callable, optional
+        Returns the ProxyOffer of this instance.
     clock : callable, optional
 
     Notes
@@ -117,6 +120,7 @@
         find_service,
         timers,
         log,
+        make_offer=ProxyOffer,
         clock=time.monotonic,
     ):
         super().__init__()
@@ -133,6 +137,7 @@
         self.contact = contact
         self.pace = pace
         self.find_service = find_service
+        self.make_offer = make_offer
         self.timers = timers
         self.log = log
         self.clock = clock
@@ -144,6 +149,7 @@
         self.full_digest_due = 0.0
         self.evidence_sends = {}
         self.sent_versions = ()
+        self.sent_offer = None
         self.announcement = None
         versions.era_listeners[self.channel] = self._on_new_era
         Ticker(
@@ -254,9 +260,9 @@
             self.full_digest_due = now + FULL_DIGEST_INTERVAL
         known = (self.versions.era, self.versions.known)
         rates = self.rate_limits.make_report(now=now, full=full)
-        digest = self.load.make_digest(
-            full=full or bool(rates) or known != self.sent_versions
-        )
+        offer = self.make_offer()
+        has_news = known != self.sent_versions or offer != self.sent_offer
+        digest = self.load.make_digest(full=full or bool(rates) or has_news)
         begun = self.streams.take_report()
         if digest is None and begun:
             digest = PlacementDigest(
@@ -264,6 +270,8 @@
             )
         if digest is not None:
             self.sent_versions = known
+            is_offer_due = full or offer != self.sent_offer
+            self.sent_offer = offer
             age = self.contact.own_age(now=now)
             reports.append(
                 msgspec.structs.replace(
@@ -274,6 +282,9 @@
                     rates=rates,
                     streams=begun,
                     store_age_ms=None if age is None else round(age * MS_PER_SECOND),
+                    proxy=offer.address if is_offer_due else None,
+                    data_centre=offer.data_centre if is_offer_due else "",
+                    lost_services=offer.lost_services if is_offer_due else (),
                 )
             )
         items = self._own_evidence(now, repeat=full)
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -60,6 +60,8 @@
         if task.sends >= MAX_SENDS:
             task.give_up("no endpoint accepted it", RETRY_AFTER)
             return
+        if self._send_to_peer():
+            return
         views = self._find_views()
         if not views:
             task.give_up(*self.choice.refuse())
@@ -188,9 +190,16 @@
             task.give_up(reason, admission.retry_after)
         return admission.is_admitted
 
+    def _send_to_peer(self):
+        """Send the request to a peer if this instance reaches no endpoint."""
+        peer = self.task.proxy.find()
+        if peer is not None:
+            self.task.proxy.send(peer)
+        return peer is not None
+
     def _send(self, attempt_type, record, uncached_tokens=0, expected=0.0):
         task = self.task
-        if self.give_up_on_crashing_part():
+        if self.give_up_on_crashing_part() or self._send_to_peer():
             return
         if not task.reserve(1):
             task.give_up("the repeat budget is spent", RETRY_AFTER)
--- a/wagtailfront/forwarding/resumption.py
+++ b/wagtailfront/forwarding/resumption.py
@@ -11,6 +11,7 @@
     "find_origin",
     "is_certain",
     "is_resumption",
+    "named_origin",
     "refusal",
 ]
 
@@ -19,6 +20,7 @@
 MAX_AGE_TIMEOUTS = 2.0
 # Seconds for which other instances may use an endpoint that left the registry.
 USE_AFTER_LEAVING = 5.0
+PEER = "peer"  # source of an origin that a peer knows
 HISTORY = "history"  # source of an origin that the only version suggests
 UNKNOWN_RETRY_AFTER = 0.25  # seconds; a report of a peer may be on its way
 GONE_RETRY_AFTER = 1.0  # seconds; versions that have left rarely come back
@@ -60,6 +62,18 @@
     return StreamOrigin(service, version, HISTORY) if version else None
 
 
+def named_origin(instructions):
+    """Return the StreamOrigin that a peer names, or None.
+
+    Parameters
+    ----------
+    instructions : ProxyInstructions or None
+    """
+    if instructions is None or instructions.software_version is None:
+        return None
+    return StreamOrigin(instructions.service, instructions.software_version, PEER)
+
+
 def is_certain(origin):
     """Return whether an origin is that of the stream itself.
 
@@ -77,7 +91,7 @@
             "the software version that began the stream is unknown",
             UNKNOWN_RETRY_AFTER,
         )
-    if all(share.service != origin.service for share in route.shares):
+    if not route.leads_to(origin.service):
         return ResumptionRefusal(
             "route",
             f"the route no longer leads to {origin.service!r}, which began the stream",
--- a/wagtailfront/forwarding/routes.py
+++ b/wagtailfront/forwarding/routes.py
@@ -81,6 +81,10 @@
             MAX_WAIT_GAPS * self.gap_target,
         )
 
+    def leads_to(self, service):
+        """Return whether requests may go to a service, by its name."""
+        return any(share.service == service for share in self.shares)
+
     @property
     def may_repeat(self):
         """Whether a request that may have run may be sent again."""
@@ -101,12 +105,14 @@
         Whether its endpoints are model engines.
     kv_capacity_tokens : int
         KV cache capacity of an engine in tokens; 0 for plain services.
+    health_path : str
     """
 
     name: str
     max_connections: int
     is_model: bool
     kv_capacity_tokens: int
+    health_path: str = "/health"
 
 
 class CallerLimits(NamedTuple):
--- a/wagtailfront/forwarding/shutdown.py
+++ b/wagtailfront/forwarding/shutdown.py
@@ -22,7 +22,7 @@
 
     Parameters
     ----------
-    server : ForwardServer
+    servers : list of ForwardServer
     forwarder : Forwarder
     timers : Timers
     grace : float
@@ -40,9 +40,9 @@
 
     channel = "departure"
 
-    def __init__(self, *, server, forwarder, timers, grace, log):
+    def __init__(self, *, servers, forwarder, timers, grace, log):
         super().__init__()
-        self.server = server
+        self.servers = servers
         self.forwarder = forwarder
         self.timers = timers
         self.grace = grace
@@ -64,7 +64,8 @@
         if self.is_draining:
             return
         self.is_draining = True
-        self.server.start_draining()
+        for server in self.servers:
+            server.start_draining()
         self.log.decision("stop", outcome="leaving", requests=len(self.forwarder.tasks))
         stop_after = max(0.0, self.grace - STOP_MARGIN)
         now = self.forwarder.context.clock()
@@ -74,8 +75,9 @@
         self.timers.after(stop_after, self._end_requests)
 
     def _check(self):
-        self.server.close_idle()
-        if self.forwarder.tasks or self.server.connections:
+        for server in self.servers:
+            server.close_idle()
+        if self.forwarder.tasks or any(each.connections for each in self.servers):
             self.timers.after(CHECK_INTERVAL, self._check)
         else:
             self._stop()
@@ -90,5 +92,6 @@
     def _stop(self):
         self.log.decision("stop", outcome="stopped", requests=len(self.forwarder.tasks))
         # The event loop goes round a few times more.
-        self.server.end_reading()
+        for server in self.servers:
+            server.end_reading()
         self.root.stop(0)
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -58,6 +58,10 @@
             targets = TIMEOUT_TARGETS * self.task.route.target_latency
             timeout = max(MIN_TIMEOUT, targets)
         self._check_after(timeout, attempt, timeout)
+        self.watch_beside_held(attempt)
+
+    def watch_beside_held(self, attempt):
+        """Limit how long a stream runs beside a held attempt."""
         is_stream = self.task.route.kind is RequestKind.STREAMING
         if is_stream and self.held is not None:
             self._limit_handover(attempt)
@@ -82,7 +86,9 @@
         if now - last_response_at < timeout:
             remaining = max(MIN_RECHECK_DELAY, last_response_at + timeout - now)
             self._check_after(remaining, attempt, timeout)
-        elif attempt.is_prefill and not task.may_prefill_again(attempt):
+            return
+        task.context.reach.handle_silence(attempt.record)
+        if attempt.is_prefill and not task.may_prefill_again(attempt):
             self._check_after(timeout, attempt, timeout)
         elif attempt.is_prefill or (task.may_repeat() and not attempt.may_have_run):
             attempt.fail("silent")
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -48,19 +48,15 @@
         task, context = self.task, self.task.context
         self.is_started = True
         task.may_have_run = True
-        task.dispatcher.choice.software_version = attempt.record.software_version
+        task.dispatcher.choice.software_version = attempt.software_version
         now = context.clock()
         context.streams.record(
             task.fields.resumes or task.fields.request_id,
             task.service.name,
-            attempt.record.software_version,
+            attempt.software_version,
             now=now,
         )
-        if attempt.uncached_tokens:
-            took = now - attempt.started
-            attempt.health.record_prefill_time(expected=attempt.expected, took=took)
-        attempt.clear_pending()
-        context.health.record_success(attempt.record, now=now)
+        attempt.record_first_event()
         context.metrics.observe(
             "first_event_seconds", now - task.received, service=task.service.name
         )
@@ -68,6 +64,6 @@
             "first_event",
             "passed on",
             endpoint=attempt.record.endpoint_id,
-            version=attempt.record.software_version,
+            version=attempt.software_version,
         )
-        task.reply.start(attempt.status, attempt.answer_headers)
+        task.reply.start(attempt.status, task.headers_to_caller(attempt))
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -18,11 +18,13 @@
 )
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.endpoint_notices import EndpointNotices
+from wagtailfront.forwarding.endpoint_reach import EndpointReach
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.forward_context import ForwardContext
 from wagtailfront.forwarding.forward_task import ForwardTask
 from wagtailfront.forwarding.forwarder import AttemptBudgets, PrefixCachesByService
 from wagtailfront.forwarding.interfaces import PromptPart, RequestFields
+from wagtailfront.forwarding.peer_proxies import PeerProxies
 from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.request_reader import Request
 from wagtailfront.forwarding.routes import (
@@ -292,12 +294,24 @@
         load = FleetLoad(incarnation=incarnation, address=address, health=health)
         prefix_caches = PrefixCachesByService()
         prefix_caches.add_services({"s": self.service})
+        self.reach = EndpointReach(
+            directory=self.directory,
+            timers=self.timers,
+            clock=self.timers.clock,
+            log=self.log,
+            rng=rng,
+        )
+        self.proxies = PeerProxies(
+            pool=FakePool(), load=load, data_centre="dc", rng=rng
+        )
         self.context = ForwardContext(
             data_centre="dc",
             dialect=PlatformDialect(),
             directory=self.directory,
             confirm_registry=confirm_registry,
             health=health,
+            reach=self.reach,
+            proxies=self.proxies,
             rate_limits=RateLimits(fleet=load, log=self.log),
             notices=EndpointNotices(log=self.log, rng=rng, clock=self.timers.clock),
             pool=self.pool,
--- a/wagtailfront/forwarding/tests/test_shutdown.py
+++ b/wagtailfront/forwarding/tests/test_shutdown.py
@@ -58,7 +58,7 @@
         )
         self.stopped = []
         self.shutdown = Shutdown(
-            server=self.server,
+            servers=[self.server],
             forwarder=self.forwarder,
             timers=self.timers,
             grace=GRACE,
--- a/wagtailfront/forwarding/tests/test_stop_sockets.py
+++ b/wagtailfront/forwarding/tests/test_stop_sockets.py
@@ -47,7 +47,7 @@
         instance = begin(wait)
         instance.begun = begun
         instance.shutdown = Shutdown(
-            server=instance.server,
+            servers=[instance.server],
             forwarder=instance.forwarder,
             timers=instance.timers,
             grace=8.0,
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -253,7 +253,10 @@
     it knows, and `versions` the store's version of the latest change in that
     era, for each table that instances follow. `rates` holds what endpoints
     said of their rate limits, and `streams` those that the sender began.
-    `store_age_ms` is how long ago the store last answered the sender.
+    `store_age_ms` is how long ago the store last answered the sender. `proxy`
+    is where it takes requests of peers, in `data_centre`, for all services but
+    `lost_services`, which it does not reach itself: empty if it takes none,
+    and None if this digest does not say.
     """
 
     incarnation: Text
@@ -266,6 +269,9 @@
     era: Number = 0
     streams: Annotated[tuple[BegunStreams, ...], msgspec.Meta(max_length=512)] = ()
     store_age_ms: Number | None = None
+    proxy: Text | None = None
+    data_centre: Text = ""
+    lost_services: Annotated[tuple[Text, ...], msgspec.Meta(max_length=64)] = ()
 
 
 class StreamReport(MessageBase):
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -138,6 +138,25 @@
             added.append((LAST_EVENT, b"%d" % options.resume_after))
         return [h for h in headers if h[0].lower() not in replaced] + added
 
+    def proxy_headers(self, headers, *, time_left, resume_after):
+        """Return the headers of a request that a peer is to send on.
+
+        Parameters
+        ----------
+        headers : list of (bytes, bytes)
+            The caller's own.
+        time_left : float
+            Seconds until the caller's deadline.
+        resume_after : int or None
+            Last event of its stream that the caller has got.
+        """
+        replaced = {DEADLINE.lower()}
+        added = [(DEADLINE, b"%d" % max(1, round(time_left * MS_PER_SECOND)))]
+        if resume_after is not None:
+            replaced.add(LAST_EVENT.lower())
+            added.append((LAST_EVENT, b"%d" % resume_after))
+        return [h for h in headers if h[0].lower() not in replaced] + added
+
     def read_response(self, status, headers):
         """Decode an endpoint's headers."""
         request_id = find_header(headers, REQUEST_ID.lower())
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -121,6 +121,7 @@
 class _Service(_Wire, kw_only=True):
     name: str
     max_connections: int = 0
+    health_path: str = "/health"
     engine: _Engine | None = None
 
 
@@ -292,6 +293,7 @@
         max_connections=wire.max_connections,
         is_model=wire.engine is not None,
         kv_capacity_tokens=wire.engine.kv_capacity_tokens if wire.engine else 0,
+        health_path=wire.health_path,
     )
 
 
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -25,6 +25,7 @@
     store: Address,
     peers: Address,
     metrics: Address | None = None,
+    proxy: Address | None = None,
     drain_timeout: Seconds = 8.0,
     registry_gap: Seconds = 0.3,
     prefill_share: Share = 0.0,
@@ -51,6 +52,9 @@
         IP address and port for the other instances.
     metrics : Address
         IP address and port of the metrics page.
+    proxy : Address
+        IP address and port for requests of other instances that reach no
+        endpoint of a service; without it this instance takes none.
     drain_timeout : Seconds
         Seconds from SIGTERM until the process is killed.
     registry_gap : Seconds
@@ -84,6 +88,7 @@
         store=store,
         peers=peers,
         metrics=metrics,
+        proxy=proxy,
         drain_timeout=drain_timeout,
         registry_gap=registry_gap,
         prefill_share=prefill_share,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -15,7 +15,8 @@
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.endpoint_notices import EndpointNotices
 from wagtailfront.forwarding.endpoint_pool import EndpointPool, max_idle_connections
-from wagtailfront.forwarding.fleet_load import FleetLoad
+from wagtailfront.forwarding.endpoint_reach import EndpointReach
+from wagtailfront.forwarding.fleet_load import FleetLoad, ProxyOffer
 from wagtailfront.forwarding.fleet_pace import FleetPace
 from wagtailfront.forwarding.forward_context import ForwardContext
 from wagtailfront.forwarding.forwarder import (
@@ -23,8 +24,11 @@
     Forwarder,
     PrefixCachesByService,
 )
+from wagtailfront.forwarding.health_check import ask_health
 from wagtailfront.forwarding.interfaces import InstanceRow
 from wagtailfront.forwarding.load_exchange import LoadExchange
+from wagtailfront.forwarding.peer_proxies import PeerProxies
+from wagtailfront.forwarding.proxy_server import ProxyServer
 from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.refused_parts import RefusedParts
 from wagtailfront.forwarding.registry_confirmation import RegistryConfirmation
@@ -82,6 +86,7 @@
     repeat_slack: float
     repeat_window: float
     max_descriptors: int
+    proxy: Any = None
 
 
 class ForwardTree:
@@ -99,10 +104,26 @@
         self.metrics = Metrics()
         self.directory = EndpointDirectory()
         self.timers = Timers()
+        self.rng = random.Random()
+        self.reach = EndpointReach(
+            directory=self.directory,
+            timers=self.timers,
+            clock=time.monotonic,
+            log=log,
+            rng=self.rng,
+            on_lost=self._on_endpoints_lost,
+            on_restored=self._on_endpoints_restored,
+        )
         self.pool = EndpointPool(
             timers=self.timers,
             on_connect=self._count_connection,
             max_idle=self._max_idle,
+            observer=self.reach,
+        )
+        self.reach.probe = self.pool.connect
+        self.reach.ask = self._ask_endpoint
+        self.proxy_pool = EndpointPool(
+            timers=self.timers, channel="proxies", max_idle=lambda record: 0
         )
         self.store_pool = HttpPool(
             channel="store", connect_timeout=STORE_CONNECT_TIMEOUT
@@ -134,7 +155,7 @@
             log=log,
             rng=context.rng,
         )
-        self.server = None
+        self.server = self.proxy_server = None
         self.versions = StoreVersions(tables=("routing", "registry"))
         self.pace = FleetPace(
             count_peers=lambda: len(context.load.peers), rng=context.rng
@@ -149,7 +170,7 @@
 
     def _make_context(self):
         settings = self.settings
-        health, rng = EndpointHealth(), random.Random()
+        health, rng = EndpointHealth(), self.rng
         load = FleetLoad(
             incarnation=new_id(), address=str(settings.peers), health=health
         )
@@ -159,6 +180,13 @@
             directory=self.directory,
             confirm_registry=lambda reply: self.confirmation.ask(reply),
             health=health,
+            reach=self.reach,
+            proxies=PeerProxies(
+                pool=self.proxy_pool,
+                load=load,
+                data_centre=settings.data_centre,
+                rng=rng,
+            ),
             rate_limits=RateLimits(fleet=load, log=self.log),
             notices=EndpointNotices(
                 log=self.log, rng=rng, on_leaving=self.pool.drop_idle
@@ -195,7 +223,9 @@
         factories = {
             "timers": lambda: self.timers,
             "endpoints": lambda: self.pool,
+            "proxies": lambda: self.proxy_pool,
             "callers": self._make_callers,
+            "proxy_server": self._make_proxy_server,
             "departure": self._make_shutdown,
             "store": lambda: self.store_pool,
             "routing": self._make_routing,
@@ -206,6 +236,8 @@
             "stages": self._make_stage_manager,
             "status": self._make_status_server,
         }
+        if self.settings.proxy is None:
+            del factories["proxy_server"]
         if self.settings.metrics is not None:
             factories["metrics"] = self._make_metrics_server
         return Supervisor(
@@ -270,6 +302,7 @@
             contact=self.contact,
             pace=self.pace,
             find_service=self.directory.find_service,
+            make_offer=self._make_proxy_offer,
             timers=self.timers,
             log=self.log,
         )
@@ -320,9 +353,29 @@
         )
         return self.server
 
+    def _make_proxy_server(self):
+        self.proxy_server = ProxyServer(
+            bind=self.settings.proxy,
+            forwarder=self.forwarder,
+            max_connections=max(
+                1, self.settings.max_descriptors - RESERVED_DESCRIPTORS
+            ),
+        )
+        return self.proxy_server
+
+    def _make_proxy_offer(self):
+        """Return where peers may send requests, and what is out of reach."""
+        is_offered = self.proxy_server is not None and not self.server.is_draining
+        return ProxyOffer(
+            address=str(self.settings.proxy) if is_offered else "",
+            data_centre=self.settings.data_centre,
+            lost_services=tuple(sorted(self.reach.lost)),
+        )
+
     def _make_shutdown(self):
+        servers = (self.server, self.proxy_server)
         return Shutdown(
-            server=self.server,
+            servers=[server for server in servers if server is not None],
             forwarder=self.forwarder,
             timers=self.timers,
             grace=self.settings.drain_timeout,
@@ -355,6 +408,22 @@
             self.forwarder.context.notices.forget(record)
             self.forwarder.context.prefix_caches.forget(record)
 
+    def _on_endpoints_lost(self, records):
+        """Close idle connections, which may be silent."""
+        for record in records:
+            self.pool.drop_idle(record)
+
+    def _on_endpoints_restored(self, records):
+        """Use endpoints at once that failed while they were out of reach."""
+        for record in records:
+            self.forwarder.context.health.forgive(record, now=time.monotonic())
+
+    def _ask_endpoint(self, record):
+        """Ask an endpoint for its health on a new connection."""
+        service = self.forwarder.config.services.get(record.service)
+        if service is not None:
+            ask_health(self.pool, record, path=service.health_path, timers=self.timers)
+
     def _on_store_era(self, era):
         self.log.decision("store_era", outcome="changed", era=era)
         self.versions.handle_era(era)
