--- a/wagtailfront/forwarding/endpoint_reach.py
+++ b/wagtailfront/forwarding/endpoint_reach.py
@@ -1,5 +1,7 @@
 """Reach of the endpoints of all services, and the probes that confirm it."""
 
+from collections import defaultdict
+
 from wagtailfront.forwarding.service_reach import ServiceReach
 
 __all__ = ["EndpointReach"]
@@ -50,7 +52,7 @@
         self.rng = rng
         self.on_lost = on_lost
         self.on_restored = on_restored
-        self.services = {}
+        self.services = defaultdict(ServiceReach)
         self.lost = set()
         self.probing = set()
         self.probe = None
@@ -60,29 +62,28 @@
         """Return whether the endpoints of a service are out of reach."""
         return service in self.lost
 
-    def _reach(self, record):
-        return self.services.setdefault(record.service, ServiceReach())
-
     def handle_connected(self, record):
         """Handle that a connection to an endpoint was opened."""
-        self._reach(record).record_connected()
+        self.services[record.service].record_connected()
         self._update(record.service)
 
     def handle_unconnected(self, record):
         """Handle that no connection to an endpoint could be opened."""
-        self._reach(record).record_unconnected(record.incarnation)
+        self.services[record.service].record_unconnected(record.incarnation)
         self._update(record.service)
         self._start_probes(record.service)
 
     def handle_response(self, record):
         """Handle a part of a response of an endpoint."""
-        self._reach(record).record_response(now=self.clock())
+        self.services[record.service].record_response(now=self.clock())
         if record.service in self.lost:
             self._update(record.service)
 
     def handle_silence(self, record):
         """Handle that an endpoint has been silent for a while."""
-        self._reach(record).record_silence(record.incarnation, now=self.clock())
+        self.services[record.service].record_silence(
+            record.incarnation, now=self.clock()
+        )
         self._update(record.service)
 
     def _known(self, service):
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -65,8 +65,9 @@
 # detect connections to a peer that lost power.
 PEER_HEARTBEAT = 3.0
 PEER_READ_INTERVAL = 0.04  # seconds; half of the interval of digests
-# File descriptors reserved for endpoints, the store and files.
+# File descriptors reserved for endpoints, the store, peers and files.
 RESERVED_DESCRIPTORS = 1200
+MAX_PEER_CONNECTIONS = 400  # with requests of peers; of the reserved ones
 
 
 class ForwardSettings(NamedTuple):
@@ -357,9 +358,7 @@
         self.proxy_server = ProxyServer(
             bind=self.settings.proxy,
             forwarder=self.forwarder,
-            max_connections=max(
-                1, self.settings.max_descriptors - RESERVED_DESCRIPTORS
-            ),
+            max_connections=MAX_PEER_CONNECTIONS,
         )
         return self.proxy_server
 
