Soak real processes whose links to endpoints are cut

New checks of what callers and endpoints saw: runs of requests that must not repeat, refusals of requests that ran, answers of other requests; each has tests that plant the fault.

--- a/wagtailfront/programs/tests/process_fleet.py
+++ b/wagtailfront/programs/tests/process_fleet.py
@@ -26,7 +26,7 @@
 )
 from wagtailfront.programs.tests.forward_site import free_port
 from wagtailfront.programs.tests.loopback_proxy import LoopbackProxy
-from wagtailfront.programs.tests.rule_checker import RuleChecker
+from wagtailfront.programs.tests.rule_checker import ONCE_PREFIX, RuleChecker
 
 __all__ = ["ProcessFleet"]
 
@@ -91,6 +91,12 @@
     return {**row, "value": base64.b64encode(msgspec.json.encode(value)).decode()}
 
 
+def _route_kind(prefix):
+    if prefix.startswith(ONCE_PREFIX):
+        return "unsafe"
+    return "streaming" if "stream" in prefix else "safe"
+
+
 def _has_ended(child):
     """Return whether a process has ended."""
     return child.poll() is not None
@@ -243,7 +249,7 @@
                 "name": prefix.strip("/"),
                 "host": "h",
                 "prefix": prefix,
-                "kind": "streaming" if "stream" in prefix else "safe",
+                "kind": _route_kind(prefix),
                 "resumable": "stream" in prefix,
                 "service": "s",
                 "timeout-ms": 6000,
@@ -331,6 +337,7 @@
                 writer.close()
         status = int(data.split(b" ")[1]) if data else 0
         self.checker.record_status(request, status)
+        self.checker.record_answer(request, data)
         return request, status, data
 
     async def call_each(self, path, *, seconds):
--- a/wagtailfront/programs/tests/rule_checker.py
+++ b/wagtailfront/programs/tests/rule_checker.py
@@ -1,15 +1,17 @@
 """Checks of what callers and endpoints saw of a fleet of instances."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import NamedTuple
 
-__all__ = ["RuleChecker", "Violation"]
+__all__ = ["ONCE_PREFIX", "RuleChecker", "Violation"]
 
 # Seconds from the acknowledgement of a change until it is in force.
 DRAIN_SECONDS = CONFIG_SECONDS = 2.0
 # Seconds from the end of a disruption until instances are in touch again.
 STABLE_WINDOW = 3.0
 REFUSED_AS_WRONG = range(400, 405)
+NOT_RUN = (408, 421, 429, 503)  # statuses that say so
+ONCE_PREFIX = "/order"  # of requests that must not repeat
 
 
 class Violation(NamedTuple):
@@ -42,6 +44,7 @@
         self.arrivals = []
         self.statuses = {}
         self.versions = defaultdict(set)
+        self.foreign = set()
 
     def record_disruption(self, *, at):
         """Record a disruption of all instances."""
@@ -79,7 +82,41 @@
 
     def find_violations(self):
         """Return all violations, in no order."""
-        return [*self._late_arrivals(), *self._denials(), *self._mixed_streams()]
+        return [
+            *self._late_arrivals(),
+            *self._denials(),
+            *self._mixed_streams(),
+            *self._repeated_runs(),
+            *self._false_refusals(),
+            *self._foreign_answers(),
+        ]
+
+    def record_answer(self, request, data):
+        """Record the bytes of an answer, its head included."""
+        if data and request.encode() not in data and self.statuses[request] == 200:
+            self.foreign.add(request)
+
+    def _runs(self):
+        """Return how often each request that must not repeat has run."""
+        return Counter(
+            request
+            for request, _endpoint in self.arrivals
+            if self.requests[request][2].startswith(ONCE_PREFIX)
+        )
+
+    def _repeated_runs(self):
+        for request, runs in self._runs().items():
+            if runs > 1:
+                yield Violation("TWICE", request, self.requests[request][1], 0.0)
+
+    def _false_refusals(self):
+        for request in self._runs():
+            if self.statuses.get(request) in NOT_RUN:
+                yield Violation("REFUSED", request, self.requests[request][1], 0.0)
+
+    def _foreign_answers(self):
+        for request in self.foreign:
+            yield Violation("MIXED", request, self.requests[request][1], 0.0)
 
     def _late_arrivals(self):
         for request, endpoint in self.arrivals:
--- a/wagtailfront/programs/tests/test_fleet_soak.py
+++ b/wagtailfront/programs/tests/test_fleet_soak.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wagtailfront.programs.tests.cut_soak import play_cuts
 from wagtailfront.programs.tests.fleet_soak import play
 from wagtailfront.programs.tests.rule_checker import RuleChecker
 
@@ -15,6 +16,14 @@
     assert result.streams > 50
 
 
+def test_rules_hold_while_links_to_endpoints_are_cut():
+    """Guards runs, refusals and answers of requests that peers send on."""
+    result = play_cuts(size=4, seed=1)
+    assert result.violations == []
+    assert result.requests > 200
+    assert result.streams > 50
+
+
 def make_checker():
     """Return a checker of an endpoint that has left, and of a new route."""
     checker = RuleChecker()
@@ -62,3 +71,25 @@
         checker.record_event("r1", version, request)
     checker.record_event("r3", "v1", "r3")
     assert [each.rule for each in checker.find_violations()] == ["ORDER"]
+
+
+@pytest.mark.parametrize(
+    ("path", "arrivals", "status", "data", "rules"),
+    [
+        ("/order/1", 1, 200, b"r1", []),
+        ("/order/1", 2, 200, b"r1", ["TWICE"]),
+        ("/a/1", 2, 200, b"r1", []),
+        ("/order/1", 1, 503, b"r1", ["REFUSED"]),
+        ("/order/1", 0, 503, b"r1", []),
+        ("/a/1", 1, 200, b"r2", ["MIXED"]),
+    ],
+)
+def test_runs_refusals_and_answers_are_checked(path, arrivals, status, data, rules):
+    """Guards the checks of TWICE, REFUSED and MIXED likewise."""
+    checker = RuleChecker()
+    checker.record_request("r1", "i1", path, at=1.0)
+    for _ in range(arrivals):
+        checker.record_arrival("r1", "e1")
+    checker.record_status("r1", status)
+    checker.record_answer("r1", data)
+    assert [each.rule for each in checker.find_violations()] == rules
