--- a/wagtailfront/forwarding/tests/proxied_pair.py
+++ b/wagtailfront/forwarding/tests/proxied_pair.py
@@ -61,9 +61,9 @@
         )
         return forwarder
 
-    def offer(self, address=PEER, *, lost_services=(), incarnation="far"):
-        """Let the near instance hear of a peer's offer; None for no word."""
-        self.near.context.load.merge(
+    def offer(self, address=PEER, *, lost_services=(), incarnation="far", scene=None):
+        """Let an instance, by default the near one, hear of a peer's offer."""
+        (scene or self.near).context.load.merge(
             PlacementDigest(
                 incarnation=incarnation,
                 loads=(),
--- a/wagtailfront/forwarding/tests/test_peer_proxies.py
+++ b/wagtailfront/forwarding/tests/test_peer_proxies.py
@@ -65,11 +65,9 @@
     """Guards against requests that go round between instances."""
     pair = ProxiedPair()
     pair.far.reach.lost.add("s")
-    pair.far.context.load.merge(
-        pair.near.context.load.make_digest(full=True), now=pair.far.timers.now
-    )
+    pair.offer("10.0.0.1:7395", incarnation="other", scene=pair.far)
     _task, reply = pair.call()
-    far_task, far_reply = pair.deliver()
+    _far_task, far_reply = pair.deliver()
     assert not pair.far.proxies.pool.exchanges
     while not far_reply.is_complete:
         pair.at_endpoint.fail(sent=False)
