Never pass on a peer's answer that names no endpoint

Cause: an answer of a peer that names no endpoint ended the request with that answer's own status. The sound code does not produce such answers, but a peer of another release might.

Only 502 and 504 of a peer's own are passed on; any other answer without an endpoint leaves the run in doubt. test_an_answer_of_no_endpoint_is_not_passed_on failed before with (200, b'').

--- a/wagtailfront/forwarding/proxied_attempt.py
+++ b/wagtailfront/forwarding/proxied_attempt.py
@@ -13,7 +13,7 @@
 
 __all__ = ["ProxiedAttempt", "ProxyDispatch"]
 
-UNAVAILABLE = 503
+BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
 NOT_RUN = (408, 413, 431, UNAVAILABLE)  # statuses of a peer that ran nothing
 
 
@@ -191,9 +191,11 @@
             self._try_another(attempt, f"the peer answered {attempt.status}")
         elif attempt.is_refused:
             task.give_up("refused by the peer", attempt.retry_after)
-        else:
+        elif attempt.status in (BAD_GATEWAY, GATEWAY_TIMEOUT):
             task.may_have_run = True
             task.give_up("failed at the peer", None, attempt.status)
+        else:
+            self.handle_failure(attempt, "an answer of no endpoint", True)
 
     def _forward(self, attempt):
         """Pass an endpoint's answer on to the caller."""
--- a/wagtailfront/forwarding/tests/test_peer_proxies.py
+++ b/wagtailfront/forwarding/tests/test_peer_proxies.py
@@ -128,6 +128,15 @@
     assert float(reply.header(b"Retry-After")) > 0
 
 
+@pytest.mark.parametrize("status", [200, 302, 404, 500])
+def test_an_answer_of_no_endpoint_is_not_passed_on(status):
+    """Guards callers against answers that a peer made itself."""
+    pair = ProxiedPair(make_route(UNSAFE))
+    _task, reply = pair.call()
+    pair.to_peer.respond(status, SIGNED, b"x")
+    assert (reply.status, reply.body) == (502, b"")
+
+
 def test_the_end_of_a_caller_ends_the_run_at_the_peer():
     """Guards endpoints against work for callers that have left."""
     pair = ProxiedPair()
