Take the port for peers' requests from those after the peers' own

The setting is not needed: the platform keeps 16 ports free for instances, the first of which is that of the peer bus, so the first of the others that is free is used and told to peers. A taken port is logged and the next one tried (test_a_port_that_is_taken_is_not_the_one_for_peers_requests).

--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -54,7 +54,7 @@
         IP address and port of the metrics page.
     proxy : Address
         IP address and port for requests of other instances that reach no
-        endpoint of a service; without it this instance takes none.
+        endpoint of a service; by default a free port after that of `peers`.
     drain_timeout : Seconds
         Seconds from SIGTERM until the process is killed.
     registry_gap : Seconds
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -67,6 +67,7 @@
 PEER_READ_INTERVAL = 0.04  # seconds; half of the interval of digests
 # File descriptors reserved for endpoints, the store, peers and files.
 RESERVED_DESCRIPTORS = 1200
+PEER_PORTS = 16  # that the platform keeps free for peers, that of the bus included
 MAX_PEER_CONNECTIONS = 400  # with requests of peers; of the reserved ones
 
 
@@ -237,8 +238,6 @@
             "stages": self._make_stage_manager,
             "status": self._make_status_server,
         }
-        if self.settings.proxy is None:
-            del factories["proxy_server"]
         if self.settings.metrics is not None:
             factories["metrics"] = self._make_metrics_server
         return Supervisor(
@@ -303,7 +302,7 @@
             contact=self.contact,
             pace=self.pace,
             find_service=self.directory.find_service,
-            make_offer=self._make_proxy_offer,
+            make_offer=self.make_proxy_offer,
             timers=self.timers,
             log=self.log,
         )
@@ -355,18 +354,35 @@
         return self.server
 
     def _make_proxy_server(self):
-        self.proxy_server = ProxyServer(
-            bind=self.settings.proxy,
-            forwarder=self.forwarder,
-            max_connections=MAX_PEER_CONNECTIONS,
-        )
-        return self.proxy_server
-
-    def _make_proxy_offer(self):
+        """Return the server for peers' requests, at the first free address."""
+        for bind in self._proxy_addresses():
+            try:
+                self.proxy_server = ProxyServer(
+                    bind=bind,
+                    forwarder=self.forwarder,
+                    max_connections=MAX_PEER_CONNECTIONS,
+                )
+            except OSError as error:
+                self.log.decision("proxy_server", outcome=str(error), port=bind[1])
+            else:
+                return self.proxy_server
+        raise OSError("no port is free for the requests of peers")
+
+    def _proxy_addresses(self):
+        """Return where peers' requests may be taken, in order."""
+        if self.settings.proxy is not None:
+            return [self.settings.proxy]
+        host, port = self.settings.peers
+        return [(host, port + offset) for offset in range(1, PEER_PORTS)] + [(host, 0)]
+
+    def make_proxy_offer(self):
         """Return where peers may send requests, and what is out of reach."""
-        is_offered = self.proxy_server is not None and not self.server.is_draining
+        address = ""
+        if self.proxy_server is not None and not self.server.is_draining:
+            host = (self.settings.proxy or self.settings.peers)[0]
+            address = f"{host}:{self.proxy_server.listener.port}"
         return ProxyOffer(
-            address=str(self.settings.proxy) if is_offered else "",
+            address=address,
             data_centre=self.settings.data_centre,
             lost_services=tuple(sorted(self.reach.lost)),
         )
--- a/wagtailfront/programs/tests/test_forward_tree.py
+++ b/wagtailfront/programs/tests/test_forward_tree.py
@@ -1,6 +1,7 @@
 """Tests of a whole forwarding instance, its store and its endpoints."""
 
 import signal
+import socket
 import threading
 
 import pytest
@@ -71,3 +72,15 @@
         wait_for(lambda: child in root.live)
         site.change()
         wait_for(lambda: tree.forwarder.config.version == site.version)
+
+
+def test_a_port_that_is_taken_is_not_the_one_for_peers_requests(site):
+    """Guards the start of an instance beside other listeners."""
+    peers = site.ports["peers"]
+    with (
+        socket.create_server(("127.0.0.1", peers + 1)),
+        site.run_tree() as (tree, _root),
+    ):
+        port = wait_for(lambda: tree.proxy_server).listener.port
+        assert port not in (peers, peers + 1)
+        assert tree.make_proxy_offer().address == f"127.0.0.1:{port}"
