--- a/wagtailfront/programs/tests/forward_site.py
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -20,12 +20,16 @@
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\n\r\n"
 # Below those of outgoing connections.
 LISTENING_PORTS = range(10_240, 32_768)
+GIVEN_PORTS = set()
 
 
 def free_port():
     """Return a port that no connection takes before the test does."""
     for port in random.SystemRandom().sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+        if port in GIVEN_PORTS:
+            continue
         with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            GIVEN_PORTS.add(port)
             return port
     raise OSError("no port is free")
 
