--- a/wagtailfront/forwarding/registry_confirmation.py
+++ b/wagtailfront/forwarding/registry_confirmation.py
@@ -26,7 +26,7 @@
     --------
     >>> from types import SimpleNamespace
     >>> from wagtailfront.forwarding.interfaces import StorePosition
-    >>> from wagtailfront.forwarding.store_watcher import StoreVersions
+    >>> from wagtailfront.forwarding.store_versions import StoreVersions
     >>> questions = []
     >>> source = SimpleNamespace(
     ...     watch=lambda cursor, wait, reply: questions.append(reply)
--- a/wagtailfront/forwarding/tests/fleet.py
+++ b/wagtailfront/forwarding/tests/fleet.py
@@ -14,7 +14,7 @@
 from wagtailfront.forwarding.load_exchange import LoadExchange
 from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.store_contact import StoreContact
-from wagtailfront.forwarding.store_watcher import StoreVersions
+from wagtailfront.forwarding.store_versions import StoreVersions
 from wagtailfront.forwarding.tests.builders import LogLines, VirtualTimers
 from wagtailfront.forwarding.version_history import VersionHistory
 from wagtailfront.membership.messages import decode_message, encode_message
--- a/wagtailfront/forwarding/tests/test_announcements.py
+++ b/wagtailfront/forwarding/tests/test_announcements.py
@@ -16,7 +16,7 @@
 from wagtailfront.forwarding.load_exchange import INSTANCE_LIFETIME, LoadExchange
 from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.store_contact import StoreContact
-from wagtailfront.forwarding.store_watcher import StoreVersions
+from wagtailfront.forwarding.store_versions import StoreVersions
 from wagtailfront.forwarding.tests.builders import (
     LogLines,
     VirtualTimers,
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -17,7 +17,8 @@
 from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
 from wagtailfront.forwarding.store_contact import StoreContact
-from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
+from wagtailfront.forwarding.store_versions import StoreVersions
+from wagtailfront.forwarding.store_watcher import StoreWatcher
 from wagtailfront.forwarding.tests.builders import (
     FakeReply,
     LogLines,
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -12,7 +12,8 @@
 from wagtailfront.forwarding.forwarder import Forwarder
 from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.store_contact import StoreContact
-from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
+from wagtailfront.forwarding.store_versions import StoreVersions
+from wagtailfront.forwarding.store_watcher import StoreWatcher
 from wagtailfront.forwarding.tests.builders import LogLines, Scene, VirtualTimers
 from wagtailfront.platform.store_client import (
     OPERATOR_TABLE,
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -16,7 +16,8 @@
 from wagtailfront.forwarding.interfaces import PromptPart
 from wagtailfront.forwarding.registry_follower import RegistryFollower
 from wagtailfront.forwarding.store_contact import StoreContact
-from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
+from wagtailfront.forwarding.store_versions import StoreVersions
+from wagtailfront.forwarding.store_watcher import StoreWatcher
 from wagtailfront.forwarding.tests.builders import (
     LogLines,
     VirtualTimers,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -37,7 +37,8 @@
 from wagtailfront.forwarding.stage_manager import StageManager
 from wagtailfront.forwarding.status_server import StatusServer
 from wagtailfront.forwarding.store_contact import StoreContact
-from wagtailfront.forwarding.store_watcher import StoreVersions, StoreWatcher
+from wagtailfront.forwarding.store_versions import StoreVersions
+from wagtailfront.forwarding.store_watcher import StoreWatcher
 from wagtailfront.identifiers import new_id
 from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
