--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -69,6 +69,7 @@
 # File descriptors reserved for endpoints, the store, peers and files.
 RESERVED_DESCRIPTORS = 1200
 PEER_PORTS = 16  # that the platform keeps free for peers, that of the bus included
+MAX_PORT = 65_535
 MAX_PEER_CONNECTIONS = 400  # with requests of peers; of the reserved ones
 
 
@@ -374,7 +375,8 @@
         if self.settings.proxy is not None:
             return [self.settings.proxy]
         host, port = self.settings.peers
-        return [(host, port + offset) for offset in range(1, PEER_PORTS)] + [(host, 0)]
+        last = min(port + PEER_PORTS, MAX_PORT + 1)
+        return [(host, each) for each in range(port + 1, last)] + [(host, 0)]
 
     def make_proxy_offer(self):
         """Return where peers may send requests, and what is out of reach."""
