--- a/wagtailfront/forwarding/tests/test_peer_proxies.py
+++ b/wagtailfront/forwarding/tests/test_peer_proxies.py
@@ -18,6 +18,7 @@
     EVENT_STREAM,
     LEAVING,
     SIGNED,
+    prompt_headers,
     read_deadline,
     refusal_headers,
     resumed_event,
@@ -113,6 +114,28 @@
     assert len(budget.repeats) == 1
 
 
+@pytest.mark.parametrize("spent", [False, True])
+def test_a_send_to_a_peer_after_one_that_arrived_is_charged(spent):
+    """Guards the budget of repeats against sends by two instances."""
+    records = [make_record("p1", stage="prefill"), make_record("d1", stage="decode")]
+    pair = ProxiedPair(RESUMABLE, records=records, is_model=True)
+    pair.near.reach.lost.clear()
+    _task, reply = pair.call(
+        headers=prompt_headers(model=b"m", tokens=20_000, part=b"a")
+    )
+    prefill = pair.near.pool.last
+    assert prefill.record.endpoint_id == "p1"
+    budget = pair.near.context.budgets["s"]
+    while spent and budget.spend(1, now=pair.near.timers.now):
+        pass
+    charged = len(budget.repeats)
+    pair.near.reach.lost.add("s")
+    prefill.respond(503, refusal_headers(b"r1"))
+    assert len(budget.repeats) == (charged if spent else charged + 1)
+    assert len(pair.near.proxies.pool.exchanges) == (0 if spent else 1)
+    assert reply.status == (503 if spent else None)
+
+
 def test_a_refusal_by_a_peer_is_passed_on_at_once():
     """Guards the promise that a refused request has not run."""
     pair = ProxiedPair(make_route(UNSAFE))
