--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -4,7 +4,6 @@
 import re
 import time
 from collections import defaultdict, deque
-from typing import Protocol
 
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import BasePoller
@@ -17,6 +16,7 @@
     ResponseReader,
     find_header,
 )
+from wagtailfront.forwarding.reach_observer import NoObserver
 from wagtailfront.transport.client_socket import (
     IN_PROGRESS,
     new_client_socket,
@@ -24,7 +24,7 @@
 )
 from wagtailfront.transport.ticker import Ticker
 
-__all__ = ["EndpointPool", "ReachObserver", "max_idle_connections"]
+__all__ = ["EndpointPool", "max_idle_connections"]
 
 logger = logging.getLogger(__name__)
 
@@ -85,32 +85,6 @@
     """Close connections that exceeded their idle limit."""
 
 
-class ReachObserver(Protocol):
-    """Receiver of what connections show of the path to endpoints."""
-
-    def handle_connected(self, record) -> None:
-        """Handle that a connection was opened."""
-
-    def handle_unconnected(self, record) -> None:
-        """Handle that no connection could be opened."""
-
-    def handle_response(self, record) -> None:
-        """Handle a part of a response."""
-
-
-class _NoObserver:
-    """A ReachObserver that ignores everything."""
-
-    def handle_connected(self, record):
-        pass
-
-    def handle_unconnected(self, record):
-        pass
-
-    def handle_response(self, record):
-        pass
-
-
 class EndpointPool(BaseComponent):
     """Pool of connections to endpoints.
 
@@ -141,7 +115,7 @@
         observer=None,
     ):
         super().__init__(channel=channel)
-        self.observer = observer or _NoObserver()
+        self.observer = observer or NoObserver()
         self.max_idle = max_idle
         self.timers = timers
         self.clock = clock
