Admit requests by the time that their callers have, not by the target

What callers saw: at a queue of over a target (0.25 s for a label) a first try was refused though its caller waits two seconds for a first event, while a request that looked like a repeat by its share of the timeout was admitted at 1.6 s. Each refused caller waited a fifth of its timeout at least, and a request whose end lay beyond its deadline was admitted as long as its first event did not.

After a first send nothing was compared any more, so repeats of an instance waited for rate limits up to the deadline.

Change: a sub-package `admission`. A request is admitted if the first event is expected before its caller leaves (PROTOCOL.md, Requests) and the end before its deadline. The expectation counts the queue by rank, the measured time of output tokens, and the mean error and deviation of earlier forecasts. A refused caller is told when the queue will hold it, if it can be back by then and honours it, else nothing. Rounded up, as one that is early is refused again. Repeats of the instance are admitted the same way until the first event.

The test of a paused decode engine took a wait beyond the target for one that its caller would not bear; it now takes one beyond the two seconds, and checks the shorter one too.

--- /dev/null
+++ b/wagtailfront/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Whether a request can be served in the time that its caller has."""
--- /dev/null
+++ b/wagtailfront/admission/admission.py
@@ -0,0 +1,96 @@
+"""Admission of requests whose callers are expected to wait long enough."""
+
+import math
+from typing import NamedTuple
+
+__all__ = ["Admission", "CallerTime", "Expectation", "admit"]
+
+# Share of the time that callers have left up to which they honour Retry-After.
+MAX_RETRY_SHARE = 1 / 3
+
+
+class CallerTime(NamedTuple):
+    """How long a caller waits, in seconds.
+
+    Attributes
+    ----------
+    left : float
+        Until its deadline.
+    patience : float
+        From a request until it leaves without a first event; infinite if it
+        waits for a complete response.
+    waited : float
+        Since its request arrived.
+    """
+
+    left: float
+    patience: float = math.inf
+    waited: float = 0.0
+
+
+class Expectation(NamedTuple):
+    """When a request is expected to be served, in seconds.
+
+    Attributes
+    ----------
+    first_event : float
+        Until the first event, or the complete response of a call. Includes
+        the mean error of the forecast.
+    output : float
+        From the first event until the end of the stream.
+    """
+
+    first_event: float
+    output: float = 0.0
+
+
+class Admission(NamedTuple):
+    """Whether a request is admitted; if not, when to return.
+
+    Attributes
+    ----------
+    is_admitted : bool
+    retry_after : float or None
+        Seconds after which the queue is expected to hold the request; None if
+        that is later than its caller can return.
+    """
+
+    is_admitted: bool
+    retry_after: float | None = None
+
+
+def admit(*, expected, caller):
+    """Decide whether to admit a request.
+
+    A request is served if its caller is still there when the first event is
+    expected, and when the end is. If not, an endpoint would work on it in
+    vain while others wait, so it is refused at once.
+
+    Parameters
+    ----------
+    expected : Expectation
+    caller : CallerTime
+
+    Returns
+    -------
+    Admission
+
+    Examples
+    --------
+    >>> caller = CallerTime(left=6.0, patience=2.0)
+    >>> admit(expected=Expectation(1.5, 0.5), caller=caller)
+    Admission(is_admitted=True, retry_after=None)
+    >>> admit(expected=Expectation(3.0, 0.5), caller=caller)
+    Admission(is_admitted=False, retry_after=1.0)
+    >>> admit(expected=Expectation(3.0, 0.5), caller=caller._replace(left=2.5))
+    Admission(is_admitted=False, retry_after=None)
+    """
+    is_in_time = expected.first_event + expected.output <= caller.left
+    if is_in_time and expected.first_event <= caller.patience - caller.waited:
+        return Admission(True)
+    # The queue gets shorter as fast as the caller's time, so one that would
+    # miss its deadline now would miss it later too.
+    delay = max(0.0, expected.first_event - caller.patience)
+    if not is_in_time or delay > MAX_RETRY_SHARE * caller.left:
+        return Admission(False)
+    return Admission(False, delay)
--- /dev/null
+++ b/wagtailfront/admission/request_admission.py
@@ -0,0 +1,103 @@
+"""Admission of one request, and what its course shows of the forecasts."""
+
+import math
+
+from wagtailfront.admission.admission import CallerTime
+from wagtailfront.admission.control import Work
+
+__all__ = ["RequestAdmission"]
+
+
+class RequestAdmission:
+    """Admits one request and reports how well it was forecast.
+
+    Parameters
+    ----------
+    control : AdmissionControl
+    service : str
+    priority : int
+    patience : float
+        Seconds without a first event after which its caller leaves; infinite
+        if it waits for a complete response.
+    output_tokens : int
+        Tokens that the request may generate.
+    received, deadline : float
+        When it arrived, and when its caller stops waiting.
+    clock : callable
+
+    Attributes
+    ----------
+    work : Work or None
+        What was forecast when the request was admitted.
+    """
+
+    def __init__(
+        self,
+        *,
+        control,
+        service,
+        priority,
+        received,
+        deadline,
+        clock,
+        patience=math.inf,
+        output_tokens=0,
+    ):
+        self.control = control
+        self.service = service
+        self.priority = priority
+        self.patience = patience
+        self.output_tokens = output_tokens
+        self.received = received
+        self.deadline = deadline
+        self.clock = clock
+        self.work = None
+        self.admitted_at = 0.0
+        self.first_event_at = None
+
+    def caller_time(self, now):
+        """Return the CallerTime that is left."""
+        return CallerTime(
+            left=self.deadline - now,
+            patience=self.patience,
+            waited=now - self.received,
+        )
+
+    def admit(self, first_event):
+        """Return the Admission of the request.
+
+        Parameters
+        ----------
+        first_event : float
+            Forecast seconds until its first event.
+        """
+        now = self.clock()
+        work = Work(self.service, self.priority, first_event, self.output_tokens)
+        admission = self.control.admit(work, self.caller_time(now), now=now)
+        if admission.is_admitted:
+            self.work, self.admitted_at = work, now
+        return admission
+
+    def record_first_event(self):
+        """Record that the first event has arrived."""
+        now = self.first_event_at = self.clock()
+        if self.work is not None:
+            seconds = now - self.admitted_at
+            self.control.record_first_event(self.work, seconds=seconds, now=now)
+
+    def record_complete(self):
+        """Record that the last event has arrived."""
+        now = self.clock()
+        self.control.record_output(
+            self.service,
+            tokens=self.output_tokens,
+            seconds=now - self.first_event_at,
+            now=now,
+        )
+
+    def record_end(self):
+        """Record that the request has ended, with a first event or without."""
+        if self.work is not None and self.first_event_at is None:
+            now = self.clock()
+            seconds = now - self.admitted_at
+            self.control.record_without_event(self.work, seconds=seconds, now=now)
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -3,7 +3,6 @@
 import math
 from typing import NamedTuple
 
-from wagtailfront.forwarding.admission import admit
 from wagtailfront.forwarding.placement import (
     EngineView,
     choose_least_loaded,
@@ -220,22 +219,6 @@
             is_load_outdated=len(self.context.load.peers) >= MAX_DIRECT_INSTANCES,
         )
 
-    def admit(self, expected, *, time_left):
-        """Return the Admission of a model request.
-
-        Parameters
-        ----------
-        expected, time_left : float
-            Seconds until the first event and until the caller's deadline.
-        """
-        return admit(
-            expected=expected,
-            route=self.route,
-            time_left=time_left,
-            limits=self.context.limits,
-            rng=self.context.rng,
-        )
-
     def record_cached_prompt(self, record):
         """Record, also for the peers, that an engine caches the prompt."""
         prefix_cache = self.context.prefix_caches[self.service.name]
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -30,7 +30,7 @@
     prefix_caches: Any
     load: Any
     streams: Any
-    limits: Any
+    admission: Any
     log: Any
     metrics: Any
     clock: Any
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -184,6 +184,7 @@
             timer.cancel()
         self.drop_attempt()
         self.silence.release("the request has ended")
+        self.dispatcher.admission.record_end()
         self.context.metrics.count(
             "forwarded_total", service=self.service.name, outcome=outcome
         )
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -2,6 +2,7 @@
 
 import math
 
+from wagtailfront.admission.request_admission import RequestAdmission
 from wagtailfront.forwarding.attempt import PrefillAttempt, RunAttempt
 from wagtailfront.forwarding.endpoint_choice import (
     DECODE_STAGES,
@@ -33,6 +34,7 @@
         Incarnations that are chosen again only if there are no others.
     kv_source : str or None
         Where the next endpoint fetches the KV cache of the prompt.
+    admission : RequestAdmission
     """
 
     def __init__(self, *, task, software_version=None):
@@ -46,6 +48,16 @@
             software_version=software_version,
         )
         self.sender = RequestSender(task=task)
+        self.admission = RequestAdmission(
+            control=task.context.admission,
+            service=task.service.name,
+            priority=task.route.priority,
+            patience=task.route.max_first_event_wait,
+            output_tokens=task.fields.max_output_tokens,
+            received=task.received,
+            deadline=task.deadline,
+            clock=task.context.clock,
+        )
         self.tried = set()
         self.kv_source = None
         self.prefill_version = ""
@@ -140,7 +152,7 @@
             plan = self.choice.plan(views, may_split=False)
         self.plan = plan
         first_engine = plan.prefill or plan.decode
-        if task.sends == 0 and not self._admit(plan, first_engine):
+        if not task.stream.is_started and not self._admit(plan, first_engine):
             return
         self.choice.record_cached_prompt(first_engine)
         attempt_type = RunAttempt if plan.prefill is None else PrefillAttempt
@@ -173,13 +185,12 @@
         """Return whether the request is admitted; refuse it otherwise."""
         task = self.task
         expected = plan.wait + plan.expected
-        admission = self.choice.admit(
-            expected, time_left=task.deadline - task.context.clock()
-        )
+        admission = self.admission.admit(expected)
         if not admission.is_admitted:
             task.log.decision(
                 "not_admitted",
-                "its first event would be too late",
+                "its caller would not wait for it",
+                time_left=round(task.deadline - task.context.clock(), 3),
                 expected=round(expected, 3),
                 endpoint=first_engine.endpoint_id,
                 unread=plan.uncached_tokens,
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -41,6 +41,8 @@
         self.task.log.decision(
             "answered", "stream", endpoint=attempt.record.endpoint_id
         )
+        if self.task.fields.last_event_id is None:
+            self.task.dispatcher.admission.record_complete()
         self.task.reply.finish()
         self.task.end("answered")
 
@@ -57,6 +59,7 @@
             now=now,
         )
         attempt.record_first_event()
+        task.dispatcher.admission.record_first_event()
         context.metrics.observe(
             "first_event_seconds", now - task.received, service=task.service.name
         )
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -6,9 +6,9 @@
 from bisect import bisect_right
 from types import SimpleNamespace
 
+from wagtailfront.admission.control import AdmissionControl
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
-from wagtailfront.forwarding.admission import AdmissionLimits
 from wagtailfront.forwarding.attempt_budget import SLACK_IN_USE
 from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.body_memory import BodyMemory
@@ -327,7 +327,7 @@
             prefix_caches=prefix_caches,
             load=load,
             streams=StreamMemory(),
-            limits=AdmissionLimits(),
+            admission=AdmissionControl(),
             log=self.log,
             metrics=Metrics(),
             clock=self.timers.clock,
--- a/wagtailfront/forwarding/tests/test_paused_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_paused_endpoints.py
@@ -252,12 +252,17 @@
 
 
 def test_admission_counts_when_the_only_decode_engine_is_back():
-    """Guards against prompts that wait for a first event too late."""
+    """Guards against prompts whose callers leave before their first event."""
     engines = [make_record("p1", stage="prefill"), make_record("d1", stage="decode")]
     scene = Scene(engines, is_model=True)
     notice = read_notice([retry_after_header(1.0)])
     scene.context.notices.record_answer(engines[1], notice, status=503)
     _task, reply = scene.start(make_route(STREAMING), prompt_tokens=100)
+    assert reply.status is None
+    scene.pool.exchanges.clear()
+    notice = read_notice([retry_after_header(3.0)])
+    scene.context.notices.record_answer(engines[1], notice, status=503)
+    _task, reply = scene.start(make_route(STREAMING), prompt_tokens=100)
     assert (reply.status, scene.pool.exchanges) == (503, [])
     _task, reply = scene.start(PATIENT._replace(kind=STREAMING), prompt_tokens=100)
     assert reply.status is None
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -187,7 +187,9 @@
         """Return the headers of a refusal; `retry_after` in seconds."""
         if retry_after is None:
             return []
-        return [(RETRY_AFTER, b"%.3f" % retry_after)]
+        # Rounded up: a caller that returns too early is refused again.
+        milliseconds = math.ceil(retry_after * MS_PER_SECOND)
+        return [(RETRY_AFTER, b"%.3f" % (milliseconds / MS_PER_SECOND))]
 
 
 def read_rate_limit(value):
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -4,9 +4,9 @@
 import time
 from typing import Any, NamedTuple
 
+from wagtailfront.admission.control import AdmissionControl
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
-from wagtailfront.forwarding.admission import AdmissionLimits
 from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.cache_inquiry import CacheInquiry
@@ -210,7 +210,7 @@
             prefix_caches=PrefixCachesByService(),
             load=load,
             streams=StreamMemory(),
-            limits=AdmissionLimits(),
+            admission=AdmissionControl(),
             log=self.log,
             metrics=self.metrics,
             clock=time.monotonic,
