Send requests to engines by rank, then by the time to spare

What callers saw: a request of low rank whose prompt had been prefilled elsewhere went before every more urgent one at its engine (priority 0), and of one rank the request whose caller would leave next waited for those that came before it.

Change: the ten priorities of an engine are divided among the ranks of the service's routes, and within a rank by the share of its caller's time that a request can spare: time until the caller leaves, less the prompt's own work.

The longest prompts have the least time to spare, so they go first within their rank.

--- a/wagtailfront/admission/control.py
+++ b/wagtailfront/admission/control.py
@@ -1,5 +1,6 @@
 """Forecasts for requests, and their admission by the caller's time."""
 
+from collections import defaultdict
 from typing import NamedTuple
 
 from wagtailfront.admission.admission import Expectation, admit
@@ -45,6 +46,11 @@
     count_instances : callable, optional
         Returns the number of instances, or 0 while it is unknown.
 
+    Attributes
+    ----------
+    ranks : dict of str to list of int
+        Priorities of all routes to a service, in order.
+
     Examples
     --------
     >>> from wagtailfront.admission.admission import CallerTime
@@ -60,11 +66,20 @@
 
     def __init__(self, *, count_instances=lambda: 1):
         self.count_instances = count_instances
+        self.ranks = {}
         self.errors = {}
         self.outputs = {}
         self.returning = {}
         self.arriving = {}
 
+    def set_routes(self, routes):
+        """Adopt the ranks of requests from the routes of a configuration."""
+        ranks = defaultdict(set)
+        for route in routes:
+            for share in route.shares:
+                ranks[share.service].add(route.priority)
+        self.ranks = {service: sorted(each) for service, each in ranks.items()}
+
     def expect(self, work, *, now):
         """Return the Expectation for some work, with the mean error."""
         first_event = self._error(work).upper(work.first_event, now=now)
--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -4,6 +4,7 @@
 
 from wagtailfront.admission.admission import CallerTime
 from wagtailfront.admission.control import Work
+from wagtailfront.admission.urgency import engine_level
 
 __all__ = ["RequestAdmission"]
 
@@ -89,6 +90,23 @@
             self.work, self.admitted_at = work, now
         return admission
 
+    def engine_level(self, prefill=0.0):
+        """Return the priority at an engine, 0 for the most urgent.
+
+        Parameters
+        ----------
+        prefill : float, optional
+            Engine time in seconds that its own prompt takes. The queue does
+            not count: the longer it is, the more requests would overtake
+            others that were admitted.
+        """
+        caller = self.caller_time(self.clock())
+        spare = min(caller.patience - caller.waited, caller.left) - prefill
+        is_stream = self.patience < math.inf
+        whole = self.patience if is_stream else self.deadline - self.received
+        ranks = self.control.ranks.get(self.service, (self.priority,))
+        return engine_level(self.priority, ranks, spare=spare / whole)
+
     def record_first_event(self):
         """Record that the first event has arrived."""
         now = self.first_event_at = self.clock()
--- a/wagtailfront/admission/tests/prompt_load.py
+++ b/wagtailfront/admission/tests/prompt_load.py
@@ -110,7 +110,11 @@
 
     def waiting(self, priority, now):
         """Return the tokens of prompts at least as urgent, and of others."""
-        tokens = sum(need for level, _, _, need in self.queue if level <= priority)
+        tokens = sum(
+            need
+            for _, _, caller, need in self.queue
+            if caller.kind.priority <= priority
+        )
         rest = max(0.0, self.done_at - now) * self.rate if self.current else 0.0
         is_urgent = self.current and self.current.kind.priority <= priority
         return (tokens + rest, 0.0) if is_urgent else (tokens, rest)
@@ -119,7 +123,7 @@
 class _Simulation:
     """State of one simulation; see `simulate`."""
 
-    def __init__(self, *, records, load, seconds, choose, is_limited, seed):
+    def __init__(self, *, records, load, seconds, choose, is_limited, seed, kinds):
         self.rng = random.Random(seed)
         self.numbers = itertools.count()
         self.now = 0.0
@@ -127,6 +131,8 @@
         self.choose = choose
         self.is_limited = is_limited
         self.control = AdmissionControl()
+        self.control.ranks = {"s": sorted({kind.priority for kind in kinds})}
+        self.kinds = kinds
         self.engines = {
             record.incarnation: Engine(
                 record,
@@ -139,7 +145,7 @@
         }
         self.callers = []
         self.counts = Counter()
-        mean_tokens = sum(kind.share * kind.own_tokens for kind in KINDS)
+        mean_tokens = sum(kind.share * kind.own_tokens for kind in kinds)
         capacity = sum(engine.rate for engine in self.engines.values()) / mean_tokens
         phases = [(CALM_SECONDS, CALM_LOAD), (seconds, load), (CALM_SECONDS, CALM_LOAD)]
         begin = 0.0
@@ -150,7 +156,7 @@
     def _arrive(self, begin, end, rate):
         at = begin + self.rng.expovariate(rate)
         while at < end:
-            kind = self.rng.choices(KINDS, [kind.share for kind in KINDS])[0]
+            kind = self.rng.choices(self.kinds, [kind.share for kind in self.kinds])[0]
             subject = f"{kind.name}-{self.rng.randrange(SUBJECTS)}"
             own = f"own-{next(self.numbers)}"
             shared_part, own_part = make_parts(subject, kind.shared_tokens, 0)
@@ -172,6 +178,7 @@
     def _ask(self, caller):
         engine, decode, plan = self._place(caller)
         caller.leaves_at = min(self.now + PATIENCE, caller.deadline)
+        level = caller.kind.priority
         if self.is_limited:
             caller.admission = RequestAdmission(
                 control=self.control,
@@ -189,7 +196,8 @@
             if not admission.is_admitted:
                 self._refuse(caller, admission.retry_after)
                 return
-        self._queue(caller, engine, decode)
+            level = caller.admission.engine_level(plan.work)
+        self._queue(caller, engine, decode, level)
 
     def _refuse(self, caller, retry_after):
         if retry_after is not None and not caller.is_back:
@@ -222,14 +230,14 @@
             ),
         )
 
-    def _queue(self, caller, engine, decode):
+    def _queue(self, caller, engine, decode, level):
         name = engine.record.incarnation
         total = sum(part.tokens for part in caller.parts)
         need = total - engine.cache.cached_tokens(name, caller.parts)
         engine.cache.record_prompt(name, caller.parts)
         # A decode engine caches what it fetches from a prefill engine.
         decode.cache.record_prompt(decode.record.incarnation, caller.parts)
-        entry = (caller.kind.priority, next(self.numbers), caller, need)
+        entry = (level, next(self.numbers), caller, need)
         heapq.heappush(engine.queue, entry)
         self._next(engine)
 
@@ -273,7 +281,7 @@
             served=_share(served),
             served_by_kind={
                 kind.name: _share([c.is_served for c in self.callers if c.kind is kind])
-                for kind in KINDS
+                for kind in self.kinds
             },
             refused=self.counts["refused"] / len(served),
             left=self.counts["left"] / len(served),
@@ -289,7 +297,16 @@
     return sum(outcomes) / len(outcomes) if outcomes else 0.0
 
 
-def simulate(records, *, load, seconds=8.0, choose=None, is_limited=True, seed=1):
+def simulate(
+    records,
+    *,
+    load,
+    seconds=8.0,
+    choose=None,
+    is_limited=True,
+    seed=1,
+    kinds=KINDS,
+):
     """Simulate a burst of prompts between two calm phases.
 
     Parameters
@@ -305,6 +322,7 @@
     is_limited : bool, optional
         Whether requests may be refused.
     seed : int, optional
+    kinds : sequence of Kind, optional
 
     Returns
     -------
@@ -317,6 +335,7 @@
         choose=choose,
         is_limited=is_limited,
         seed=seed,
+        kinds=kinds,
     )
     simulation.run()
     return simulation.outcome()
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -116,6 +116,7 @@
         self.config_applied_at = self.context.clock()
         self.limits.replace(config.limits, now=self.config_applied_at)
         self.context.prefix_caches.add_services(config.services)
+        self.context.admission.set_routes(config.routes)
         return True
 
     def _is_newer(self, config, era):
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -6,8 +6,6 @@
 
 __all__ = ["RequestSender"]
 
-PREFILLED_PRIORITY = 0
-
 
 class RequestSender:
     """Sends attempts, and delays those to an endpoint that makes them wait.
@@ -75,7 +73,7 @@
         options = SendOptions(
             endpoint_id=record.endpoint_id,
             time_left=task.deadline - attempt.started,
-            priority=self._engine_priority() if task.service.is_model else None,
+            priority=self._engine_priority(),
             prefill_only=attempt.is_prefill,
             kv_source=task.dispatcher.kv_source,
             resume_after=task.stream.last_event_id,
@@ -98,11 +96,9 @@
         task.silence.watch(attempt)
 
     def _engine_priority(self):
-        """Return the priority at an engine, 0 for the most urgent.
-
-        A prompt prefilled elsewhere needs only a batch slot, so it does not
-        queue behind prompts that still have to be prefilled.
-        """
-        task = self.task
-        is_prefilled = task.dispatcher.kv_source is not None
-        return PREFILLED_PRIORITY if is_prefilled else task.route.priority + 1
+        """Return the priority at an engine; None at a plain service."""
+        if not self.task.service.is_model:
+            return None
+        dispatcher = self.task.dispatcher
+        prefill = dispatcher.plan.work if dispatcher.kv_source is None else 0.0
+        return dispatcher.admission.engine_level(prefill)
--- a/wagtailfront/forwarding/routes.py
+++ b/wagtailfront/forwarding/routes.py
@@ -1,6 +1,7 @@
 """Table of routes from a host and path prefix to services."""
 
 import enum
+import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -74,7 +75,12 @@
 
     @property
     def max_first_event_wait(self):
-        """Seconds without an event after which callers abandon a stream."""
+        """Seconds without an event after which callers abandon a request.
+
+        Infinite if the response is not a stream.
+        """
+        if self.kind is not RequestKind.STREAMING:
+            return math.inf
         return max(
             MIN_FIRST_EVENT_WAIT,
             MAX_WAIT_TARGETS * self.target_latency,
