--- a/wagtailfront/admission/admission.py
+++ b/wagtailfront/admission/admission.py
@@ -7,6 +7,9 @@
 
 # Share of the time that callers have left up to which they honour Retry-After.
 MAX_RETRY_SHARE = 1 / 3
+# Mean deviations from an expected time that are exceeded by one in twenty, if
+# they are distributed normally.
+DEVIATIONS = 2.0
 
 
 class CallerTime(NamedTuple):
@@ -34,15 +37,22 @@
     Attributes
     ----------
     first_event : float
-        Until the first event, or the complete response of a call. Includes
-        the mean error of the forecast.
+        Until the first event, or the complete response of a call.
+    deviation : float
+        Mean deviation of the actual times from `first_event`.
     output : float
         From the first event until the end of the stream.
     """
 
     first_event: float
+    deviation: float = 0.0
     output: float = 0.0
 
+    @property
+    def latest(self):
+        """Return when the first event is expected at the latest."""
+        return self.first_event + DEVIATIONS * self.deviation
+
 
 class Admission(NamedTuple):
     """Whether a request is admitted; if not, when to return.
@@ -63,8 +73,9 @@
     """Decide whether to admit a request.
 
     A request is served if its caller is still there when the first event is
-    expected, and when the end is. If not, an endpoint would work on it in
-    vain while others wait, so it is refused at once.
+    expected, with the usual deviation, and when the end is. If not, an
+    endpoint would work on it in vain while others wait, so it is refused at
+    once.
 
     Parameters
     ----------
@@ -81,21 +92,26 @@
     Examples
     --------
     >>> caller = CallerTime(left=6.0, patience=2.0)
-    >>> admit(expected=Expectation(1.5, 0.5), caller=caller)
+    >>> admit(expected=Expectation(1.5, output=0.5), caller=caller)
     Admission(is_admitted=True, retry_after=None)
-    >>> admit(expected=Expectation(3.0, 0.5), caller=caller)
+    >>> admit(expected=Expectation(3.0, output=0.5), caller=caller)
     Admission(is_admitted=False, retry_after=1.0)
-    >>> admit(expected=Expectation(3.0, 0.5), caller=caller._replace(left=2.5))
+    >>> late = caller._replace(left=2.5)
+    >>> admit(expected=Expectation(3.0, output=0.5), caller=late)
     Admission(is_admitted=False, retry_after=None)
     """
-    is_in_time = expected.first_event + expected.output <= caller.left
-    if is_in_time and expected.first_event <= caller.patience - caller.waited:
+    is_in_time = expected.latest + expected.output <= caller.left
+    if is_in_time and expected.latest <= caller.patience - caller.waited:
         return Admission(True)
     # The queue gets shorter no faster than the caller's time, so one that
     # would miss its deadline now would miss it later too.
     if not is_in_time or overtaking >= 1.0:
         return Admission(False)
-    delay = max(0.0, expected.first_event - caller.patience) / (1.0 - overtaking)
-    if delay > MAX_RETRY_SHARE * caller.left:
+    # The queue at the caller's return deviates from what is expected too.
+    late = max(0.0, expected.latest + expected.deviation - caller.patience)
+    delay = late / (1.0 - overtaking)
+    # Others keep the queue as long as callers with enough time bear it.
+    is_late_again = delay + caller.patience + expected.output > caller.left
+    if is_late_again or delay > MAX_RETRY_SHARE * caller.left:
         return Admission(False)
     return Admission(False, delay)
--- a/wagtailfront/admission/control.py
+++ b/wagtailfront/admission/control.py
@@ -5,6 +5,7 @@
 
 from wagtailfront.admission.admission import Expectation, admit
 from wagtailfront.admission.arriving_work import ArrivingWork
+from wagtailfront.admission.fair_share import FairShare
 from wagtailfront.admission.forecast_error import HALF_LIFE, ForecastError
 from wagtailfront.admission.recent_ratio import RecentRatio
 from wagtailfront.admission.returning_callers import Place, ReturningCallers
@@ -70,6 +71,7 @@
         self.errors = {}
         self.outputs = {}
         self.returning = {}
+        self.shares = defaultdict(FairShare)
         self.arriving = {}
 
     def set_routes(self, routes):
@@ -81,11 +83,11 @@
         self.ranks = {service: sorted(each) for service, each in ranks.items()}
 
     def expect(self, work, *, now):
-        """Return the Expectation for some work, with the mean error."""
-        first_event = self._error(work).upper(work.first_event, now=now)
+        """Return the Expectation for some work, by the measured errors."""
+        first_event = self._error(work).correct(work.first_event, now=now)
         pace = self.outputs.get(work.service)
         seconds_per_token = 0.0 if pace is None else pace.value(now=now)
-        return Expectation(first_event, work.output_tokens * seconds_per_token)
+        return Expectation(*first_event, work.output_tokens * seconds_per_token)
 
     def admit(self, work, caller, *, now):
         """Return the Admission of a request by its work and CallerTime."""
@@ -109,13 +111,13 @@
             returning.keep(place)
         return admission
 
-    def record_first_event(self, work, *, seconds, now):
-        """Record after how many seconds some work showed a first event."""
-        self._error(work).record(work.first_event, seconds, now=now)
+    def begin(self, key, work, *, now):
+        """Begin to wait for the first event of some work."""
+        self._error(work).begin(key, work.first_event, now=now)
 
-    def record_without_event(self, work, *, seconds, now):
-        """Record that the caller of some work left without a first event."""
-        self._error(work).record_at_least(work.first_event, seconds, now=now)
+    def end(self, key, work, *, now, has_event):
+        """Record the first event of some work, or that it ended without."""
+        self._error(work).end(key, now=now, has_happened=has_event)
 
     def record_output(self, service, *, tokens, seconds, now):
         """Record a complete output of a request that may have had `tokens`."""
--- a/wagtailfront/admission/recent_ratio.py
+++ b/wagtailfront/admission/recent_ratio.py
@@ -45,12 +45,19 @@
         self.denominator = weight * self.denominator + denominator
         self.updated_at = now
 
-    def value(self, *, now):
-        """Return the ratio, or None without an observation or a prior."""
-        if not self.prior:
-            return self.numerator / self.denominator if self.denominator else None
+    def value(self, *, now, numerator=0.0, denominator=0.0):
+        """Return the ratio, or None without an observation or a prior.
+
+        Parameters
+        ----------
+        now : float
+        numerator, denominator : float, optional
+            Observation that counts for this value only.
+        """
         weight = self._weight(now)
-        return weight * self.numerator / (weight * self.denominator + self.prior)
+        numerator += weight * self.numerator
+        denominator += weight * self.denominator + self.prior
+        return numerator / denominator if denominator else None
 
     def _weight(self, now):
         return 0.5 ** max(0.0, (now - self.updated_at) / self.half_life)
--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -2,7 +2,7 @@
 
 import math
 
-from wagtailfront.admission.admission import CallerTime
+from wagtailfront.admission.admission import Admission, CallerTime
 from wagtailfront.admission.control import Work
 from wagtailfront.admission.urgency import engine_level
 
@@ -16,7 +16,8 @@
     ----------
     control : AdmissionControl
     service : str
-    priority : int
+    rank : int
+        Priority of its route, 0 for the most urgent.
     patience : float
         Seconds without a first event after which its caller leaves; infinite
         if it waits for a complete response.
@@ -28,8 +29,10 @@
 
     Attributes
     ----------
+    priority : int
+        Its rank, or a higher one so that its rank is not starved.
     work : Work or None
-        What was forecast when the request was admitted.
+        Work that was admitted, while its first event is waited for.
     """
 
     def __init__(
@@ -37,7 +40,7 @@
         *,
         control,
         service,
-        priority,
+        rank,
         received,
         deadline,
         clock,
@@ -46,14 +49,15 @@
     ):
         self.control = control
         self.service = service
-        self.priority = priority
+        self.rank = rank
+        self.share = control.shares[service]
+        self.priority = rank
         self.patience = patience
         self.output_tokens = output_tokens
         self.received = received
         self.deadline = deadline
         self.clock = clock
         self.work = None
-        self.admitted_at = 0.0
         self.first_event_at = None
 
     def caller_time(self, now):
@@ -86,9 +90,30 @@
             engines=engines,
         )
         admission = self.control.admit(work, self.caller_time(now), now=now)
+        is_raised = self.priority != self.rank
+        if not is_raised:
+            self.share.record(self.rank, admission.is_admitted, now=now)
+        elif admission.is_admitted:
+            self.share.record_raised()
         if admission.is_admitted:
-            self.work, self.admitted_at = work, now
-        return admission
+            self._end_wait(has_event=False)
+            self.work = work
+            self.control.begin(self, work, now=now)
+        # The rank may not be raised any more when the caller returns.
+        return Admission(admission.is_admitted) if is_raised else admission
+
+    def raise_rank(self, rng):
+        """Return whether the request is to be tried again with a higher rank.
+
+        Some of the refused requests of a rank that is starved are.
+        """
+        highest = self.share.highest_rank()
+        if highest == self.priority:
+            return False
+        is_raised = rng.random() < self.share.missing(self.rank, now=self.clock())
+        if is_raised:
+            self.priority = highest
+        return is_raised
 
     def engine_level(self, prefill=0.0):
         """Return the priority at an engine, 0 for the most urgent.
@@ -109,10 +134,8 @@
 
     def record_first_event(self):
         """Record that the first event has arrived."""
-        now = self.first_event_at = self.clock()
-        if self.work is not None:
-            seconds = now - self.admitted_at
-            self.control.record_first_event(self.work, seconds=seconds, now=now)
+        self.first_event_at = self.clock()
+        self._end_wait(has_event=True)
 
     def record_complete(self):
         """Record that the last event has arrived."""
@@ -126,7 +149,9 @@
 
     def record_end(self):
         """Record that the request has ended, with a first event or without."""
-        if self.work is not None and self.first_event_at is None:
-            now = self.clock()
-            seconds = now - self.admitted_at
-            self.control.record_without_event(self.work, seconds=seconds, now=now)
+        self._end_wait(has_event=False)
+
+    def _end_wait(self, *, has_event):
+        work, self.work = self.work, None
+        if work is not None:
+            self.control.end(self, work, now=self.clock(), has_event=has_event)
--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -59,6 +59,7 @@
     def __init__(self, *, task, record, number, uncached_tokens=0, expected=0.0):
         self.task = task
         self.uncached_tokens = uncached_tokens
+        self.priority = task.dispatcher.choice.priority
         self.expected = expected
         self.context = task.context
         self.record = record
@@ -118,7 +119,7 @@
     def launch(self, options):
         """Send the request with `options`, a SendOptions."""
         self.health.outstanding += 1
-        self.health.add_pending(self.task.route.priority, self.uncached_tokens)
+        self.health.add_pending(self.priority, self.uncached_tokens)
         payload = self._encode(options)
         # A copy of an earlier response to the same request bears its id too.
         used = self.task.used_connections
@@ -141,7 +142,7 @@
 
     def clear_pending(self):
         """Subtract the prompt from the endpoint's pending tokens."""
-        self.health.add_pending(self.task.route.priority, -self.uncached_tokens)
+        self.health.add_pending(self.priority, -self.uncached_tokens)
         self.uncached_tokens = 0
 
     def _encode(self, options):
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -48,6 +48,8 @@
     ----------
     software_version : str or None
         Only endpoints of this version may be chosen; None for any.
+    priority : int
+        Rank of the request, 0 for the most urgent.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.fields = fields
         self.deadline = deadline
         self.software_version = software_version
+        self.priority = route.priority
 
     def views(self, *, without=(), stages=None):
         """Return views of the endpoints that may be chosen.
@@ -101,7 +104,7 @@
 
     def _view(self, record, wait):
         now, load = self.context.clock(), self.context.load
-        incarnation, urgency = record.incarnation, self.route.priority
+        incarnation, urgency = record.incarnation, self.priority
         outstanding = load.outstanding(incarnation, now=now)
         is_remote = record.data_centre != self.context.data_centre
         if not self.service.is_model:
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -51,7 +51,7 @@
         self.admission = RequestAdmission(
             control=task.context.admission,
             service=task.service.name,
-            priority=task.route.priority,
+            rank=task.route.priority,
             patience=task.route.max_first_event_wait,
             output_tokens=task.fields.max_output_tokens,
             received=task.received,
@@ -188,7 +188,11 @@
         admission = self.admission.admit(
             expected, prefill=plan.work, engines=plan.engines
         )
-        if not admission.is_admitted:
+        if not admission.is_admitted and self.admission.raise_rank(task.context.rng):
+            self.choice.priority = self.admission.priority
+            task.log.decision("rank_raised", "its rank is starved")
+            self.dispatch()
+        elif not admission.is_admitted:
             task.log.decision(
                 "not_admitted",
                 "its caller would not wait for it",
