Refuse calls that cannot be answered in time, and let the others wait

What callers saw: a call to a plain service was sent whatever the queue at its endpoints, and failed at its deadline; and it was refused as soon as a pause or a rate limit took longer than the target (0.1 s), though its caller had a second.

Cause: no expectation was kept for plain services, and the target served as the time of a caller.

Change: the time of answers is measured for each service (time of a call over the rounds of calls before it at its endpoint). A call is admitted if the answer is expected within its caller's time, else refused at once; it may wait for an endpoint until only the time of an answer is left. A Retry-After is told only if the caller honours it and has time left then.

--- a/wagtailfront/admission/admission.py
+++ b/wagtailfront/admission/admission.py
@@ -3,7 +3,7 @@
 import math
 from typing import NamedTuple
 
-__all__ = ["Admission", "CallerTime", "Expectation", "admit"]
+__all__ = ["MAX_RETRY_SHARE", "Admission", "CallerTime", "Expectation", "admit"]
 
 # Share of the time that callers have left up to which they honour Retry-After.
 MAX_RETRY_SHARE = 1 / 3
--- a/wagtailfront/admission/control.py
+++ b/wagtailfront/admission/control.py
@@ -70,6 +70,7 @@
         self.ranks = {}
         self.errors = {}
         self.outputs = {}
+        self.answers = {}
         self.returning = {}
         self.shares = defaultdict(FairShare)
         self.arriving = {}
@@ -89,6 +90,11 @@
         seconds_per_token = 0.0 if pace is None else pace.value(now=now)
         return Expectation(*first_event, work.output_tokens * seconds_per_token)
 
+    def answer_seconds(self, service, *, now):
+        """Return the measured time of a call that does not queue, or 0.0."""
+        answers = self.answers.get(service)
+        return 0.0 if answers is None else answers.value(now=now)
+
     def admit(self, work, caller, *, now):
         """Return the Admission of a request by its work and CallerTime."""
         returning = self.returning.setdefault(work.service, ReturningCallers())
@@ -119,6 +125,21 @@
         """Record the first event of some work, or that it ended without."""
         self._error(work).end(key, now=now, has_happened=has_event)
 
+    def record_answer(self, service, *, rounds, seconds, now):
+        """Record the answer to a call.
+
+        Parameters
+        ----------
+        service : str
+        rounds : float
+            Calls at its endpoint for each slot, at least 1: the times of calls
+            that it takes if one waits for another.
+        seconds : float
+        now : float
+        """
+        answers = self.answers.setdefault(service, RecentRatio(half_life=HALF_LIFE))
+        answers.add(seconds, rounds, now=now)
+
     def record_output(self, service, *, tokens, seconds, now):
         """Record a complete output of a request that may have had `tokens`."""
         if tokens:
--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -2,13 +2,16 @@
 
 import math
 
-from wagtailfront.admission.admission import Admission, CallerTime
+from wagtailfront.admission.admission import MAX_RETRY_SHARE, Admission, CallerTime
 from wagtailfront.admission.control import Work
 from wagtailfront.admission.urgency import engine_level
 
 __all__ = ["RequestAdmission"]
 
 
+ROUND_TRIP = 0.02  # seconds to an endpoint and back, with some processing
+
+
 class RequestAdmission:
     """Admits one request and reports how well it was forecast.
 
@@ -58,6 +61,8 @@
         self.deadline = deadline
         self.clock = clock
         self.work = None
+        self.admitted_at = 0.0
+        self.rounds = self.call_wait = 0.0
         self.first_event_at = None
 
     def caller_time(self, now):
@@ -97,11 +102,48 @@
             self.share.record_raised()
         if admission.is_admitted:
             self._end_wait(has_event=False)
-            self.work = work
+            self.work, self.admitted_at = work, now
             self.control.begin(self, work, now=now)
         # The rank may not be raised any more when the caller returns.
         return Admission(admission.is_admitted) if is_raised else admission
 
+    def admit_call(self, *, outstanding, slots, wait):
+        """Return the Admission of a call to a plain service.
+
+        Parameters
+        ----------
+        outstanding : int
+            Calls in progress at the endpoint.
+        slots : int
+            Calls that the endpoint processes concurrently.
+        wait : float
+            Seconds until it may be sent the call.
+        """
+        self.rounds = max(1.0, (outstanding + 1) / max(1, slots))
+        self.call_wait = wait
+        seconds = self.control.answer_seconds(self.service, now=self.clock())
+        return self.admit(wait + self.rounds * seconds)
+
+    def max_wait(self):
+        """Return for how many seconds the request may wait for an endpoint."""
+        now = self.clock()
+        caller = self.caller_time(now)
+        answer = self.control.answer_seconds(self.service, now=now)
+        return max(
+            0.0, min(caller.patience - caller.waited, caller.left - answer - ROUND_TRIP)
+        )
+
+    def time_to_return(self, delay):
+        """Return a Retry-After in seconds, or None.
+
+        None if the caller would not honour it, or could not be served then.
+        """
+        now = self.clock()
+        left = self.deadline - now
+        answer = self.control.answer_seconds(self.service, now=now)
+        is_honoured = delay <= MAX_RETRY_SHARE * left
+        return delay if is_honoured and delay + answer + ROUND_TRIP <= left else None
+
     def raise_rank(self, rng):
         """Return whether the request is to be tried again with a higher rank.
 
@@ -137,6 +179,16 @@
         self.first_event_at = self.clock()
         self._end_wait(has_event=True)
 
+    def record_answer(self):
+        """Record that a call has been answered."""
+        work, now = self.work, self.clock()
+        if work is not None and self.rounds:
+            seconds = now - self.admitted_at - self.call_wait
+            self.control.record_answer(
+                self.service, rounds=self.rounds, seconds=seconds, now=now
+            )
+        self._end_wait(has_event=True)
+
     def record_complete(self):
         """Record that the last event has arrived."""
         now = self.clock()
--- /dev/null
+++ b/wagtailfront/admission/tests/test_calls.py
@@ -0,0 +1,79 @@
+"""Tests of the admission of calls to plain services."""
+
+import pytest
+
+from wagtailfront.forwarding.tests.builders import (
+    SAFE,
+    UNSAFE,
+    Scene,
+    make_record,
+    make_route,
+)
+from wagtailfront.platform.tests.wire import SIGNED
+
+ANSWER_SECONDS = 0.2
+
+
+def make_measured(*, outstanding=0, slots=4):
+    """Return a scene whose endpoint answers in a known time.
+
+    Parameters
+    ----------
+    outstanding : int, optional
+        Calls of other instances in progress at the endpoint.
+    slots : int, optional
+    """
+    scene = Scene([make_record("e1", slots=slots)])
+    for _ in range(10):
+        scene.start(make_route())
+        scene.timers.advance(ANSWER_SECONDS)
+        scene.pool.last.respond(200, SIGNED, b"ok")
+    scene.pool.exchanges.clear()
+    scene.context.load.outstanding_totals["e1/1"] = outstanding
+    return scene
+
+
+@pytest.mark.parametrize("kind", [SAFE, UNSAFE])
+def test_a_call_that_would_be_late_is_refused_at_once(kind):
+    """Guards callers against a wait that can only end at their deadline."""
+    scene = make_measured(outstanding=19)
+    _task, reply = scene.start(make_route(kind, timeout=5.0), time_left=0.9)
+    assert (reply.status, scene.pool.exchanges) == (503, [])
+    assert reply.header(b"Retry-After") is None
+
+
+def test_a_call_that_can_be_answered_in_time_is_sent():
+    """Guards callers against refusals while their endpoint has a queue."""
+    scene = make_measured(outstanding=19)
+    scene.start(make_route(target_latency=0.1, timeout=5.0), time_left=1.3)
+    assert len(scene.pool.exchanges) == 1
+
+
+def test_a_call_is_sent_while_nothing_is_measured():
+    """Guards the first calls of an instance."""
+    scene = Scene([make_record("e1")])
+    scene.context.load.outstanding_totals["e1/1"] = 1000
+    scene.start(make_route(), time_left=0.1)
+    assert len(scene.pool.exchanges) == 1
+
+
+def test_the_time_of_answers_follows_the_endpoint():
+    """Guards against a time that was measured while the endpoint was slow."""
+    scene = make_measured()
+    for _ in range(40):
+        scene.start(make_route())
+        scene.timers.advance(0.05)
+        scene.pool.last.respond(200, SIGNED, b"ok")
+    seconds = scene.context.admission.answer_seconds("s", now=scene.timers.now)
+    assert 0.05 <= seconds < 0.1
+
+
+def test_what_waited_for_a_pause_is_no_part_of_an_answer():
+    """Guards against slow endpoints that only asked for a pause."""
+    scene = make_measured()
+    scene.context.notices.pauses.begin("e1/1", 1.0, now=scene.timers.now)
+    scene.start(make_route())
+    scene.timers.advance(1.3)
+    scene.pool.last.respond(200, SIGNED, b"ok")
+    seconds = scene.context.admission.answer_seconds("s", now=scene.timers.now)
+    assert seconds < 2 * ANSWER_SECONDS
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -24,10 +24,10 @@
 
 
 class Refusal(NamedTuple):
-    """Why no endpoint can be chosen, and when to retry, in seconds."""
+    """Why no endpoint can be chosen, and when to retry, in seconds or None."""
 
     reason: str
-    retry_after: float = RETRY_AFTER
+    retry_after: float | None = RETRY_AFTER
 
 
 class EndpointChoice:
@@ -39,8 +39,7 @@
     service : Service
     route : Route
     fields : RequestFields
-    deadline : float
-        Time until which the request must be answered.
+    admission : RequestAdmission
     software_version : str, optional
         Version that began the stream, if it has begun.
 
@@ -53,13 +52,13 @@
     """
 
     def __init__(
-        self, *, context, service, route, fields, deadline, software_version=None
+        self, *, context, service, route, fields, admission, software_version=None
     ):
         self.context = context
         self.service = service
         self.route = route
         self.fields = fields
-        self.deadline = deadline
+        self.admission = admission
         self.software_version = software_version
         self.priority = route.priority
 
@@ -173,7 +172,7 @@
         if waits and min(waits):
             spread = self.context.rng.uniform(0.0, RETRY_SPREAD)
             retry_after = max(RETRY_AFTER, min(waits)) + spread
-            return Refusal(ALL_PAUSE, round(retry_after, 3))
+            return Refusal(ALL_PAUSE, self.admission.time_to_return(retry_after))
         if self._staying():
             return Refusal(RATE_LIMITED if stages is None else NO_DECODE_ENGINE)
         records = self.context.directory.find(self.service.name)
@@ -193,23 +192,14 @@
         """
         incarnation = record.incarnation
         pause = self.context.notices.wait(incarnation)
-        if pause and pause > self.max_wait():
+        if pause and pause > self.admission.max_wait():
             return math.inf
         now = self.context.clock()
         return max(pause, self.context.rate_limits.wait(incarnation, now=now))
 
-    def max_wait(self):
-        """Return the seconds that the request may wait for an endpoint."""
-        time_left = self.deadline - self.context.clock() - MIN_TIME_LEFT
-        is_model = self.service.is_model
-        longest = (
-            self.route.max_first_event_wait if is_model else self.route.target_latency
-        )
-        return max(0.0, min(longest, time_left))
-
     def least_loaded(self, views):
-        """Return the record of the least loaded of `views`."""
-        return choose_least_loaded(views, rng=self.context.rng).record
+        """Return the least loaded of `views`."""
+        return choose_least_loaded(views, rng=self.context.rng)
 
     def plan(self, views, *, may_split):
         """Return the plan of a model request, or None without an engine."""
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -315,6 +315,7 @@
         else:
             self.context.health.record_success(attempt.record, now=now)
             attempt.record_success()
+            self.dispatcher.admission.record_answer()
         self.log.decision(
             "answered", str(attempt.status), endpoint=attempt.record.endpoint_id
         )
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -39,15 +39,6 @@
 
     def __init__(self, *, task, software_version=None):
         self.task = task
-        self.choice = EndpointChoice(
-            context=task.context,
-            service=task.service,
-            route=task.route,
-            fields=task.fields,
-            deadline=task.deadline,
-            software_version=software_version,
-        )
-        self.sender = RequestSender(task=task)
         self.admission = RequestAdmission(
             control=task.context.admission,
             service=task.service.name,
@@ -58,6 +49,15 @@
             deadline=task.deadline,
             clock=task.context.clock,
         )
+        self.choice = EndpointChoice(
+            context=task.context,
+            service=task.service,
+            route=task.route,
+            fields=task.fields,
+            admission=self.admission,
+            software_version=software_version,
+        )
+        self.sender = RequestSender(task=task)
         self.tried = set()
         self.kv_source = None
         self.prefill_version = ""
@@ -80,7 +80,7 @@
         elif task.service.is_model:
             self._dispatch_model(views)
         else:
-            self._send(RunAttempt, self.choice.least_loaded(views))
+            self._dispatch_call(views)
 
     def dispatch_again(self):
         """Choose another endpoint for a send that was not made."""
@@ -141,6 +141,25 @@
         incarnation = held and held.record.incarnation
         return [v for v in views if v.record.incarnation != incarnation]
 
+    def _dispatch_call(self, views):
+        """Send a call to a plain service, unless the answer would be late."""
+        view = self.choice.least_loaded(views)
+        admission = self.admission.admit_call(
+            outstanding=view.outstanding, slots=view.record.slots, wait=view.wait
+        )
+        if admission.is_admitted:
+            self._send(RunAttempt, view.record)
+            return
+        self.task.log.decision(
+            "not_admitted",
+            "its caller would not wait for it",
+            time_left=round(self.task.deadline - self.task.context.clock(), 3),
+            endpoint=view.record.endpoint_id,
+            outstanding=view.outstanding,
+            wait=round(view.wait, 3),
+        )
+        self.task.give_up("the answer would be late", admission.retry_after)
+
     def _dispatch_model(self, views):
         task = self.task
         may_split = task.stream.last_event_id is None and not task.runs
@@ -179,7 +198,7 @@
         if not views or task.sends >= MAX_SENDS:
             task.give_up(*self.choice.refuse(stages=DECODE_STAGES))
         else:
-            self._send(RunAttempt, self.choice.least_loaded(views))
+            self._send(RunAttempt, self.choice.least_loaded(views).record)
 
     def _admit(self, plan, first_engine):
         """Return whether the request is admitted; refuse it otherwise."""
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -32,7 +32,7 @@
         task = self.task
         limits, notices = task.context.rate_limits, task.context.notices
         wait = task.dispatcher.choice.wait(record)
-        if wait and wait > task.dispatcher.choice.max_wait():
+        if wait and wait > task.dispatcher.admission.max_wait():
             return math.inf
         pause = notices.wait(record.incarnation)
         notices.reserve(record.incarnation)
