Notice a silent plain endpoint by the time of its answers

What callers saw: a call to a plain endpoint that fell silent was repeated after two targets, 8 s at a target of 4 s, whatever its caller had left; calls of a service that takes a second were repeated after 0.25 s at a target of 0.1 s, which doubled its load.

Cause: the target stood for the time that an answer takes.

Change: an endpoint counts as silent when its answer is later than expected from the measured time of answers and its deviation (0.25 s at least, for stalls), and early enough for another one to answer in time. While nothing is measured, half of the time that the caller waits.

--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -9,6 +9,8 @@
 __all__ = ["RequestAdmission"]
 
 
+# Seconds for which any endpoint may stall before its calls are repeated.
+MIN_ANSWER_TIMEOUT = 0.25
 ROUND_TRIP = 0.02  # seconds to an endpoint and back, with some processing
 
 
@@ -133,6 +135,23 @@
             0.0, min(caller.patience - caller.waited, caller.left - answer - ROUND_TRIP)
         )
 
+    def answer_timeout(self):
+        """Return the seconds after which a call without an answer is unusual.
+
+        Early enough for another endpoint to answer in time, unless that would
+        be before an answer is expected from this one.
+        """
+        now = self.clock()
+        seconds = self.control.answer_seconds(self.service, now=now)
+        left = self.deadline - now
+        if not seconds:
+            # As much time for another endpoint as for this one.
+            return max(MIN_ANSWER_TIMEOUT, min(left, self.patience) / 2)
+        work = Work(self.service, self.priority, self.rounds * seconds)
+        latest = self.control.expect(work, now=now).latest
+        last_repeat = max(latest, left - seconds - ROUND_TRIP, ROUND_TRIP)
+        return min(max(MIN_ANSWER_TIMEOUT, latest), last_repeat)
+
     def time_to_return(self, delay):
         """Return a Retry-After in seconds, or None.
 
--- a/wagtailfront/admission/tests/test_calls.py
+++ b/wagtailfront/admission/tests/test_calls.py
@@ -68,6 +68,44 @@
     assert 0.05 <= seconds < 0.1
 
 
+@pytest.mark.parametrize("target", [0.01, 0.4, 4.0])
+def test_a_silent_endpoint_is_noticed_by_the_time_of_its_answers(target):
+    """Guards callers whose target is far from the time of an answer."""
+    scene = make_measured()
+    scene.directory.replace(
+        [make_record("e1"), make_record("e2")], now=scene.timers.now
+    )
+    route = make_route(target_latency=target, timeout=9.0)
+    scene.start(route)
+    scene.timers.advance(ANSWER_SECONDS)
+    assert len(scene.pool.exchanges) == 1
+    scene.timers.advance(2 * ANSWER_SECONDS)
+    assert len(scene.pool.exchanges) == 2
+
+
+def test_a_slow_service_is_not_taken_for_silent():
+    """Guards endpoints against the repeats of calls that take long."""
+    scene = Scene([make_record("e1"), make_record("e2")])
+    route = make_route(target_latency=0.1, timeout=9.0)
+    for _ in range(10):
+        scene.start(route)
+        scene.timers.advance(1.0)
+        scene.pool.last.respond(200, SIGNED, b"ok")
+    assert len(scene.pool.exchanges) == 10
+
+
+def test_a_silent_endpoint_is_noticed_while_another_can_answer():
+    """Guards callers with little time against a wait up to their deadline."""
+    scene = make_measured()
+    scene.directory.replace(
+        [make_record("e1"), make_record("e2")], now=scene.timers.now
+    )
+    scene.start(make_route(timeout=9.0), time_left=0.5)
+    scene.timers.advance(0.29)
+    scene.pool.last.respond(200, SIGNED, b"ok")
+    assert len(scene.pool.exchanges) == 2
+
+
 def test_what_waited_for_a_pause_is_no_part_of_an_answer():
     """Guards against slow endpoints that only asked for a pause."""
     scene = make_measured()
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -6,10 +6,6 @@
 
 __all__ = ["SilenceWatch"]
 
-# An idempotent call without a response is repeated after this many target
-# latencies, and at the earliest after MIN_TIMEOUT, to tolerate short stalls.
-TIMEOUT_TARGETS = 2.0
-MIN_TIMEOUT = 0.25  # seconds
 # Seconds for which a sound endpoint may send nothing and then go on.
 SOUND_SILENCE = 1.5
 # Seconds without a byte from an engine on any connection until another one is
@@ -55,8 +51,7 @@
         if self.task.service.is_model:
             timeout = ENGINE_SILENCE + QUEUE_FACTOR * attempt.expected
         else:
-            targets = TIMEOUT_TARGETS * self.task.route.target_latency
-            timeout = max(MIN_TIMEOUT, targets)
+            timeout = self.task.dispatcher.admission.answer_timeout()
         self._check_after(timeout, attempt, timeout)
         self.watch_beside_held(attempt)
 
