Measure how fast the engines of a service prefill prompts

What callers saw: on engines that prefill 51 or 61 tokens a ms each forecast was a third of the truth until some ten prompts had been timed at every single engine, and an engine that started anew was misjudged again.

Cause: the rates of one deployment's data sheet (150,000 and 50,000 tokens a second) were the start of each engine's estimate, which each prefill moved by a tenth; prefills shorter than 30 ms, mostly overhead, moved it as much as long ones.

Change: time over nominal time, summed over recent prefills, so that short ones weigh little; for all engines of a service and stage together, and for each engine with the former as its prior. Until a prefill was timed nothing is refused by a forecast.

Evidence: test_engines_of_any_speed_are_known_from_the_first_prompts (before: 1.0 for engines not used yet) and test_nothing_is_refused_by_a_nominal_time fail on the code before; test_short_prefills_hardly_change_the_slowness guards the overhead.

The simulation of bursts now has engines' speeds of its own.

--- a/wagtailfront/admission/tests/prompt_load.py
+++ b/wagtailfront/admission/tests/prompt_load.py
@@ -21,6 +21,8 @@
 
 __all__ = ["KINDS", "Kind", "Outcome", "simulate"]
 
+RATES = {"prefill": 150_000.0, "decode": 50_000.0}  # tokens per second
+NOMINAL_RATES = {"prefill": PREFILL_RATE, "decode": DECODE_ENGINE_PREFILL_RATE}
 CAPACITY_TOKENS = 1_000_000
 SUBJECTS = 40  # shared parts of a kind
 PATIENCE = 2.0  # seconds for which callers wait for a first event
@@ -135,9 +137,7 @@
         self.engines = {
             record.incarnation: Engine(
                 record,
-                PREFILL_RATE
-                if record.stage == "prefill"
-                else DECODE_ENGINE_PREFILL_RATE,
+                RATES[record.stage],
                 PrefixCacheEstimate(capacity_tokens=CAPACITY_TOKENS),
             )
             for record in records
@@ -233,6 +233,7 @@
             engine.record,
             0,
             pending_tokens=int(urgent + rest),
+            slowness=NOMINAL_RATES[engine.record.stage] / engine.rate,
             cached_tokens=engine.cache.cached_tokens(
                 engine.record.incarnation, caller.parts
             ),
--- a/wagtailfront/admission/tests/prompt_scene.py
+++ b/wagtailfront/admission/tests/prompt_scene.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from wagtailfront.admission.recent_ratio import RecentRatio
 from wagtailfront.forwarding.placement import (
     DECODE_ENGINE_PREFILL_RATE,
 )
@@ -13,7 +14,17 @@
 )
 from wagtailfront.platform.tests.wire import EVENT_STREAM
 
-__all__ = ["Answer", "ask", "complete", "make_scene", "set_queue"]
+__all__ = [
+    "Answer",
+    "ask",
+    "complete",
+    "forget_prefills",
+    "make_scene",
+    "set_queue",
+]
+
+
+ENGINE = make_record("e1", stage="decode")
 
 
 class Answer(NamedTuple):
@@ -24,8 +35,18 @@
 
 
 def make_scene():
-    """Return a scene with one engine that prefills and decodes."""
-    return Scene([make_record("e1", stage="decode")], is_model=True)
+    """Return a scene with one engine of nominal speed."""
+    scene = Scene([ENGINE], is_model=True)
+    forget_prefills(scene)
+    return scene
+
+
+def forget_prefills(scene):
+    """Let the engine have nominal speed, whatever was observed."""
+    health, now = scene.context.health, scene.timers.now
+    health.typical.clear()
+    health.state(ENGINE.incarnation).prefills = RecentRatio(half_life=1.0)
+    health.record_prefill_time(ENGINE, expected=1.0, took=1.0, now=now)
 
 
 def set_queue(scene, seconds, *, priority=0):
--- a/wagtailfront/admission/tests/test_caller_time.py
+++ b/wagtailfront/admission/tests/test_caller_time.py
@@ -5,9 +5,11 @@
 from wagtailfront.admission.tests.prompt_scene import (
     ask,
     complete,
+    forget_prefills,
     make_scene,
     set_queue,
 )
+from wagtailfront.forwarding.tests.builders import Scene, make_record
 from wagtailfront.platform.tests.wire import NOT_RUN
 
 # Callers wait two seconds for a first event at targets of up to half a second.
@@ -99,7 +101,7 @@
         set_queue(scene, 0.5)
         ask(scene, time_left=5.0)
         complete(scene, first_event=0.9, output=0.0)
-        scene.context.health.state("e1/1").slowness = 1.0
+        forget_prefills(scene)
     set_queue(scene, 1.8)
     assert not ask(scene, time_left=5.0)[1].is_sent
     scene.timers.advance(60.0)
@@ -128,3 +130,10 @@
         task.cancel()
     set_queue(scene, 1.2)
     assert not ask(scene, time_left=5.0)[1].is_sent
+
+
+def test_nothing_is_refused_by_a_nominal_time():
+    """Guards the first callers of engines whose speed is not known."""
+    scene = Scene([make_record("e1", stage="decode")], is_model=True)
+    set_queue(scene, 9.0)
+    assert ask(scene, time_left=5.0)[1].is_sent
--- a/wagtailfront/admission/tests/test_fair_share.py
+++ b/wagtailfront/admission/tests/test_fair_share.py
@@ -6,6 +6,7 @@
 from wagtailfront.admission.tests.prompt_scene import (
     ask,
     complete,
+    forget_prefills,
     make_scene,
     set_queue,
 )
@@ -17,6 +18,7 @@
     served = ([], [])
     for _ in range(400):
         scene.timers.advance(0.05)
+        forget_prefills(scene)
         set_queue(scene, 0.0, priority=0)
         set_queue(scene, 9.0, priority=1)
         for priority in (0, 1):
--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -285,7 +285,9 @@
         now = self.context.clock()
         if self.uncached_tokens:
             took = now - self.started
-            self.health.record_prefill_time(expected=self.expected, took=took)
+            self.context.health.record_prefill_time(
+                self.record, expected=self.expected, took=took, now=now
+            )
         self.clear_pending()
         self.context.health.record_success(self.record, now=now)
 
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -109,6 +109,7 @@
         if not self.service.is_model:
             return EngineView(record, outstanding, is_remote=is_remote, wait=wait)
         prefix_cache = self.context.prefix_caches[self.service.name]
+        slowness = self.context.health.slowness(record, now=now)
         waiting = load.pending_before(incarnation, urgency, now=now)
         return EngineView(
             record,
@@ -116,7 +117,8 @@
             pending_tokens=waiting
             + load.blocking_tokens(incarnation, urgency, now=now),
             cached_tokens=prefix_cache.cached_tokens(incarnation, self.fields.parts),
-            slowness=self.context.health.state(incarnation).slowness,
+            slowness=slowness or 1.0,
+            is_measured=slowness is not None,
             blocking_tokens=load.blocking_tokens(incarnation, MOST_URGENT, now=now),
             is_remote=is_remote,
             wait=wait,
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -266,7 +266,9 @@
             self.log.decision("prefill_failed", str(error), endpoint=record.endpoint_id)
         else:
             latency = now - attempt.started
-            attempt.health.record_prefill_time(expected=attempt.expected, took=latency)
+            self.context.health.record_prefill_time(
+                record, expected=attempt.expected, took=latency, now=now
+            )
             self.context.health.record_success(record, now=now)
         self.dispatcher.dispatch_prefilled()
 
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -14,11 +14,11 @@
 ]
 
 PREFILL = "prefill"
-# Prompt tokens that a prefill and a decode engine prefill per second, from the
-# engines' data sheet: a decode engine prefills at half the speed, in short
-# chunks between the tokens of other requests.
-PREFILL_RATE = 150_000.0
-DECODE_ENGINE_PREFILL_RATE = 50_000.0
+# Prompt tokens that an engine prefills per second at a slowness of 1, which is
+# measured. A decode engine prefills at half the speed, in short chunks between
+# the tokens of other requests.
+PREFILL_RATE = 100_000.0
+DECODE_ENGINE_PREFILL_RATE = PREFILL_RATE / 2
 # Seconds that prefill on a separate engine adds: two calls instead of one, and
 # the transfer of the KV cache.
 HANDOVER_SECONDS = 0.015
@@ -54,7 +54,9 @@
     cached_tokens : int
         Leading tokens of the prompt that it has cached.
     slowness : float
-        Observed time relative to the expected time.
+        Observed time relative to the nominal time.
+    is_measured : bool
+        Whether `slowness` was observed, at it or at engines like it.
     blocking_tokens : int
         Tokens left of prompts in progress, whatever their urgency.
     is_remote : bool
@@ -69,6 +71,7 @@
     pending_tokens: int = 0
     cached_tokens: int = 0
     slowness: float = 1.0
+    is_measured: bool = True
     blocking_tokens: int = 0
     is_remote: bool = False
     wait: float = 0.0
@@ -86,6 +89,8 @@
         Prompt tokens that have to be prefilled.
     expected : float
         Seconds from sending it until the prompt has been prefilled.
+    is_measured : bool
+        Whether `expected` follows from observed prefills.
     wait : float
         Seconds by which rate limits and pauses of its engines delay it.
     work : float
@@ -101,6 +106,7 @@
     wait: float = 0.0
     work: float = 0.0
     engines: int = 1
+    is_measured: bool = True
 
 
 def choose_least_loaded(views, *, rng):
@@ -215,7 +221,7 @@
     most_cached = max(view.cached_tokens for view in views)
 
     def cost(view):
-        recompute_seconds = (most_cached - view.cached_tokens) / PREFILL_RATE
+        recompute_seconds = _engine_seconds(view, most_cached - view.cached_tokens)
         seconds = expected_prefill_seconds(view, prompt_tokens) + _remote_seconds(view)
         seconds += view.wait + RECOMPUTE_WEIGHT * recompute_seconds
         return seconds, rng.random()
@@ -249,4 +255,13 @@
         engine, decode_engine = best.record, decode.record
     else:
         engine, decode_engine, wait = None, best.record, best.wait
-    return Plan(engine, decode_engine, uncached_tokens, expected, wait, work, engines)
+    return Plan(
+        prefill=engine,
+        decode=decode_engine,
+        uncached_tokens=uncached_tokens,
+        expected=expected,
+        wait=wait,
+        work=work,
+        engines=engines,
+        is_measured=best.is_measured,
+    )
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -203,7 +203,8 @@
     def _admit(self, plan, first_engine):
         """Return whether the request is admitted; refuse it otherwise."""
         task = self.task
-        expected = plan.wait + plan.expected
+        # Nothing is refused by a nominal time.
+        expected = plan.wait + (plan.expected if plan.is_measured else 0.0)
         admission = self.admission.admit(
             expected, prefill=plan.work, engines=plan.engines
         )
--- a/wagtailfront/forwarding/tests/test_paused_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_paused_endpoints.py
@@ -196,11 +196,12 @@
     """Guards the endpoint's share of the work after its pause."""
     scene = Scene([make_record("e1")])
     scene.start(make_route())
-    before = scene.context.health.state("e1/1").slowness
+    before = scene.context.health.slowness(make_record("e1"), now=100.0)
     scene.pool.last.respond(503, refusal(1.0))
     state = scene.context.health.state("e1/1")
     assert (state.failures_in_row, state.failure_share) == (0, 0.0)
-    assert (state.slowness, state.avoid_until < 101.0) == (before, True)
+    after = scene.context.health.slowness(make_record("e1"), now=100.0)
+    assert (after, state.avoid_until < 101.0) == (before, True)
 
 
 def test_a_new_configuration_does_not_end_a_pause():
--- a/wagtailfront/forwarding/tests/test_policies.py
+++ b/wagtailfront/forwarding/tests/test_policies.py
@@ -154,10 +154,38 @@
 
 def test_the_estimate_of_slowness_converges():
     """Guards against an estimate that includes the slowness twice."""
-    state = EndpointHealth().state("e1/1")
-    for _ in range(200):
-        state.record_prefill_time(expected=0.1 * state.slowness, took=0.4)
-    assert 3.8 < state.slowness < 4.2
+    health, engine = EndpointHealth(), make_record("e1", stage="decode")
+    health.state(engine.incarnation)
+    for step in range(200):
+        now = step * 0.1
+        expected = 0.1 * (health.slowness(engine, now=now) or 1.0)
+        health.record_prefill_time(engine, expected=expected, took=0.4, now=now)
+    assert 3.8 < health.slowness(engine, now=20.0) < 4.2
+
+
+def test_short_prefills_hardly_change_the_slowness():
+    """Guards against a time that is mostly the overhead of calls."""
+    health, engine = EndpointHealth(), make_record("e1", stage="decode")
+    health.state(engine.incarnation)
+    for step in range(400):
+        now, nominal = step * 0.05, 0.001 if step % 4 else 0.2
+        took = nominal + 0.004
+        expected = nominal * (health.slowness(engine, now=now) or 1.0)
+        health.record_prefill_time(engine, expected=expected, took=took, now=now)
+    assert 0.9 < health.slowness(engine, now=20.0) < 1.2
+
+
+def test_engines_of_any_speed_are_known_from_the_first_prompts():
+    """Guards callers where engines are not those of a certain data sheet."""
+    health = EndpointHealth()
+    engines = [make_record(f"e{n}", stage="decode") for n in range(8)]
+    for number, engine in enumerate(engines[:4]):
+        health.state(engine.incarnation)
+        expected = 0.1 * (health.slowness(engine, now=0.0) or 1.0)
+        health.record_prefill_time(engine, expected=expected, took=0.3, now=number)
+    assert [round(health.slowness(each, now=9.0), 1) for each in engines] == [3.0] * 8
+    prefill = make_record("p1", stage="prefill")
+    assert health.slowness(prefill, now=9.0) is None
 
 
 def test_caches_stay_in_their_data_centre_while_it_has_room():
