Weigh data centres by time, not by the price of bytes between them

What callers saw: a request waited up to 6 ms for an engine of its data centre, and its prompt's cache up to 15 ms, though another data centre is 3 ms and 4 to 8 ms away; behind a cut a peer of the own data centre was asked however busy it was.

Cause: both penalties held the price of bytes between data centres, and the order of peers gave it as its reason.

Of peers the least busy is asked, of these a near one.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -212,6 +212,8 @@
             rng=self.context.rng,
             # Relayed loads arrive later than it takes to prefill a prompt.
             is_load_outdated=len(self.context.load.peers) >= MAX_DIRECT_INSTANCES,
+            transfer_seconds=self.fields.prompt_tokens
+            * self.service.transfer_seconds_per_token,
         )
 
     def record_cached_prompt(self, record):
--- a/wagtailfront/forwarding/peer_proxies.py
+++ b/wagtailfront/forwarding/peer_proxies.py
@@ -28,8 +28,8 @@
 
     Notes
     -----
-    Peers in the own data centre come first, as bytes to others are dear, and
-    of these the one with the fewest requests of this instance.
+    The peer with the fewest requests of this instance comes first, and of
+    several one in the own data centre, which answers sooner.
     """
 
     def __init__(self, *, pool, load, data_centre, rng):
@@ -75,8 +75,8 @@
 
     def _rank(self, offer):
         return (
-            offer.data_centre != self.data_centre,
             self.outstanding[offer.address],
+            offer.data_centre != self.data_centre,
             self.rng.random(),
         )
 
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -24,15 +24,12 @@
 HANDOVER_SECONDS = 0.015
 # Seconds by which a request in progress delays the tokens of a new one.
 STREAM_SECONDS = 0.0004
-# Penalty in seconds of a KV cache transfer to another data centre: that of a
-# long prompt takes 7 ms more, and its bytes cost up to three times as much.
-REMOTE_CACHE_SECONDS = 0.015
 # Uncached tokens above which a decode engine does not prefill a prompt: no
 # other request there gets its first token in the meantime.
 MAX_DECODE_ENGINE_PREFILL_TOKENS = 5000
-# Penalty in seconds of a call to another data centre: the round trip, and the
-# prompt's bytes on a link with a charge.
-REMOTE_SECONDS = 0.006
+# Seconds of a round trip to another data centre; those of one region are about
+# a millisecond and a half apart.
+REMOTE_SECONDS = 0.003
 # Weight of shared tokens that another engine has cached and this one would
 # have to prefill: they delay the requests that follow.
 RECOMPUTE_WEIGHT = 2.5
@@ -147,7 +144,7 @@
     ]
 
 
-def choose_decode_engine(views, *, rng, data_centre):
+def choose_decode_engine(views, *, rng, data_centre, transfer_seconds):
     """Return the view that decodes first after prefill on another engine.
 
     Parameters
@@ -156,13 +153,16 @@
     rng : random.Random
     data_centre : str
         Where the prompt is prefilled.
+    transfer_seconds : float
+        Seconds that the transfer of its KV cache takes within a data centre;
+        it takes twice as long to another one.
     """
 
     def seconds_to_first_token(view):
         blocked = view.blocking_tokens / DECODE_ENGINE_PREFILL_RATE
         busy = view.slowness * (blocked + view.outstanding * STREAM_SECONDS)
         is_near = view.record.data_centre == data_centre
-        return busy + view.wait + (0.0 if is_near else REMOTE_CACHE_SECONDS)
+        return busy + view.wait + (0.0 if is_near else transfer_seconds)
 
     return min(views, key=lambda view: (seconds_to_first_token(view), rng.random()))
 
@@ -196,7 +196,15 @@
     return view.slowness * tokens / rate
 
 
-def plan_model_request(views, prompt_tokens, *, may_split, rng, is_load_outdated=False):
+def plan_model_request(
+    views,
+    prompt_tokens,
+    *,
+    may_split,
+    rng,
+    is_load_outdated=False,
+    transfer_seconds=0.0,
+):
     """Return the plan for a model request, or None without an endpoint.
 
     Parameters
@@ -209,6 +217,9 @@
     is_load_outdated : bool, optional
         Whether reported loads are outdated: many requests are placed before
         the next report arrives.
+    transfer_seconds : float, optional
+        Seconds that the transfer of the prompt's KV cache takes within a data
+        centre.
 
     Returns
     -------
@@ -249,8 +260,12 @@
         decode_views = [v for v in decode_views if v.record.software_version == version]
         if is_load_outdated:
             decode_views = sample_engines(decode_views, rng=rng)
-        data_centre = best.record.data_centre
-        decode = choose_decode_engine(decode_views, rng=rng, data_centre=data_centre)
+        decode = choose_decode_engine(
+            decode_views,
+            rng=rng,
+            data_centre=best.record.data_centre,
+            transfer_seconds=transfer_seconds,
+        )
         wait = max(best.wait, decode.wait - expected)
         engine, decode_engine = best.record, decode.record
     else:
--- a/wagtailfront/forwarding/routes.py
+++ b/wagtailfront/forwarding/routes.py
@@ -112,6 +112,8 @@
     kv_capacity_tokens : int
         KV cache capacity of an engine in tokens; 0 for plain services.
     health_path : str
+    transfer_seconds_per_token : float
+        Time in which an engine sends a token's KV cache to another one.
     """
 
     name: str
@@ -119,6 +121,7 @@
     is_model: bool
     kv_capacity_tokens: int
     health_path: str = "/health"
+    transfer_seconds_per_token: float = 0.0
 
 
 class CallerLimits(NamedTuple):
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -32,6 +32,7 @@
 logger = logging.getLogger(__name__)
 
 MS_PER_SECOND = 1000
+BITS_PER_BYTE, BITS_PER_MEGABIT = 8, 1e6
 DRAINING = "draining"
 READ_ERRORS = (ValueError, OverflowError, msgspec.ValidationError)
 MAX_SLOTS = 100_000
@@ -116,6 +117,8 @@
 
 class _Engine(_Wire, kw_only=True):
     kv_capacity_tokens: int = 0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
 
 
 class _Service(_Wire, kw_only=True):
@@ -294,9 +297,17 @@
         is_model=wire.engine is not None,
         kv_capacity_tokens=wire.engine.kv_capacity_tokens if wire.engine else 0,
         health_path=wire.health_path,
+        transfer_seconds_per_token=_read_transfer_time(wire.engine),
     )
 
 
+def _read_transfer_time(engine):
+    """Return the seconds for a token's KV cache on an engine's link."""
+    if engine is None or engine.link_mbps <= 0:
+        return 0.0
+    return engine.kv_token_bytes * BITS_PER_BYTE / (engine.link_mbps * BITS_PER_MEGABIT)
+
+
 def _read_limits(wire):
     return CallerLimits(
         max_head=wire.max_header_bytes,
--- a/wagtailfront/platform/tests/test_rows.py
+++ b/wagtailfront/platform/tests/test_rows.py
@@ -91,6 +91,23 @@
     assert (config.limits.max_head, config.limits.idle_timeout) == (100, 1.5)
 
 
+@pytest.mark.parametrize(
+    ("engine", "seconds"),
+    [
+        ({"kv-token-bytes": 18432, "link-mbps": 1000.0}, 18432 * 8 / 1e9),
+        ({"kv-token-bytes": 18432, "link-mbps": 0}, 0.0),
+        ({"kv-token-bytes": 18432}, 0.0),
+        ({}, 0.0),
+    ],
+)
+def test_reads_the_time_of_a_transfer(engine, seconds):
+    """Guards the choice between near and far engines against units."""
+    services = [{"name": "s", "engine": engine}]
+    config = read_routing([make_row("config", make_config(services=services))])
+    read = config.services["s"].transfer_seconds_per_token
+    assert read == pytest.approx(seconds)
+
+
 @pytest.mark.parametrize(
     "value", [b"{", {"routes": []}, make_config(version="seven"), make_config(routes=3)]
 )
