Count the prefill of a cached part once for others, not two and a half times

What callers saw: a request waited up to 3.5 times as long as the prefill of its shared part would take, for the engine that has it cached, while others were idle.

Change: the part's prefill delays the request itself, and as long the one that could have had the engine in the meantime.

Evidence: test_a_cached_part_is_worth_the_time_that_its_prefill_takes fails on the code before.

--- a/wagtailfront/admission/admission.py
+++ b/wagtailfront/admission/admission.py
@@ -111,7 +111,8 @@
     late = max(0.0, expected.latest + expected.deviation - caller.patience)
     delay = late / (1.0 - overtaking)
     # Others keep the queue as long as callers with enough time bear it.
-    is_late_again = delay + caller.patience + expected.output > caller.left
+    queue = caller.patience + expected.deviation
+    is_late_again = delay + queue + expected.output > caller.left
     if is_late_again or delay > MAX_RETRY_SHARE * caller.left:
         return Admission(False)
     return Admission(False, delay)
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -30,9 +30,6 @@
 # Seconds of a round trip to another data centre; those of one region are about
 # a millisecond and a half apart.
 REMOTE_SECONDS = 0.003
-# Weight of shared tokens that another engine has cached and this one would
-# have to prefill: they delay the requests that follow.
-RECOMPUTE_WEIGHT = 2.5
 # Engines of each group to compare while reported loads are outdated: among all
 # engines, every instance would choose the same one until the next report.
 SAMPLED_ENGINES = 3
@@ -232,10 +229,11 @@
     most_cached = max(view.cached_tokens for view in views)
 
     def cost(view):
+        # Shared parts that another engine has cached delay this request, and
+        # as long the one that could have had the engine in the meantime.
         recompute_seconds = _engine_seconds(view, most_cached - view.cached_tokens)
         seconds = expected_prefill_seconds(view, prompt_tokens) + _remote_seconds(view)
-        seconds += view.wait + RECOMPUTE_WEIGHT * recompute_seconds
-        return seconds, rng.random()
+        return seconds + view.wait + recompute_seconds, rng.random()
 
     candidates, engines = decode_views, len(decode_views)
     if may_split:
--- a/wagtailfront/forwarding/tests/test_policies.py
+++ b/wagtailfront/forwarding/tests/test_policies.py
@@ -239,6 +239,23 @@
         assert plan.decode == expected
 
 
+def test_a_cached_part_is_worth_the_time_that_its_prefill_takes():
+    """Guards callers against a queue longer than twice that time."""
+    busy, idle = make_record("e0", stage="decode"), make_record("e1", stage="decode")
+    shared = 10_000
+    for queue, expected in ((1.5, busy), (2.5, idle)):
+        views = [
+            EngineView(
+                busy, 0, pending_tokens=round(queue * shared), cached_tokens=shared
+            ),
+            EngineView(idle, 0),
+        ]
+        plan = plan_model_request(
+            views, shared + 1000, may_split=False, rng=random.Random(1)
+        )
+        assert plan.decode == expected
+
+
 def test_of_equal_endpoints_the_one_in_the_own_data_centre_is_chosen():
     """Guards against calls to other data centres without a reason."""
     near, far = make_record("e1"), make_record("e2")
