Count requests that were admitted but not served as such

Cause: the share of a rank counted what was admitted, also if its caller left before the first event.

Change: such a request is taken out of the share again when it ends.

--- a/wagtailfront/admission/fair_share.py
+++ b/wagtailfront/admission/fair_share.py
@@ -41,6 +41,11 @@
         """Record that a request was admitted by its raised rank."""
         self.total.numerator += 1.0
 
+    def record_unserved(self, rank):
+        """Record that a request that was admitted by its rank was not served."""
+        for ratio in (self.total, self.by_rank[rank]):
+            ratio.numerator = max(0.0, ratio.numerator - 1.0)
+
     def missing(self, rank, *, now):
         """Return which share of a rank's refused requests is to be raised."""
         if rank not in self.by_rank:
--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -220,6 +220,8 @@
 
     def record_end(self):
         """Record that the request has ended, with a first event or without."""
+        if self.work is not None and self.priority == self.rank:
+            self.share.record_unserved(self.rank)
         self._end_wait(has_event=False)
 
     def _end_wait(self, *, has_event):
