Let decode engines prefill by the delay of their streams, not below a limit

What callers saw: prompts of over 5,000 uncached tokens waited for a prefill engine while decode engines were idle, and shorter ones delayed the streams of busy ones.

Change: placement counts the time by which a prefill at a decode engine delays the requests in progress there.

Evidence: test_a_decode_engine_prefills_if_that_delays_its_streams_less fails on the code before.

--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -24,9 +24,6 @@
 HANDOVER_SECONDS = 0.015
 # Seconds by which a request in progress delays the tokens of a new one.
 STREAM_SECONDS = 0.0004
-# Uncached tokens above which a decode engine does not prefill a prompt: no
-# other request there gets its first token in the meantime.
-MAX_DECODE_ENGINE_PREFILL_TOKENS = 5000
 # Seconds of a round trip to another data centre; those of one region are about
 # a millisecond and a half apart.
 REMOTE_SECONDS = 0.003
@@ -168,8 +165,16 @@
     return REMOTE_SECONDS if view.is_remote else 0.0
 
 
-def _is_short_prefill(view, prompt_tokens):
-    return prompt_tokens - view.cached_tokens <= MAX_DECODE_ENGINE_PREFILL_TOKENS
+def _delay_of_others(view, prompt_tokens):
+    """Return by how much a prompt delays the streams at a decode engine.
+
+    It is prefilled between their tokens, and none of them gets its first token
+    in the meantime. Those at a prefill engine have left it.
+    """
+    if view.record.stage == PREFILL:
+        return 0.0
+    tokens = max(0, prompt_tokens - view.cached_tokens)
+    return view.outstanding * _engine_seconds(view, tokens)
 
 
 def expected_prefill_seconds(view, prompt_tokens):
@@ -233,7 +238,8 @@
         # as long the one that could have had the engine in the meantime.
         recompute_seconds = _engine_seconds(view, most_cached - view.cached_tokens)
         seconds = expected_prefill_seconds(view, prompt_tokens) + _remote_seconds(view)
-        return seconds + view.wait + recompute_seconds, rng.random()
+        seconds += view.wait + recompute_seconds
+        return seconds + _delay_of_others(view, prompt_tokens), rng.random()
 
     candidates, engines = decode_views, len(decode_views)
     if may_split:
@@ -244,8 +250,7 @@
             for view in views
             if view.record.stage == PREFILL and view.record.software_version in versions
         ]
-        short = [v for v in decode_views if _is_short_prefill(v, prompt_tokens)]
-        candidates = prefill_views + short or decode_views
+        candidates = prefill_views + decode_views
         engines = len(candidates)
     if is_load_outdated:
         candidates = sample_engines(candidates, rng=rng)
--- a/wagtailfront/forwarding/tests/test_policies.py
+++ b/wagtailfront/forwarding/tests/test_policies.py
@@ -4,6 +4,7 @@
 import socket
 from types import SimpleNamespace
 
+import pytest
 from hypothesis import given, strategies as st
 
 from wagtailfront.forwarding.attempt_budget import AttemptBudget
@@ -256,6 +257,23 @@
         assert plan.decode == expected
 
 
+@pytest.mark.parametrize("prompt_tokens", [1_000, 4_000, 20_000])
+def test_a_decode_engine_prefills_if_that_delays_its_streams_less(prompt_tokens):
+    """Guards streams in progress, and prompts while decoders are idle."""
+    prefill = make_record("p1", stage="prefill")
+    decode = make_record("d1", stage="decode")
+    queue = 8 * prompt_tokens
+    for streams, expected in ((0, None), (20, prefill)):
+        views = [
+            EngineView(prefill, 0, pending_tokens=queue),
+            EngineView(decode, streams),
+        ]
+        plan = plan_model_request(
+            views, prompt_tokens, may_split=True, rng=random.Random(1)
+        )
+        assert plan.prefill == expected
+
+
 def test_of_equal_endpoints_the_one_in_the_own_data_centre_is_chosen():
     """Guards against calls to other data centres without a reason."""
     near, far = make_record("e1"), make_record("e2")
