Measure the time of an answer from the send, not from the end of a forecast wait

Cause: the wait that was forecast was subtracted, though a call may be sent sooner.

Change: the time of the attempt itself.

--- a/wagtailfront/admission/fair_share.py
+++ b/wagtailfront/admission/fair_share.py
@@ -42,7 +42,7 @@
         self.total.numerator += 1.0
 
     def record_unserved(self, rank):
-        """Record that a request that was admitted by its rank was not served."""
+        """Record that a request admitted by its own rank was not served."""
         for ratio in (self.total, self.by_rank[rank]):
             ratio.numerator = max(0.0, ratio.numerator - 1.0)
 
--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -63,8 +63,7 @@
         self.deadline = deadline
         self.clock = clock
         self.work = None
-        self.admitted_at = 0.0
-        self.rounds = self.call_wait = 0.0
+        self.rounds = 0.0
         self.first_event_at = None
 
     def caller_time(self, now):
@@ -104,7 +103,7 @@
             self.share.record_raised()
         if admission.is_admitted:
             self._end_wait(has_event=False)
-            self.work, self.admitted_at = work, now
+            self.work = work
             self.control.begin(self, work, now=now)
         # The rank may not be raised any more when the caller returns.
         return Admission(admission.is_admitted) if is_raised else admission
@@ -122,7 +121,6 @@
             Seconds until it may be sent the call.
         """
         self.rounds = max(1.0, (outstanding + 1) / max(1, slots))
-        self.call_wait = wait
         seconds = self.control.answer_seconds(self.service, now=self.clock())
         return self.admit(wait + self.rounds * seconds)
 
@@ -198,13 +196,12 @@
         self.first_event_at = self.clock()
         self._end_wait(has_event=True)
 
-    def record_answer(self):
-        """Record that a call has been answered."""
-        work, now = self.work, self.clock()
-        if work is not None and self.rounds:
-            seconds = now - self.admitted_at - self.call_wait
+    def record_answer(self, *, sent):
+        """Record that a call that was sent at `sent` has been answered."""
+        now = self.clock()
+        if self.rounds:
             self.control.record_answer(
-                self.service, rounds=self.rounds, seconds=seconds, now=now
+                self.service, rounds=self.rounds, seconds=now - sent, now=now
             )
         self._end_wait(has_event=True)
 
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -317,7 +317,7 @@
         else:
             self.context.health.record_success(attempt.record, now=now)
             attempt.record_success()
-            self.dispatcher.admission.record_answer()
+            self.dispatcher.admission.record_answer(sent=attempt.started)
         self.log.decision(
             "answered", str(attempt.status), endpoint=attempt.record.endpoint_id
         )
--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -30,6 +30,11 @@
     return int(re.search(rb"(?i)%b: (\d+)" % DEADLINE, request)[1])
 
 
+def read_priority(request):
+    """Return the priority that a request's head names for the engine."""
+    return int(re.search(rb"X-Request-Priority: (\d+)", request)[1])
+
+
 def kv_source_line(address, handle):
     """Return the header line of the source of a prompt's KV cache."""
     return b"%b: %b/%b" % (KV_SOURCE, address, handle)
