Tell callers when full endpoints will be free, by the time of their answers

What callers saw: 0.25 s after a full endpoint or a spent repeat budget, whatever the service: calls that take 0.6 s found it full again. An instance that stopped or failed told 0.25 s too, though others serve at once.

Cause: a constant that nothing had measured.

Change: the measured time of an answer, or of a whole output, if the caller honours it and has time for an answer then, else none. With nothing measured 0.25 s as before; 0.02 s where another instance serves at once.

Evidence: test_calls.py: the returns to full endpoints fail on the code before (0.25 s for 0.05 and 0.6 s).

--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -9,6 +9,7 @@
 __all__ = ["RequestAdmission"]
 
 
+UNKNOWN_TIME = 0.25  # seconds until an endpoint is free, if nothing is measured
 # Seconds for which any endpoint may stall before its calls are repeated.
 MIN_ANSWER_TIMEOUT = 0.25
 ROUND_TRIP = 0.02  # seconds to an endpoint and back, with some processing
@@ -150,6 +151,17 @@
         last_repeat = max(latest, left - seconds - ROUND_TRIP, ROUND_TRIP)
         return min(max(MIN_ANSWER_TIMEOUT, latest), last_repeat)
 
+    def time_until_free(self):
+        """Return a Retry-After for full endpoints in seconds, or None.
+
+        By then requests like this one, which they are at work on, have ended.
+        """
+        now = self.clock()
+        work = Work(self.service, self.priority, 0.0, self.output_tokens)
+        output = self.control.expect(work, now=now).output
+        seconds = self.control.answer_seconds(self.service, now=now) + output
+        return self.time_to_return(seconds or UNKNOWN_TIME)
+
     def time_to_return(self, delay):
         """Return a Retry-After in seconds, or None.
 
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -10,11 +10,10 @@
 )
 from wagtailfront.forwarding.relay_groups import MAX_DIRECT_INSTANCES
 
-__all__ = ["DECODE_STAGES", "MIN_TIME_LEFT", "RETRY_AFTER", "EndpointChoice", "Refusal"]
+__all__ = ["DECODE_STAGES", "MIN_TIME_LEFT", "EndpointChoice", "Refusal"]
 
 DECODE_STAGES = ("decode", "")  # stages of engines that decode
 MOST_URGENT = -1  # more urgent than any route's priority
-RETRY_AFTER = 0.25  # seconds; a full engine frees batch slots within a few steps
 MAX_LOGGED = 8  # ids of endpoints in a line of the log
 RETRY_SPREAD = 0.5  # seconds, so that callers do not all retry at the same time
 MIN_TIME_LEFT = 0.02  # seconds below which no endpoint can answer in time
@@ -27,7 +26,7 @@
     """Why no endpoint can be chosen, and when to retry, in seconds or None."""
 
     reason: str
-    retry_after: float | None = RETRY_AFTER
+    retry_after: float | None
 
 
 class EndpointChoice:
@@ -173,17 +172,20 @@
         waits = [self.context.notices.wait(r.incarnation) for r in staying]
         if waits and min(waits):
             spread = self.context.rng.uniform(0.0, RETRY_SPREAD)
-            retry_after = max(RETRY_AFTER, min(waits)) + spread
-            return Refusal(ALL_PAUSE, self.admission.time_to_return(retry_after))
+            return Refusal(
+                ALL_PAUSE, self.admission.time_to_return(min(waits) + spread)
+            )
+        retry_after = self.admission.time_until_free()
         if self._staying():
-            return Refusal(RATE_LIMITED if stages is None else NO_DECODE_ENGINE)
+            reason = RATE_LIMITED if stages is None else NO_DECODE_ENGINE
+            return Refusal(reason, retry_after)
         records = self.context.directory.find(self.service.name)
         if any(map(self.fits, records)):
-            return Refusal("all endpoints leave")
+            return Refusal("all endpoints leave", retry_after)
         if records:
             version = self.software_version
-            return Refusal(f"no endpoint has software version {version!r}")
-        return Refusal("no endpoint is registered")
+            return Refusal(f"no endpoint has software version {version!r}", retry_after)
+        return Refusal("no endpoint is registered", retry_after)
 
     def wait(self, record):
         """Return the seconds until an endpoint may be sent a request.
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -4,7 +4,7 @@
 import logging
 
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
-from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES, RETRY_AFTER
+from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES
 from wagtailfront.forwarding.late_timers import call_after_reads
 from wagtailfront.forwarding.proxied_attempt import ProxyDispatch
 from wagtailfront.forwarding.proxy_headers import origin_headers, unreached_headers
@@ -25,11 +25,17 @@
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
 
-__all__ = ["DEADLINE_GRACE", "ForwardTask", "time_limit"]
+__all__ = [
+    "DEADLINE_GRACE",
+    "OTHER_INSTANCE_RETRY_AFTER",
+    "ForwardTask",
+    "time_limit",
+]
 
 logger = logging.getLogger(__name__)
 
 DEADLINE_GRACE = 0.05  # seconds; an endpoint's own timeout response may be late
+OTHER_INSTANCE_RETRY_AFTER = 0.02  # seconds; others can serve it at once
 TOO_MANY, SERVER_ERROR = 429, 500
 BAD_GATEWAY, UNAVAILABLE = 502, 503
 
@@ -175,7 +181,7 @@
     def stop(self):
         """End the task with an answer because the instance stops."""
         if not self.is_done:
-            self._end_unanswered("the instance stops", RETRY_AFTER)
+            self._end_unanswered("the instance stops", OTHER_INSTANCE_RETRY_AFTER)
 
     def end(self, outcome):
         """End the task after its response has been sent or aborted."""
@@ -203,7 +209,7 @@
             # A fault in one request must not stop the others.
             logger.exception("[forward] A step of a request failed.")
             if not self.is_done:
-                self.give_up("fault of this instance", RETRY_AFTER)
+                self.give_up("fault of this instance", OTHER_INSTANCE_RETRY_AFTER)
 
     def _expire(self):
         if not self.is_done:
@@ -337,7 +343,8 @@
         if self.sends < MAX_SENDS and self.reserve(1):
             self.dispatcher.dispatch()
         else:
-            self.give_up("every endpoint tried is full", RETRY_AFTER)
+            retry_after = self.dispatcher.admission.time_until_free()
+            self.give_up("every endpoint tried is full", retry_after)
 
     def handle_failure(self, attempt, reason, sent):
         """Retry or end the request after an attempt that failed."""
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 from wagtailfront.forwarding.caller_limits import LimitsInForce
 from wagtailfront.forwarding.forward_task import (
     DEADLINE_GRACE,
+    OTHER_INSTANCE_RETRY_AFTER,
     ForwardTask,
     time_limit,
 )
@@ -27,7 +28,6 @@
 logger = logging.getLogger(__name__)
 
 UNCONFIGURED_RETRY_AFTER = 0.5  # seconds; about one read of the configuration
-STOPPING_RETRY_AFTER = 0.02  # seconds; other instances can serve it at once
 BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 400, 404, 503
 
 
@@ -182,7 +182,7 @@
                 fields.request_id,
                 UNAVAILABLE,
                 "the instance stops",
-                retry_after=STOPPING_RETRY_AFTER,
+                retry_after=OTHER_INSTANCE_RETRY_AFTER,
             )
             return None
         return ForwardTask(
--- a/wagtailfront/forwarding/proxied_attempt.py
+++ b/wagtailfront/forwarding/proxied_attempt.py
@@ -1,7 +1,6 @@
 """Attempt of a request that a peer sends on, and its outcomes."""
 
 from wagtailfront.forwarding.attempt import RunAttempt, end_to_end_headers
-from wagtailfront.forwarding.endpoint_choice import RETRY_AFTER
 from wagtailfront.forwarding.endpoint_health import EndpointState
 from wagtailfront.forwarding.framing import encode_head, find_header
 from wagtailfront.forwarding.proxy_headers import (
@@ -57,12 +56,12 @@
 
     @property
     def retry_after(self):
-        """Return after how many seconds the peer wants to be asked again."""
+        """Return the Retry-After of the peer in seconds, or None."""
         value = find_header(self.headers, b"retry-after")
         try:
-            return RETRY_AFTER if value is None else max(0.0, float(value))
+            return None if value is None else max(0.0, float(value))
         except ValueError:
-            return RETRY_AFTER
+            return None
 
     def launch(self):
         self.context.proxies.begin(self.record)
@@ -161,7 +160,8 @@
         """Send the request to a peer."""
         task = self.task
         if not task.reserve(1):
-            task.give_up("the repeat budget is spent", RETRY_AFTER)
+            retry_after = task.dispatcher.admission.time_until_free()
+            task.give_up("the repeat budget is spent", retry_after)
             return
         task.sends += 1
         attempt = ProxiedAttempt(task=task, record=record, number=task.sends)
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -7,7 +7,6 @@
 from wagtailfront.forwarding.endpoint_choice import (
     DECODE_STAGES,
     MIN_TIME_LEFT,
-    RETRY_AFTER,
     EndpointChoice,
 )
 from wagtailfront.forwarding.request_sender import RequestSender
@@ -70,7 +69,7 @@
             task.give_up("no time left to send it", None, GATEWAY_TIMEOUT)
             return
         if task.sends >= MAX_SENDS:
-            task.give_up("no endpoint accepted it", RETRY_AFTER)
+            task.give_up("no endpoint accepted it", self.admission.time_until_free())
             return
         if self._send_to_peer():
             return
@@ -239,7 +238,8 @@
         if self.give_up_on_crashing_part() or self._send_to_peer():
             return
         if not task.reserve(1):
-            task.give_up("the repeat budget is spent", RETRY_AFTER)
+            retry_after = self.admission.time_until_free()
+            task.give_up("the repeat budget is spent", retry_after)
             return
         wait = self.sender.send(
             attempt_type, record, uncached_tokens=uncached_tokens, expected=expected
