Notice a jump in demand within a quarter of a second

Cause: the work that overtakes was averaged over a second.

Change: the larger of the rates over a quarter of a second and a second counts; a caller needs time for twice the mean deviation when it returns, as when it is admitted.

--- a/wagtailfront/admission/admission.py
+++ b/wagtailfront/admission/admission.py
@@ -111,7 +111,7 @@
     late = max(0.0, expected.latest + expected.deviation - caller.patience)
     delay = late / (1.0 - overtaking)
     # Others keep the queue as long as callers with enough time bear it.
-    queue = caller.patience + expected.deviation
+    queue = caller.patience + DEVIATIONS * expected.deviation
     is_late_again = delay + queue + expected.output > caller.left
     if is_late_again or delay > MAX_RETRY_SHARE * caller.left:
         return Admission(False)
--- a/wagtailfront/admission/arriving_work.py
+++ b/wagtailfront/admission/arriving_work.py
@@ -5,9 +5,9 @@
 
 __all__ = ["ArrivingWork"]
 
-# Seconds over which arrivals are counted: half of the time for which a request
-# may be queued, since demand jumps within seconds.
-WINDOW = 1.0
+# Seconds over which arrivals are counted. The largest rate counts: demand
+# jumps within a moment, and is not known to fall until it has for a while.
+WINDOWS = (0.25, 1.0)
 
 
 class _Arrival(NamedTuple):
@@ -25,7 +25,7 @@
     >>> for step in range(20):
     ...     arriving.record(step % 2, 0.1, now=step * 0.1)
     >>> [round(arriving.load_before(each, now=1.9), 2) for each in (0, 1, 2)]
-    [0.0, 0.5, 1.0]
+    [0.0, 0.5, 1.2]
     """
 
     def __init__(self):
@@ -39,9 +39,12 @@
     def load_before(self, priority, *, now):
         """Return the engine time per second of more urgent requests."""
         self._drop(now)
-        before = sum(each.work for each in self.arrivals if each.priority < priority)
-        return before / WINDOW
+        urgent = [each for each in self.arrivals if each.priority < priority]
+        return max(
+            sum(each.work for each in urgent if each.at > now - window) / window
+            for window in WINDOWS
+        )
 
     def _drop(self, now):
-        while self.arrivals and self.arrivals[0].at <= now - WINDOW:
+        while self.arrivals and self.arrivals[0].at <= now - max(WINDOWS):
             self.arrivals.popleft()
--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -156,11 +156,13 @@
 
         By then requests like this one, which they are at work on, have ended.
         """
-        now = self.clock()
+        answer = self.control.answer_seconds(self.service, now=self.clock())
+        return self.time_to_return(answer + self.output_seconds() or UNKNOWN_TIME)
+
+    def output_seconds(self):
+        """Return the expected seconds from the first event to the end."""
         work = Work(self.service, self.priority, 0.0, self.output_tokens)
-        output = self.control.expect(work, now=now).output
-        seconds = self.control.answer_seconds(self.service, now=now) + output
-        return self.time_to_return(seconds or UNKNOWN_TIME)
+        return self.control.expect(work, now=self.clock()).output
 
     def time_to_return(self, delay):
         """Return a Retry-After in seconds, or None.
--- a/wagtailfront/admission/tests/prompt_load.py
+++ b/wagtailfront/admission/tests/prompt_load.py
@@ -223,6 +223,7 @@
             sum(part.tokens for part in caller.parts),
             may_split=True,
             rng=self.rng,
+            residence=caller.kind.output_tokens * OUTPUT_SECONDS,
         )
         engine = self.engines[(plan.prefill or plan.decode).incarnation]
         return engine, self.engines[plan.decode.incarnation], plan
@@ -231,7 +232,7 @@
         urgent, rest = engine.waiting(caller.priority, self.now)
         return EngineView(
             engine.record,
-            0,
+            len(engine.queue) + (engine.current is not None),
             pending_tokens=int(urgent + rest),
             slowness=NOMINAL_RATES[engine.record.stage] / engine.rate,
             cached_tokens=engine.cache.cached_tokens(
