Count the delay of others by what is in progress at an engine

Cause: under load more than one request comes after a prefill that was not needed; and a prefill at a decode engine only delays those that begin there meanwhile.

Change: recomputed tokens delay as many requests as are in progress at the engine. At a decode engine, by Little's law, outstanding / residence requests arrive each second, and each waits half of the prefill; the residence is the measured output time. Samples of engines hold some of each stage.

--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -216,6 +216,7 @@
             is_load_outdated=len(self.context.load.peers) >= MAX_DIRECT_INSTANCES,
             transfer_seconds=self.fields.prompt_tokens
             * self.service.transfer_seconds_per_token,
+            residence=self.admission.output_seconds(),
         )
 
     def record_cached_prompt(self, record):
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -1,5 +1,6 @@
 """Choice of the endpoints that prefill a prompt and decode its output."""
 
+from collections import defaultdict
 from typing import NamedTuple
 
 __all__ = [
@@ -123,17 +124,16 @@
     """Return a random sample of views for use with outdated loads.
 
     Prevents many instances that place requests at the same time from
-    choosing the same engine. The sample includes engines that have most of
-    the prompt cached.
+    choosing the same engine. The sample includes engines of each stage, and
+    those that have most of the prompt cached.
     """
     most_cached = max((view.cached_tokens for view in views), default=0)
-    groups = (
-        [view for view in views if view.cached_tokens == most_cached],
-        [view for view in views if view.cached_tokens != most_cached],
-    )
+    groups = defaultdict(list)
+    for view in views:
+        groups[view.record.stage, view.cached_tokens == most_cached].append(view)
     return [
         view
-        for group in groups
+        for group in groups.values()
         for view in rng.sample(group, min(len(group), SAMPLED_ENGINES))
     ]
 
@@ -165,16 +165,22 @@
     return REMOTE_SECONDS if view.is_remote else 0.0
 
 
-def _delay_of_others(view, prompt_tokens):
-    """Return by how much a prompt delays the streams at a decode engine.
+def _delay_of_others(view, prompt_tokens, most_cached, residence):
+    """Return the seconds by which a prompt delays all other requests there.
 
-    It is prefilled between their tokens, and none of them gets its first token
-    in the meantime. Those at a prefill engine have left it.
+    At an engine that only prefills, as many as are in progress come after it.
+    They are delayed by what it prefills although another engine has it cached.
+    At a decode engine no other request gets its first token during a prefill;
+    by Little's law outstanding / residence of them arrive each second.
     """
-    if view.record.stage == PREFILL:
-        return 0.0
     tokens = max(0, prompt_tokens - view.cached_tokens)
-    return view.outstanding * _engine_seconds(view, tokens)
+    if view.record.stage == PREFILL:
+        recomputed = max(0, min(prompt_tokens, most_cached) - view.cached_tokens)
+        return view.outstanding * _engine_seconds(view, recomputed)
+    seconds = _engine_seconds(view, tokens)
+    if not residence:
+        return view.outstanding * seconds
+    return view.outstanding / residence * seconds**2 / 2
 
 
 def expected_prefill_seconds(view, prompt_tokens):
@@ -206,6 +212,7 @@
     rng,
     is_load_outdated=False,
     transfer_seconds=0.0,
+    residence=0.0,
 ):
     """Return the plan for a model request, or None without an endpoint.
 
@@ -222,6 +229,9 @@
     transfer_seconds : float, optional
         Seconds that the transfer of the prompt's KV cache takes within a data
         centre.
+    residence : float, optional
+        Seconds that a request like this one spends at a decode engine after
+        its first token; 0 if unknown.
 
     Returns
     -------
@@ -234,12 +244,9 @@
     most_cached = max(view.cached_tokens for view in views)
 
     def cost(view):
-        # Shared parts that another engine has cached delay this request, and
-        # as long the one that could have had the engine in the meantime.
-        recompute_seconds = _engine_seconds(view, most_cached - view.cached_tokens)
         seconds = expected_prefill_seconds(view, prompt_tokens) + _remote_seconds(view)
-        seconds += view.wait + recompute_seconds
-        return seconds + _delay_of_others(view, prompt_tokens), rng.random()
+        seconds += _delay_of_others(view, prompt_tokens, most_cached, residence)
+        return seconds + view.wait, rng.random()
 
     candidates, engines = decode_views, len(decode_views)
     if may_split:
