--- a/wagtailfront/admission/admission.py
+++ b/wagtailfront/admission/admission.py
@@ -63,10 +63,21 @@
     retry_after : float or None
         Seconds after which the queue is expected to hold the request; None if
         that is later than its caller can return.
+    expected : Expectation or None
+        What it follows from.
     """
 
     is_admitted: bool
     retry_after: float | None = None
+    expected: Expectation | None = None
+
+    @property
+    def inputs(self):
+        """Return what it follows from, for the log."""
+        return {
+            name: round(seconds, 3)
+            for name, seconds in (self.expected or Expectation(0.0))._asdict().items()
+        }
 
 
 def admit(*, expected, caller, overtaking=0.0):
@@ -93,12 +104,12 @@
     --------
     >>> caller = CallerTime(left=6.0, patience=2.0)
     >>> admit(expected=Expectation(1.5, output=0.5), caller=caller)
-    Admission(is_admitted=True, retry_after=None)
+    Admission(is_admitted=True, retry_after=None, expected=None)
     >>> admit(expected=Expectation(3.0, output=0.5), caller=caller)
-    Admission(is_admitted=False, retry_after=1.0)
+    Admission(is_admitted=False, retry_after=1.0, expected=None)
     >>> late = caller._replace(left=2.5)
     >>> admit(expected=Expectation(3.0, output=0.5), caller=late)
-    Admission(is_admitted=False, retry_after=None)
+    Admission(is_admitted=False, retry_after=None, expected=None)
     """
     is_in_time = expected.latest + expected.output <= caller.left
     if is_in_time and expected.latest <= caller.patience - caller.waited:
--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -2,7 +2,7 @@
 
 import math
 
-from wagtailfront.admission.admission import MAX_RETRY_SHARE, Admission, CallerTime
+from wagtailfront.admission.admission import MAX_RETRY_SHARE, CallerTime
 from wagtailfront.admission.control import Work
 from wagtailfront.admission.urgency import engine_level
 
@@ -107,7 +107,7 @@
             self.work = work
             self.control.begin(self, work, now=now)
         # The rank may not be raised any more when the caller returns.
-        return Admission(admission.is_admitted) if is_raised else admission
+        return admission._replace(retry_after=None) if is_raised else admission
 
     def admit_call(self, *, outstanding, slots, wait):
         """Return the Admission of a call to a plain service.
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -156,6 +156,7 @@
             endpoint=view.record.endpoint_id,
             outstanding=view.outstanding,
             wait=round(view.wait, 3),
+            **admission.inputs,
         )
         self.task.give_up("the answer would be late", admission.retry_after)
 
@@ -216,10 +217,11 @@
                 "not_admitted",
                 "its caller would not wait for it",
                 time_left=round(task.deadline - task.context.clock(), 3),
-                expected=round(expected, 3),
+                forecast=round(expected, 3),
                 endpoint=first_engine.endpoint_id,
                 unread=plan.uncached_tokens,
                 peers=len(task.context.load.peers),
+                **admission.inputs,
                 **task.log.input_ages(),
             )
             reason = f"a first event is expected after {expected:.2f} s"
