Keep ratios exact after a long pause

What callers saw: nothing yet; the first request after some 20 minutes without any would have failed with an exception, and after somewhat less got a ratio of rounding errors.

Cause: the weight of old observations became 0, or too small to be exact.

Change: weights have a lower bound; ratios without a prior do not depend on it.

Evidence: test_recent_ratio.py fails on the code before.

--- a/wagtailfront/admission/recent_ratio.py
+++ b/wagtailfront/admission/recent_ratio.py
@@ -2,6 +2,8 @@
 
 __all__ = ["RecentRatio"]
 
+MIN_WEIGHT = 1e-9  # of old observations, so that their ratio stays exact
+
 
 class RecentRatio:
     """Ratio of two sums in which observations lose weight with their age.
@@ -60,4 +62,5 @@
         return numerator / denominator if denominator else None
 
     def _weight(self, now):
-        return 0.5 ** max(0.0, (now - self.updated_at) / self.half_life)
+        age = max(0.0, now - self.updated_at)
+        return max(MIN_WEIGHT, 0.5 ** (age / self.half_life))
