Leave the overhead of a handover out of an engine's slowness

What callers saw: an engine that mostly prefills short prompts would have looked faster with each of them, as its handover takes less than the assumed 15 ms.

Cause: the expected time, which holds a fixed part, was divided by the slowness.

Change: the fixed part is taken off the expected and the actual time.

Evidence: test_the_overhead_of_a_handover_does_not_change_the_slowness[0.004] fails on the code before (also 0.015 and 0.03 guarded).

--- a/wagtailfront/forwarding/endpoint_health.py
+++ b/wagtailfront/forwarding/endpoint_health.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from wagtailfront.admission.recent_ratio import RecentRatio
+from wagtailfront.forwarding.placement import HANDOVER_SECONDS, PREFILL
 
 __all__ = ["EndpointState", "EndpointHealth"]
 
@@ -97,8 +98,10 @@
         if record.incarnation not in self.states or not expected:
             return
         # The expected time already includes the current slowness.
-        nominal = expected / (self.slowness(record, now=now) or 1.0)
-        took = min(took, MAX_CHANGE * expected)
+        overhead = HANDOVER_SECONDS if record.stage == PREFILL else 0.0
+        slowness = self.slowness(record, now=now) or 1.0
+        nominal = max(0.0, expected - overhead) / slowness
+        took = max(0.0, min(took, MAX_CHANGE * expected) - overhead)
         self.typical[record.service, record.stage].add(took, nominal, now=now)
         self.state(record.incarnation).prefills.add(took, nominal, now=now)
 
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "HANDOVER_SECONDS",
     "PREFILL",
     "EngineView",
     "Plan",
--- a/wagtailfront/forwarding/tests/test_policies.py
+++ b/wagtailfront/forwarding/tests/test_policies.py
@@ -14,6 +14,7 @@
 from wagtailfront.forwarding.fleet_load import FleetLoad
 from wagtailfront.forwarding.placement import (
     DECODE_ENGINE_PREFILL_RATE,
+    HANDOVER_SECONDS,
     EngineView,
     choose_decode_engine,
     choose_least_loaded,
@@ -178,6 +179,23 @@
     assert 0.9 < health.slowness(engine, now=20.0) < 1.2
 
 
+@pytest.mark.parametrize("overhead", [0.004, HANDOVER_SECONDS, 0.03])
+def test_the_overhead_of_a_handover_does_not_change_the_slowness(overhead):
+    """Guards against a slowness that shrinks with each short prompt."""
+    health, engine = EndpointHealth(), make_record("p1", stage="prefill")
+    health.state(engine.incarnation)
+    for step in range(600):
+        now, nominal = step * 0.02, 0.005 if step % 4 else 0.2
+        slowness = health.slowness(engine, now=now) or 1.0
+        health.record_prefill_time(
+            engine,
+            expected=HANDOVER_SECONDS + slowness * nominal,
+            took=overhead + 0.6 * nominal,
+            now=now,
+        )
+    assert 0.5 < health.slowness(engine, now=12.0) < 0.9
+
+
 def test_engines_of_any_speed_are_known_from_the_first_prompts():
     """Guards callers where engines are not those of a certain data sheet."""
     health = EndpointHealth()
