Use one constant for the round trip to an endpoint

Cause: the same 0.02 s stood in two modules. Change: one of them. Result: no change of behaviour; tests of calls, caller time and tasks pass.

--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -6,13 +6,12 @@
 from wagtailfront.admission.control import Work
 from wagtailfront.admission.urgency import engine_level
 
-__all__ = ["RequestAdmission"]
-
+__all__ = ["ROUND_TRIP", "RequestAdmission"]
 
 UNKNOWN_TIME = 0.25  # seconds until an endpoint is free, if nothing is measured
 # Seconds for which any endpoint may stall before its calls are repeated.
 MIN_ANSWER_TIMEOUT = 0.25
-ROUND_TRIP = 0.02  # seconds to an endpoint and back, with some processing
+ROUND_TRIP = 0.02  # seconds to an endpoint and back, with an instance's own time
 
 
 class RequestAdmission:
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -10,13 +10,13 @@
 )
 from wagtailfront.forwarding.relay_groups import MAX_DIRECT_INSTANCES
 
-__all__ = ["DECODE_STAGES", "MIN_TIME_LEFT", "EndpointChoice", "Refusal"]
+__all__ = ["DECODE_STAGES", "EndpointChoice", "Refusal"]
 
 DECODE_STAGES = ("decode", "")  # stages of engines that decode
 MOST_URGENT = -1  # more urgent than any route's priority
 MAX_LOGGED = 8  # ids of endpoints in a line of the log
 RETRY_SPREAD = 0.5  # seconds, so that callers do not all retry at the same time
-MIN_TIME_LEFT = 0.02  # seconds below which no endpoint can answer in time
+
 ALL_PAUSE = "all endpoints ask for a pause"
 RATE_LIMITED = "the rate limits of all endpoints permit no send in time"
 NO_DECODE_ENGINE = "no engine can decode"
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -2,11 +2,10 @@
 
 import math
 
-from wagtailfront.admission.request_admission import RequestAdmission
+from wagtailfront.admission.request_admission import ROUND_TRIP, RequestAdmission
 from wagtailfront.forwarding.attempt import PrefillAttempt, RunAttempt
 from wagtailfront.forwarding.endpoint_choice import (
     DECODE_STAGES,
-    MIN_TIME_LEFT,
     EndpointChoice,
 )
 from wagtailfront.forwarding.request_sender import RequestSender
@@ -65,7 +64,7 @@
     def dispatch(self):
         """Send the request to the best endpoint, or give it up."""
         task = self.task
-        if task.deadline - task.context.clock() < MIN_TIME_LEFT:
+        if task.deadline - task.context.clock() < ROUND_TRIP:
             task.give_up("no time left to send it", None, GATEWAY_TIMEOUT)
             return
         if task.sends >= MAX_SENDS:
