Take the residence at a decode engine from all of its requests

Cause: the time that the request itself would stay stood for the mean of those there.

Change: the measured mean time from a first event to the end.

--- a/wagtailfront/admission/control.py
+++ b/wagtailfront/admission/control.py
@@ -70,6 +70,7 @@
         self.ranks = {}
         self.errors = {}
         self.outputs = {}
+        self.residences = {}
         self.answers = {}
         self.returning = {}
         self.shares = defaultdict(FairShare)
@@ -95,6 +96,11 @@
         answers = self.answers.get(service)
         return 0.0 if answers is None else answers.value(now=now)
 
+    def residence(self, service, *, now):
+        """Return the mean seconds from a first event to the end, or 0.0."""
+        residences = self.residences.get(service)
+        return 0.0 if residences is None else residences.value(now=now)
+
     def admit(self, work, caller, *, now):
         """Return the Admission of a request by its work and CallerTime."""
         returning = self.returning.setdefault(work.service, ReturningCallers())
@@ -143,6 +149,10 @@
 
     def record_output(self, service, *, tokens, seconds, now):
         """Record a complete output of a request that may have had `tokens`."""
+        residences = self.residences.setdefault(
+            service, RecentRatio(half_life=HALF_LIFE)
+        )
+        residences.add(seconds, 1.0, now=now)
         if tokens:
             pace = self.outputs.setdefault(service, RecentRatio(half_life=HALF_LIFE))
             pace.add(seconds, tokens, now=now)
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -216,7 +216,9 @@
             is_load_outdated=len(self.context.load.peers) >= MAX_DIRECT_INSTANCES,
             transfer_seconds=self.fields.prompt_tokens
             * self.service.transfer_seconds_per_token,
-            residence=self.admission.output_seconds(),
+            residence=self.context.admission.residence(
+                self.service.name, now=self.context.clock()
+            ),
         )
 
     def record_cached_prompt(self, record):
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -231,8 +231,8 @@
         Seconds that the transfer of the prompt's KV cache takes within a data
         centre.
     residence : float, optional
-        Seconds that a request like this one spends at a decode engine after
-        its first token; 0 if unknown.
+        Mean seconds that a request spends at a decode engine after its first
+        token; 0 if unknown.
 
     Returns
     -------
