Log how long a call to the store waits, and changes that no answer contained

Calls now name the wait that they asked for and the peers heard of; behind names how long the report has stood; passed over names a change that lies before the position of this instance but was in no answer. No change of behaviour. test_store_call_log.py: both new tests fail without the lines.

--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -41,6 +41,10 @@
         "read" for a full read, or "watch".
     cause : str
         Why the call was made.
+    wait : float
+        Time for which the store was asked to wait for a change.
+    peers : int
+        Peers that were heard of when the call was made.
     took : float
         Time from the call to the answer.
     since_answer : float or None
@@ -53,6 +57,8 @@
     call: int
     call_kind: str
     cause: str
+    wait: float
+    peers: int
     took: float
     since_answer: float | None
     since_report: float | None
@@ -64,6 +70,8 @@
     number: int
     kind: str
     cause: str
+    wait: float
+    peers: int
     sent_at: float
 
 
@@ -110,6 +118,9 @@
         Time of the latest answer.
     reported_at : float or None
         Time at which a peer first reported a change that is not known yet.
+    seen_to : StorePosition
+        Up to where all changes were in an answer. The position of an answer
+        may be later: one without changes does not show that there are none.
 
     Notes
     -----
@@ -159,6 +170,8 @@
         self.answered_at = None
         self.reported_at = None
         self.catch_up_to = StorePosition()
+        self.seen_to = StorePosition()
+        self.passed_over = StorePosition()
         versions.listeners[table] = self.handle_newer_position
         versions.era_listeners[table] = lambda era: self.handle_newer_position(
             StorePosition(era)
@@ -172,10 +185,13 @@
         """Read or watch; the responses to earlier calls are ignored."""
         self.call_number += 1
         number = self.call_number
+        wait = 0.0 if self.cursor is None else self._next_wait()
         call = _Call(
             number=number,
             kind="read" if self.cursor is None else "watch",
             cause=self.cause,
+            wait=round(wait, 4),
+            peers=self.pace.count_peers(),
             sent_at=self.clock(),
         )
 
@@ -189,7 +205,7 @@
             self.source.read(on_reply)
             return
         watch = self.source.watch(
-            self.cursor, self._next_wait(), on_reply, max_bytes=self._max_bytes()
+            self.cursor, wait, on_reply, max_bytes=self._max_bytes()
         )
         if number == self.call_number > self.answered_number:
             self.watch = watch
@@ -201,6 +217,8 @@
             call=call.number,
             call_kind=call.kind,
             cause=call.cause,
+            wait=call.wait,
+            peers=call.peers,
             took=round(now - call.sent_at, 4),
             since_answer=_seconds_since(self.answered_at, now),
             since_report=_seconds_since(self.reported_at, now),
@@ -286,6 +304,8 @@
         if (read.cursor or StorePosition()) >= self.catch_up_to:
             self.reported_at = None
         self.has_changed = read.changed.ver > 0
+        is_whole = self.arrival.call_kind == "read" and read.cursor is not None
+        self.seen_to = max(self.seen_to, read.cursor if is_whole else read.changed)
         self.versions.record(self.table, read.changed)
         self.on_read(read)
         gap = (
@@ -325,6 +345,7 @@
 
     def handle_newer_position(self, position):
         """Handle a report that the store has come to this position."""
+        self._log_passed_over(position)
         if position <= self.catch_up_to or (self.cursor or StorePosition()) >= position:
             return
         self.catch_up_to = position
@@ -332,6 +353,20 @@
             self.reported_at = self.clock()
         self.timers.after(CATCH_UP_DELAY, lambda: self._catch_up(position))
 
+    def _log_passed_over(self, position):
+        """Log a change before the cursor that was in no answer."""
+        if self.cursor is None or not self.seen_to < position <= self.cursor:
+            return
+        if position > self.passed_over:
+            self.passed_over = position
+            self.log.decision(
+                self.table,
+                outcome="passed over",
+                known=self.cursor,
+                seen=self.seen_to,
+                heard=position,
+            )
+
     def _catch_up(self, position):
         if self.cursor is None or self.cursor >= position:
             return
@@ -345,6 +380,8 @@
             outcome="behind",
             known=self.cursor,
             heard=position,
+            reported_for=_seconds_since(self.reported_at, self.clock()),
+            peers=self.pace.count_peers(),
             dropped_call=self.call_number,
         )
         if self.cursor.era < position.era:
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -39,10 +39,14 @@
     rewrite_delay : float
         Seconds until the operator and the engines have written again what
         they had written before a restore.
+    is_deaf : bool
+        Whether watches get no changes; their answers still tell the latest
+        version.
     """
 
     def __init__(self):
         super().__init__()
+        self.is_deaf = False
         self.timers = VirtualTimers()
         self.history = [(self.timers.now, self.copy())]
         self.written = {}
@@ -53,10 +57,18 @@
     def write(self, table, key, value):
         ver = super().write(table, key, value)
         self.history.append((self.timers.now, self.copy()))
+        if not self.is_deaf:
+            self.answer_watches()
+        return ver
+
+    def answer_watches(self):
+        """Let each open watch look for changes."""
         watches, self.watches = self.watches, []
         for watch in watches:
             watch()
-        return ver
+
+    def _changed_rows(self, table, after):
+        return [] if self.is_deaf else super()._changed_rows(table, after)
 
     def publish(self, table, key, value):
         """Write a row of the operator or of an engine."""
--- a/wagtailfront/platform/tests/test_store_call_log.py
+++ b/wagtailfront/platform/tests/test_store_call_log.py
@@ -58,3 +58,30 @@
     assert 0.0 < arrival.since_report < 1.0
     assert arrival.cause in ("report of a peer", "failure")
     assert follower.routing.cursor >= StorePosition(1, store.ver)
+
+
+def test_an_answer_tells_how_long_the_store_was_asked_to_wait(store, follower):
+    """Guards against a wait of a large fleet that no line of the log shows."""
+    publish_config(store, 2)
+    store.timers.advance(0.1)
+    arrival = follower.routing_arrivals[-1]
+    assert arrival.wait >= 1.2
+    assert arrival.peers == 29
+
+
+def test_a_change_that_no_answer_contained_is_logged_once(store, follower):
+    """Guards against a position that moves past a change without a trace."""
+    store.is_deaf = True
+    publish_config(store, 2)
+    missed = store.ver
+    store.timers.advance(25.0)
+    store.is_deaf = False
+    for _ in range(3):
+        follower.versions.handle_peer_versions(1, (missed, 0))
+    [line] = [
+        inputs
+        for kind, outcome, inputs in follower.log
+        if (kind, outcome) == ("routing", "passed over")
+    ]
+    assert line["heard"] == StorePosition(1, missed) <= line["known"]
+    assert line["seen"] < line["heard"]
