--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -40,13 +40,15 @@
         Seconds until the operator and the engines have written again what
         they had written before a restore.
     is_deaf : bool
-        Whether watches get no changes; their answers still tell the latest
-        version.
+        Whether watches get no changes.
+    told_ver : int or None
+        Version in the answers to watches; the latest one if it is None.
     """
 
     def __init__(self):
         super().__init__()
         self.is_deaf = False
+        self.told_ver = None
         self.timers = VirtualTimers()
         self.history = [(self.timers.now, self.copy())]
         self.written = {}
@@ -67,6 +69,17 @@
         for watch in watches:
             watch()
 
+    def perform(self, method, path, body):
+        status, answer = super().perform(method, path, body)
+        if status == 200 and "after" in self.read_query(path):
+            answer["ver"] = self.watch_ver
+        return status, answer
+
+    @property
+    def watch_ver(self):
+        """Return the version in the answer to a watch."""
+        return self.ver if self.told_ver is None else self.told_ver
+
     def _changed_rows(self, table, after):
         return [] if self.is_deaf else super()._changed_rows(table, after)
 
@@ -175,7 +188,7 @@
 
     def _end_watch(self, sink):
         if not self.store.is_away:
-            answer = {"rows": [], "ver": self.store.ver}
+            answer = {"rows": [], "ver": self.store.watch_ver}
             self._respond(sink, 200, answer, self.store.era)
 
     def _respond(self, sink, status, answer, era):
@@ -255,6 +268,8 @@
         Of the variation of these waits.
     bytes_per_second : float, optional
         Rate of its link.
+    config_apply : float, optional
+        Seconds within which changes must be in force.
 
     Attributes
     ----------
@@ -264,7 +279,10 @@
         How each of them arrived.
     """
 
-    def __init__(self, *, store, peers=0, seed=1, bytes_per_second=math.inf):
+    def __init__(
+        self, *, store, peers=0, seed=1, bytes_per_second=math.inf, config_apply=2.0
+    ):
+        self.config_apply = config_apply
         self.link = StoreLink(store=store, bytes_per_second=bytes_per_second)
         self.timers = store.timers
         self.log = LogLines()
