Ask for a change that peers report until it has arrived

Cause: a report started one call. If the store answered that call without the change (its watches may hear nothing for a second), nothing asked again before the next watch ended. Change: while a reported change is unknown, it is asked for again, after 0.3 s and then twice as long each time, up to a quarter of the bound for changes. Failed calls are made again by themselves as before.

--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -23,6 +23,8 @@
 # Seconds that a watch may lag behind what a peer has seen: the store answers
 # all watches of a change within milliseconds.
 CATCH_UP_DELAY = 0.3
+# Share of the bound after which a change that peers report is asked for again.
+CATCH_UP_SHARE = 0.25
 MAX_LOGGED_FAILURES = 4  # reasons in a line of the log
 # Versions of the largest row in an answer from which a full read is shorter,
 # and bytes of an answer that is short enough in any case.
@@ -89,6 +91,8 @@
     pace : FleetPace
     timers : Timers
     log : DecisionLog
+    bound : float
+        Seconds within which a change must be in force.
     min_gap : float, optional
         Seconds between a response and the next watch, to batch changes that
         come close together.
@@ -142,6 +146,7 @@
         pace,
         timers,
         log,
+        bound,
         min_gap=0.0,
         clock=time.monotonic,
     ):
@@ -153,6 +158,7 @@
         self.pace = pace
         self.timers = timers
         self.log = log
+        self.bound = bound
         self.min_gap = min_gap
         self.cursor = None
         self.is_resuming = False
@@ -348,10 +354,11 @@
         self._log_passed_over(position)
         if position <= self.catch_up_to or (self.cursor or StorePosition()) >= position:
             return
+        is_catching_up = self.reported_at is not None
         self.catch_up_to = position
-        if self.reported_at is None:
+        if not is_catching_up:
             self.reported_at = self.clock()
-        self.timers.after(CATCH_UP_DELAY, lambda: self._catch_up(position))
+            self._catch_up_after(CATCH_UP_DELAY)
 
     def _log_passed_over(self, position):
         """Log a change before the cursor that was in no answer."""
@@ -367,24 +374,42 @@
                 heard=position,
             )
 
-    def _catch_up(self, position):
-        if self.cursor is None or self.cursor >= position:
-            return
-        is_asking = self.is_resuming and self.watch is not None
-        if is_asking or self.is_being_answered:
-            # A call that was dropped for each report might never end.
-            self.timers.after(CATCH_UP_DELAY, lambda: self._catch_up(position))
-            return
+    def _catch_up_after(self, delay):
+        reported_at = self.reported_at
+        self.timers.after(
+            delay, lambda: reported_at == self.reported_at and self._catch_up(delay)
+        )
+
+    def _catch_up(self, delay):
+        """Ask for the changes that peers know until they are known here.
+
+        An answer may lack a change that a peer has seen. A failed call is
+        made again by itself, and one that was dropped for each report might
+        never end.
+
+        Parameters
+        ----------
+        delay : float
+            Seconds since the time before.
+        """
+        is_asking = self.cursor is None or self.failures > 0
+        is_asking |= self.is_resuming and self.watch is not None
+        if not is_asking and not self.is_being_answered:
+            delay = min(2 * delay, CATCH_UP_SHARE * self.bound)
+            self._ask_for_reported()
+        self._catch_up_after(delay)
+
+    def _ask_for_reported(self):
         self.log.decision(
             self.table,
             outcome="behind",
             known=self.cursor,
-            heard=position,
+            heard=self.catch_up_to,
             reported_for=_seconds_since(self.reported_at, self.clock()),
             peers=self.pace.count_peers(),
             dropped_call=self.call_number,
         )
-        if self.cursor.era < position.era:
+        if self.cursor.era < self.catch_up_to.era:
             self.cursor = None
         self._resume("report of a peer")
 
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -96,7 +96,12 @@
         versions=make_versions(),
     )
     parts.watcher = StoreWatcher(
-        table=table, on_read=on_read, pace=make_pace(), min_gap=min_gap, **vars(parts)
+        table=table,
+        on_read=on_read,
+        pace=make_pace(),
+        bound=2.0,
+        min_gap=min_gap,
+        **vars(parts),
     )
     parts.watcher._on_started(None)
     return parts
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -282,7 +282,6 @@
     def __init__(
         self, *, store, peers=0, seed=1, bytes_per_second=math.inf, config_apply=2.0
     ):
-        self.config_apply = config_apply
         self.link = StoreLink(store=store, bytes_per_second=bytes_per_second)
         self.timers = store.timers
         self.log = LogLines()
@@ -314,6 +313,7 @@
             "timers": self.timers,
             "log": self.log,
             "clock": self.timers.clock,
+            "bound": config_apply,
         }
         self.routing = StoreWatcher(
             table="routing",
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -121,6 +121,7 @@
             pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
             timers=self.timers,
             log=self.log,
+            bound=2.0,
             min_gap=0.05,
         )
 
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -1,5 +1,6 @@
 """The `wagtailfront-forward` program: a forwarding instance."""
 
+import pathlib
 import signal
 import sys
 
@@ -28,6 +29,8 @@
     proxy: Address | None = None,
     drain_timeout: Seconds = 8.0,
     registry_gap: Seconds = 0.3,
+    config_apply: Seconds = 2.0,
+    settings: pathlib.Path | None = None,
     prefill_share: Share = 0.0,
     repeat_share: Share = 0.2,
     repeat_slack: Rate = 50.0,
@@ -60,6 +63,11 @@
     registry_gap : Seconds
         Seconds between a response of the registry and the next watch, to
         batch changes that come close together.
+    config_apply : Seconds
+        Seconds within which a confirmed change of the configuration must be
+        in force; a value in the file `settings` goes first.
+    settings : Path
+        The platform's settings file.
     prefill_share : Share
         Share of a service's engines that is set to the prefill stage before
         the first request arrives; 0 leaves all stages unchanged.
@@ -76,11 +84,12 @@
     # These imports take most of the time of a start; main() is called first.
     from wagtailfront.observe.decision_log import standard_output_log
     from wagtailfront.observe.log import start_logging
+    from wagtailfront.platform.settings_file import read_config_apply
     from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
     from wagtailfront.transport.supervisor import make_root
 
     start_logging(level="warning", form="json")
-    settings = ForwardSettings(
+    forward_settings = ForwardSettings(
         instance=instance,
         data_centre=data_centre,
         callers=callers,
@@ -91,6 +100,7 @@
         proxy=proxy,
         drain_timeout=drain_timeout,
         registry_gap=registry_gap,
+        config_apply=read_config_apply(settings, default=config_apply),
         prefill_share=prefill_share,
         repeat_share=repeat_share,
         repeat_slack=repeat_slack,
@@ -98,7 +108,7 @@
         max_descriptors=max_descriptors,
     )
     log = standard_output_log(instance)
-    root = make_root(ForwardTree(settings=settings, log=log).build())
+    root = make_root(ForwardTree(settings=forward_settings, log=log).build())
     log.decision("start", outcome="started", data_centre=data_centre)
     root.run()
 
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -85,6 +85,7 @@
     metrics: Any
     drain_timeout: float
     registry_gap: float
+    config_apply: float
     prefill_share: float
     repeat_share: float
     repeat_slack: float
@@ -254,6 +255,7 @@
             pace=self.pace,
             timers=self.timers,
             log=self.log,
+            bound=self.settings.config_apply,
             **options,
         )
         return self.watchers[table]
--- a/wagtailfront/programs/tests/forward_site.py
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -59,6 +59,7 @@
         data_centre="a",
         drain_timeout=8.0,
         registry_gap=0.1,
+        config_apply=2.0,
         prefill_share=0.0,
         repeat_share=0.2,
         repeat_slack=50.0,
