Ask the store once nobody has had an answer for half of the bound

Cause: all open connections fall silent, those between instances too. An instance noticed by the end of its own watch, whose wait grows with the fleet (up to 25 s), since the reports of peers were to tell it of changes; but these were not heard either. Change: the store's answers to an instance, and to peers that know as much, confirm what it knows of each table; digests carry their age by table. After half of the bound for changes (bounds.config-apply-ms) without one, an instance asks on another connection; instances take turns by rendezvous hash, so that the first answer confirms what the others know. A lone instance is the first in turn. Calls in calm times stay as they were.

--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -84,6 +84,7 @@
     history : VersionHistory
     versions : StoreVersions
     contact : StoreContact
+    confirmations : Confirmations
     pace : FleetPace
     find_service : callable
         Returns the service of an endpoint's incarnation, or None.
@@ -116,6 +117,7 @@
         history,
         versions,
         contact,
+        confirmations,
         pace,
         find_service,
         timers,
@@ -135,6 +137,7 @@
         self.history = history
         self.versions = versions
         self.contact = contact
+        self.confirmations = confirmations
         self.pace = pace
         self.find_service = find_service
         self.make_offer = make_offer
@@ -273,6 +276,7 @@
             is_offer_due = full or offer != self.sent_offer
             self.sent_offer = offer
             age = self.contact.own_age(now=now)
+            ages = self.confirmations.ages(now=now)
             reports.append(
                 msgspec.structs.replace(
                     digest,
@@ -281,7 +285,8 @@
                     versions=self.versions.known,
                     rates=rates,
                     streams=begun,
-                    store_age_ms=None if age is None else round(age * MS_PER_SECOND),
+                    store_age_ms=_in_ms(age),
+                    table_ages_ms=tuple(map(_in_ms, ages)),
                     proxy=offer.address if is_offer_due else None,
                     data_centre=offer.data_centre if is_offer_due else "",
                     lost_services=offer.lost_services if is_offer_due else (),
@@ -372,6 +377,11 @@
         if report.store_age_ms is not None:
             self.contact.record_peer(report.store_age_ms / MS_PER_SECOND, now=now)
         self.versions.handle_peer_versions(report.era, report.versions)
+        self.confirmations.record_peer(
+            [age and age / MS_PER_SECOND for age in report.table_ages_ms],
+            is_level=self.versions.is_level(report.era, report.versions),
+            now=now,
+        )
         for prompt in report.prompts:
             self._record_prompt(prompt)
         for begun in report.streams:
@@ -391,5 +401,9 @@
             prefix_cache.record_prompt(prompt.endpoint, parts)
 
 
+def _in_ms(age):
+    return None if age is None else round(age * MS_PER_SECOND)
+
+
 def _evidence_key(item):
     return item.fingerprint, item.crash, item.cleared
--- a/wagtailfront/forwarding/store_versions.py
+++ b/wagtailfront/forwarding/store_versions.py
@@ -68,6 +68,15 @@
         for listener in () if is_first else self.era_listeners.values():
             listener(era)
 
+    def is_level(self, era, versions):
+        """Return for each table whether a peer knows no later change of it."""
+        if era != self.era:
+            return (False,) * len(self.tables)
+        return tuple(
+            version <= known
+            for known, version in zip(self.known, versions, strict=False)
+        )
+
     def handle_peer_versions(self, era, versions):
         """Handle the era and the versions that a peer knows."""
         if era == self.era and versions == self.known:
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -91,6 +91,7 @@
     pace : FleetPace
     timers : Timers
     log : DecisionLog
+    confirmations : Confirmations
     bound : float
         Seconds within which a change must be in force.
     min_gap : float, optional
@@ -146,6 +147,7 @@
         pace,
         timers,
         log,
+        confirmations,
         bound,
         min_gap=0.0,
         clock=time.monotonic,
@@ -158,6 +160,7 @@
         self.pace = pace
         self.timers = timers
         self.log = log
+        self.confirmations = confirmations
         self.bound = bound
         self.min_gap = min_gap
         self.cursor = None
@@ -215,6 +218,27 @@
         )
         if number == self.call_number > self.answered_number:
             self.watch = watch
+            if wait > WATCH_SECONDS:
+                self._check_age(number)
+
+    def _check_age(self, number):
+        """Ask again if nobody has had an answer while a long watch is open."""
+        if number != self.call_number or number == self.answered_number:
+            return
+        left = self.confirmations.due(self.table) - self.clock()
+        if left > 0 or self.is_being_answered:
+            delay = max(left, CATCH_UP_DELAY)
+            self.timers.after(delay, lambda: self._check_age(number))
+            return
+        self.log.decision(
+            self.table,
+            outcome="unconfirmed",
+            known=self.cursor,
+            age=round(self.clock() - self.confirmations.confirmed_at[self.table], 3),
+            peers=self.pace.count_peers(),
+            dropped_call=number,
+        )
+        self._resume("unconfirmed")
 
     def _record_arrival(self, call, read):
         """Record how an answer, or the lack of one, was obtained."""
@@ -231,6 +255,7 @@
         )
         if read.is_known:
             self.answered_at = now
+            self.confirmations.record_answer(self.table, now=now)
 
     def _next_wait(self):
         """Return for how many seconds the next watch waits for a change."""
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -33,6 +33,7 @@
     Service,
     ServiceShare,
 )
+from wagtailfront.freshness.confirmations import Confirmations
 from wagtailfront.observe.metrics import Metrics
 from wagtailfront.platform.headers import PlatformDialect
 
@@ -85,6 +86,13 @@
     return Request(method, target, list(headers), body, True, "1.1")
 
 
+def make_confirmations(*tables, bound=2.0):
+    """Return the Confirmations of an instance without peers."""
+    return Confirmations(
+        tables=tables, bound=bound, address="10.0.0.1:7", find_live=frozenset
+    )
+
+
 class VirtualTimers:
     """Timers whose clock the test advances."""
 
--- a/wagtailfront/forwarding/tests/fleet.py
+++ b/wagtailfront/forwarding/tests/fleet.py
@@ -15,7 +15,11 @@
 from wagtailfront.forwarding.rate_limits import RateLimits
 from wagtailfront.forwarding.store_contact import StoreContact
 from wagtailfront.forwarding.store_versions import StoreVersions
-from wagtailfront.forwarding.tests.builders import LogLines, VirtualTimers
+from wagtailfront.forwarding.tests.builders import (
+    LogLines,
+    VirtualTimers,
+    make_confirmations,
+)
 from wagtailfront.forwarding.version_history import VersionHistory
 from wagtailfront.membership.messages import decode_message, encode_message
 
@@ -53,6 +57,7 @@
             history=history,
             versions=StoreVersions(tables=("routing",)),
             contact=StoreContact(),
+            confirmations=make_confirmations("routing"),
             pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
             find_service=lambda endpoint: "s",
             timers=self.timers,
--- a/wagtailfront/forwarding/tests/test_announcements.py
+++ b/wagtailfront/forwarding/tests/test_announcements.py
@@ -20,6 +20,7 @@
 from wagtailfront.forwarding.tests.builders import (
     LogLines,
     VirtualTimers,
+    make_confirmations,
 )
 from wagtailfront.forwarding.version_history import VersionHistory
 
@@ -62,6 +63,7 @@
         history=VersionHistory(),
         versions=StoreVersions(tables=("routing", "registry")),
         contact=StoreContact(),
+        confirmations=make_confirmations("routing", "registry"),
         pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
         find_service=lambda endpoint: None,
         timers=timers,
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -253,10 +253,11 @@
     it knows, and `versions` the store's version of the latest change in that
     era, for each table that instances follow. `rates` holds what endpoints
     said of their rate limits, and `streams` those that the sender began.
-    `store_age_ms` is how long ago the store last answered the sender. `proxy`
-    is where it takes requests of peers, in `data_centre`, for all services but
-    `lost_services`, which it does not reach itself: empty if it takes none,
-    and None if this digest does not say.
+    `store_age_ms` is how long ago the store last answered the sender, and
+    `table_ages_ms` the same by table, None for one that it has not read.
+    `proxy` is where it takes requests of peers, in `data_centre`, for all
+    services but `lost_services`, which it does not reach itself: empty if it
+    takes none, and None if this digest does not say.
     """
 
     incarnation: Text
@@ -272,6 +273,7 @@
     proxy: Text | None = None
     data_centre: Text = ""
     lost_services: Annotated[tuple[Text, ...], msgspec.Meta(max_length=64)] = ()
+    table_ages_ms: Annotated[tuple[Number | None, ...], msgspec.Meta(max_length=8)] = ()
 
 
 class StreamReport(MessageBase):
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -15,6 +15,7 @@
 from wagtailfront.forwarding.store_versions import StoreVersions
 from wagtailfront.forwarding.store_watcher import StoreWatcher
 from wagtailfront.forwarding.tests.builders import LogLines, Scene, VirtualTimers
+from wagtailfront.freshness.confirmations import Confirmations
 from wagtailfront.platform.store_client import (
     OPERATOR_TABLE,
     REGISTRY_TABLE,
@@ -289,6 +290,14 @@
         self.routing_arrivals = []
         self.versions = StoreVersions(tables=("routing", "registry"))
         self.contact = StoreContact()
+        self.address = f"a{seed}"
+        self.peer_addresses = {f"p{number}" for number in range(peers)}
+        self.confirmations = Confirmations(
+            tables=self.versions.tables,
+            bound=config_apply,
+            address=self.address,
+            find_live=lambda: self.peer_addresses,
+        )
         self.client = StoreClient(
             pool=self.link,
             host="h",
@@ -313,6 +322,7 @@
             "timers": self.timers,
             "log": self.log,
             "clock": self.timers.clock,
+            "confirmations": self.confirmations,
             "bound": config_apply,
         }
         self.routing = StoreWatcher(
@@ -380,16 +390,26 @@
     """
     timers = followers[0].timers
     reports = [
-        (each.versions.era, each.versions.known, each.contact.own_age(now=timers.now))
+        (
+            each.versions.era,
+            each.versions.known,
+            each.contact.own_age(now=timers.now),
+            each.confirmations.ages(now=timers.now),
+        )
         for each in followers
     ]
 
     def arrive():
         for follower in followers:
-            for era, versions, age in reports:
+            for era, versions, age, ages in reports:
                 if age is not None:
                     follower.contact.record_peer(age, now=timers.now)
                 follower.versions.handle_peer_versions(era, versions)
+                follower.confirmations.record_peer(
+                    ages,
+                    is_level=follower.versions.is_level(era, versions),
+                    now=timers.now,
+                )
 
     if delay:
         timers.after(delay, arrive)
--- a/wagtailfront/platform/tests/test_odd_rows.py
+++ b/wagtailfront/platform/tests/test_odd_rows.py
@@ -21,6 +21,7 @@
 from wagtailfront.forwarding.tests.builders import (
     LogLines,
     VirtualTimers,
+    make_confirmations,
     make_record,
 )
 from wagtailfront.membership.messages import (
@@ -121,6 +122,7 @@
             pace=FleetPace(count_peers=lambda: 0, rng=random.Random(1)),
             timers=self.timers,
             log=self.log,
+            confirmations=make_confirmations("registry"),
             bound=2.0,
             min_gap=0.05,
         )
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -39,6 +39,7 @@
 from wagtailfront.forwarding.store_contact import StoreContact
 from wagtailfront.forwarding.store_versions import StoreVersions
 from wagtailfront.forwarding.store_watcher import StoreWatcher
+from wagtailfront.freshness.confirmations import Confirmations
 from wagtailfront.identifiers import new_id
 from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
@@ -162,6 +163,12 @@
         )
         self.server = self.proxy_server = None
         self.versions = StoreVersions(tables=("routing", "registry"))
+        self.confirmations = Confirmations(
+            tables=self.versions.tables,
+            bound=settings.config_apply,
+            address=str(settings.peers),
+            find_live=lambda: context.load.live_addresses(now=time.monotonic()),
+        )
         self.pace = FleetPace(
             count_peers=lambda: len(context.load.peers), rng=context.rng
         )
@@ -255,6 +262,7 @@
             pace=self.pace,
             timers=self.timers,
             log=self.log,
+            confirmations=self.confirmations,
             bound=self.settings.config_apply,
             **options,
         )
@@ -304,6 +312,7 @@
             history=self.directory.versions,
             versions=self.versions,
             contact=self.contact,
+            confirmations=self.confirmations,
             pace=self.pace,
             find_service=self.directory.find_service,
             make_offer=self.make_proxy_offer,
