Read a table in full when a change before the position was in no answer

In virtual time an instance kept an old configuration for good. Cause: the position of an answer without changes was taken as what is known, though the store may have hidden a change before it (its watches hear nothing for a second while it drops its history). Reports of peers up to that position were then ignored. Change: what is known is the latest change in an answer, or the position of a full read. A reported change that lies between the two is read in full, once. An answer with rows that another read has brought already tells their version, so that it counts too.

--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -180,7 +180,6 @@
         self.reported_at = None
         self.catch_up_to = StorePosition()
         self.seen_to = StorePosition()
-        self.passed_over = StorePosition()
         versions.listeners[table] = self.handle_newer_position
         versions.era_listeners[table] = lambda era: self.handle_newer_position(
             StorePosition(era)
@@ -332,11 +331,11 @@
         self.cursor = read.cursor
         self.cause = "previous answer" if read.cursor else "full read needed"
         self.largest_row = read.largest_row or self.largest_row
-        if (read.cursor or StorePosition()) >= self.catch_up_to:
-            self.reported_at = None
         self.has_changed = read.changed.ver > 0
         is_whole = self.arrival.call_kind == "read" and read.cursor is not None
         self.seen_to = max(self.seen_to, read.cursor if is_whole else read.changed)
+        if self.seen_to >= self.catch_up_to:
+            self.reported_at = None
         self.versions.record(self.table, read.changed)
         self.on_read(read)
         gap = (
@@ -376,8 +375,7 @@
 
     def handle_newer_position(self, position):
         """Handle a report that the store has come to this position."""
-        self._log_passed_over(position)
-        if position <= self.catch_up_to or (self.cursor or StorePosition()) >= position:
+        if position <= max(self.catch_up_to, self.seen_to):
             return
         is_catching_up = self.reported_at is not None
         self.catch_up_to = position
@@ -385,20 +383,6 @@
             self.reported_at = self.clock()
             self._catch_up_after(CATCH_UP_DELAY)
 
-    def _log_passed_over(self, position):
-        """Log a change before the cursor that was in no answer."""
-        if self.cursor is None or not self.seen_to < position <= self.cursor:
-            return
-        if position > self.passed_over:
-            self.passed_over = position
-            self.log.decision(
-                self.table,
-                outcome="passed over",
-                known=self.cursor,
-                seen=self.seen_to,
-                heard=position,
-            )
-
     def _catch_up_after(self, delay):
         reported_at = self.reported_at
         self.timers.after(
@@ -425,16 +409,18 @@
         self._catch_up_after(delay)
 
     def _ask_for_reported(self):
+        is_passed_over = self.cursor >= self.catch_up_to
         self.log.decision(
             self.table,
-            outcome="behind",
+            outcome="passed over" if is_passed_over else "behind",
             known=self.cursor,
+            seen=self.seen_to,
             heard=self.catch_up_to,
             reported_for=_seconds_since(self.reported_at, self.clock()),
             peers=self.pace.count_peers(),
             dropped_call=self.call_number,
         )
-        if self.cursor.era < self.catch_up_to.era:
+        if is_passed_over or self.cursor.era < self.catch_up_to.era:
             self.cursor = None
         self._resume("report of a peer")
 
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -328,7 +328,8 @@
             if changed_rows:
                 reply(self._registry_read(rows)._replace(is_gap=is_gap))
             else:
-                reply(RegistryRead(True, cursor=position))
+                changed = self.client.position(_latest_version(rows.rows))
+                reply(RegistryRead(True, cursor=position, changed=changed))
 
         return self.client.watch_table(
             REGISTRY_TABLE, cursor, wait, on_rows, max_bytes=max_bytes
--- a/wagtailfront/platform/tests/test_store_call_log.py
+++ b/wagtailfront/platform/tests/test_store_call_log.py
@@ -78,6 +78,7 @@
     store.is_deaf = False
     for _ in range(3):
         follower.versions.handle_peer_versions(1, (missed, 0))
+        store.timers.advance(1.0)
     [line] = [
         inputs
         for kind, outcome, inputs in follower.log
