Record a change as known only once it has been applied

Cause: peers were told of a configuration before it was applied here. One that could not be applied counted as known, so that this instance heard of it no more. Change: the record comes after the change is in force. Evidence: test_peers_are_not_told_of_a_change_that_could_not_be_applied failed before.

--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -332,12 +332,8 @@
         self.cause = "previous answer" if read.cursor else "full read needed"
         self.largest_row = read.largest_row or self.largest_row
         self.has_changed = read.changed.ver > 0
-        is_whole = self.arrival.call_kind == "read" and read.cursor is not None
-        self.seen_to = max(self.seen_to, read.cursor if is_whole else read.changed)
-        if self.seen_to >= self.catch_up_to:
-            self.reported_at = None
-        self.versions.record(self.table, read.changed)
         self.on_read(read)
+        self._record_applied(read)
         gap = (
             self.pace.stretch(self.min_gap, max_seconds=MAX_GAP)
             if self.min_gap
@@ -345,6 +341,14 @@
         )
         self._call_store_after(gap if read.cursor is not None else RETRY_DELAY)
 
+    def _record_applied(self, read):
+        """Record which changes are in force now, also for the peers."""
+        is_whole = self.arrival.call_kind == "read" and read.cursor is not None
+        self.seen_to = max(self.seen_to, read.cursor if is_whole else read.changed)
+        if self.seen_to >= self.catch_up_to:
+            self.reported_at = None
+        self.versions.record(self.table, read.changed)
+
     def _log_contact(self, read):
         """Log a call that failed after others that did not, or the reverse."""
         if read.is_known != self.is_reachable:
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -128,6 +128,23 @@
     assert [config.version for config in watcher.seen] == [1, 2]
 
 
+def test_peers_are_not_told_of_a_change_that_could_not_be_applied():
+    """Guards against reports of a version that is not in force here."""
+    errors = [ValueError("unusable")]
+
+    def apply(read):
+        if errors:
+            raise errors.pop()
+
+    parts = make_watcher(on_read=apply)
+    read = RoutingRead(True, config=make_config(1), cursor=at(7), changed=at(7))
+    parts.source.answer(read)
+    assert parts.versions.known == (0, 0)
+    parts.timers.advance(2.0)
+    parts.source.answer(read)
+    assert parts.versions.known == (7, 0)
+
+
 def test_changes_since_an_unanswered_watch_are_asked_for_at_once(watcher):
     """Guards against a change that is missed permanently, or known late."""
     watcher.source.answer(RoutingRead(True, config=make_config(1), cursor=at(7)))
