Notice a silent connection between instances within three seconds

Callers saw: placements on loads that were up to 12 s old, and the CONFIG of the commit before last, since no instance heard another after all open connections had fallen silent. Cause: a heartbeat each 3 s and a limit of three missed ones; digests are sent one way, so nothing else shows that they are lost. Change: a heartbeat each second, and a connection is closed 1.5 s after one without an answer. Evidence: test_instances_hear_each_other_again_after_their_connections_fall_silent failed before (nothing arrived within 3 s, the shortest stable window).

--- a/wagtailfront/membership/peer_bus.py
+++ b/wagtailfront/membership/peer_bus.py
@@ -116,8 +116,10 @@
     keys : BusKeys, optional
         Turns on CURVE; only clients with an allowed key are accepted.
     heartbeat : float, optional
-        Seconds between heartbeats on a connection, which is closed after
-        three without an answer.
+        Seconds between heartbeats on a connection.
+    silence : float, optional
+        Seconds after which a connection is closed on which a heartbeat got no
+        answer; three intervals by default.
     read_interval : float, optional
         Seconds between reads of incoming connections. By default each socket
         is read as soon as a message arrives.
@@ -144,6 +146,7 @@
         address,
         keys=None,
         heartbeat=HEARTBEAT_INTERVAL,
+        silence=None,
         read_interval=None,
         clock=time.monotonic,
     ):
@@ -153,6 +156,9 @@
         self.read_due = clock()
         self.keys = keys
         self.heartbeat_ms = int(heartbeat * MS_PER_SECOND)
+        if silence is None:
+            silence = MISSED_HEARTBEATS * heartbeat
+        self.silence_ms = int(silence * MS_PER_SECOND)
         self.poller = None
         self.context = zmq.Context()
         self.dealers = {}
@@ -191,7 +197,7 @@
         socket.maxmsgsize = MAX_MESSAGE_BYTES
         socket.sndhwm = socket.rcvhwm = QUEUE_MESSAGES
         socket.heartbeat_ivl = self.heartbeat_ms
-        socket.heartbeat_timeout = MISSED_HEARTBEATS * self.heartbeat_ms
+        socket.heartbeat_timeout = self.silence_ms
         if self.keys:
             socket.curve_publickey = self.keys.public
             socket.curve_secretkey = self.keys.secret
--- a/wagtailfront/membership/tests/test_peer_bus.py
+++ b/wagtailfront/membership/tests/test_peer_bus.py
@@ -15,10 +15,14 @@
     peer_send,
     peers_changed,
 )
+from wagtailfront.membership.tests.silent_proxy import SilentProxy
+from wagtailfront.programs.forward_tree import PEER_HEARTBEAT, PEER_SILENCE
 from wagtailfront.transport.tests.event_loop import EventLoop
 
 FEW_STEPS = 40
 BURST = 60  # below a socket's queue
+# Seconds after a fault within which instances must hear each other again.
+STABLE_WINDOW = 3.0
 
 
 class Listener(BaseComponent):
@@ -124,6 +128,32 @@
     close(instances)
 
 
+def test_instances_hear_each_other_again_after_their_connections_fall_silent():
+    """Guards against reports that are lost until a late heartbeat."""
+    options = {"heartbeat": PEER_HEARTBEAT, "silence": PEER_SILENCE}
+    instances = first, second = Instance(**options), Instance(**options)
+    proxy = SilentProxy(target=second.bus.address)
+
+    def arrives():
+        message = messages.ConfigFetch(after=0)
+        first.loop.fire(peer_send(proxy.address, message), "peer_bus")
+        return second.received
+
+    try:
+        run(instances, arrives)
+        proxy.silence()
+        run_few_steps(instances)
+        second.received.clear()
+        deadline = time.monotonic() + STABLE_WINDOW
+        while not arrives() and time.monotonic() < deadline:
+            for instance in instances:
+                instance.loop.step()
+    finally:
+        proxy.close()
+        close(instances)
+    assert second.received
+
+
 def test_an_odd_address_does_not_hide_the_peers_after_it(caplog):
     """Guards against broadcasts that each fail and restart the bus."""
     instances = first, second = Instance(), Instance()
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -63,9 +63,10 @@
 STORE_CONNECT_TIMEOUT = 0.5  # seconds; a few round trips within a region
 EVIDENCE_LIFETIME = 60.0  # seconds; longer than callers resend a request
 METRICS_PATH = "/metrics"
-# Seconds. Peers receive a digest each second, so the heartbeat only has to
-# detect connections to a peer that lost power.
-PEER_HEARTBEAT = 3.0
+# Seconds between heartbeats to peers, and until one without an answer shows
+# that the connection is silent. Reports that are sent on it are lost.
+PEER_HEARTBEAT = 1.0
+PEER_SILENCE = 1.5
 PEER_READ_INTERVAL = 0.04  # seconds; half of the interval of digests
 # File descriptors reserved for endpoints, the store, peers and files.
 RESERVED_DESCRIPTORS = 1200
@@ -295,6 +296,7 @@
         return PeerBus(
             address=str(self.settings.peers),
             heartbeat=PEER_HEARTBEAT,
+            silence=PEER_SILENCE,
             read_interval=PEER_READ_INTERVAL,
         )
 
