Read what deployments say of keys, duties and scaling, and name the fields between instances

Cause: configurations and settings files now contain workspaces with keys, duties at the platform's API, scaling of services and the machine's memory; none of them was read. Change: the configuration's decoder keeps keys as digests only; one reader for all values of the settings file; digests of peers have trailing fields for the parts to come, which older builds pass over; a page in docs/design tells what is asked and how the parts fit. docs/design.md is docs/design/README.md now, and the test of pages covers all folders of docs.

--- a/wagtailfront/callers/workspace_access.py
+++ b/wagtailfront/callers/workspace_access.py
@@ -1,25 +1,13 @@
 """Workspace of a request, from its API key."""
 
-import hashlib
-
 from wagtailfront.callers.completion_request import InvalidRequest
+from wagtailfront.workspaces.keys import key_digest
 
-__all__ = ["find_workspace", "key_digest"]
+__all__ = ["find_workspace"]
 
 DEFAULT_WORKSPACE = "default"
 
 
-def key_digest(key):
-    """Return the digest that the configuration stores for an API key.
-
-    Examples
-    --------
-    >>> key_digest("secret")[:12]
-    '2bb80d537b1d'
-    """
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 def find_workspace(headers, workspaces):
     """Return the name of the workspace that a request belongs to.
 
--- a/wagtailfront/forwarding/endpoint_directory.py
+++ b/wagtailfront/forwarding/endpoint_directory.py
@@ -36,6 +36,8 @@
         same id.
     software_version : str
         Empty if it is not known.
+    is_spot : bool
+        Whether it may be reclaimed at any time.
     """
 
     endpoint_id: str
@@ -48,6 +50,7 @@
     stage: str
     started_ms: int
     software_version: str = ""
+    is_spot: bool = False
 
     @property
     def address(self):
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -14,6 +14,7 @@
     "RegistryRead",
     "InstanceRow",
     "MembershipStore",
+    "DigestPart",
     "EngineInquiry",
     "StageOrders",
     "RefusedPartStore",
@@ -342,6 +343,20 @@
         """Remove a part; `reply` gets whether it was removed."""
 
 
+class DigestPart(Protocol):
+    """State that instances tell each other in fields of their digests."""
+
+    def fields(self, *, now: float, full: bool) -> dict:
+        """Return the fields of the next digest that this part sets.
+
+        `full` is whether the digest repeats what did not change, which is so
+        about once a second.
+        """
+
+    def merge(self, digest, *, now: float) -> None:
+        """Take what a peer's PlacementDigest says."""
+
+
 class EngineInquiry(Protocol):
     """Queries to engines outside of callers' requests."""
 
--- a/wagtailfront/forwarding/load_exchange.py
+++ b/wagtailfront/forwarding/load_exchange.py
@@ -92,6 +92,7 @@
     log : DecisionLog
     make_offer : callable, optional
         Returns the ProxyOffer of this instance.
+    parts : iterable of DigestPart, optional
     clock : callable, optional
 
     Notes
@@ -123,6 +124,7 @@
         timers,
         log,
         make_offer=ProxyOffer,
+        parts=(),
         clock=time.monotonic,
     ):
         super().__init__()
@@ -141,6 +143,7 @@
         self.pace = pace
         self.find_service = find_service
         self.make_offer = make_offer
+        self.parts = tuple(parts)
         self.timers = timers
         self.log = log
         self.clock = clock
@@ -277,6 +280,9 @@
             self.sent_offer = offer
             age = self.contact.own_age(now=now)
             ages = self.confirmations.ages(now=now)
+            extra = {}
+            for part in self.parts:
+                extra.update(part.fields(now=now, full=full))
             reports.append(
                 msgspec.structs.replace(
                     digest,
@@ -290,6 +296,7 @@
                     proxy=offer.address if is_offer_due else None,
                     data_centre=offer.data_centre if is_offer_due else "",
                     lost_services=offer.lost_services if is_offer_due else (),
+                    **extra,
                 )
             )
         items = self._own_evidence(now, repeat=full)
@@ -369,6 +376,9 @@
         if isinstance(report, PromptPartReport):
             self.crashing_parts.merge(report.incarnation, report.report, now=now)
             return
+        self._handle_digest(report, now)
+
+    def _handle_digest(self, report, now):
         is_newcomer = report.incarnation not in self.load.peers
         self.load.merge(report, now=now)
         if report.rates:
@@ -386,6 +396,8 @@
             self._record_prompt(prompt)
         for begun in report.streams:
             self.streams.merge(begun, now=now)
+        for part in self.parts:
+            part.merge(report, now=now)
         if report.address in self.last_seen:
             self.last_seen[report.address] = now
         elif report.address and report.address != self.row.address:
--- a/wagtailfront/forwarding/routes.py
+++ b/wagtailfront/forwarding/routes.py
@@ -5,10 +5,13 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from wagtailfront.workspaces.keys import KeyedWorkspace
+
 __all__ = [
     "RequestKind",
     "ServiceShare",
     "Route",
+    "Scaling",
     "Service",
     "CallerLimits",
     "RoutingConfig",
@@ -59,6 +62,8 @@
         Whether a broken stream may resume at another endpoint.
     gap_target : float
         Target for the longest gap between events of a stream, in seconds.
+    is_public : bool
+        Whether its callers need no key of a workspace.
     """
 
     name: str
@@ -72,6 +77,7 @@
     max_attempts: int
     is_resumable: bool
     gap_target: float = 0.0
+    is_public: bool = False
 
     @property
     def max_first_event_wait(self):
@@ -99,6 +105,28 @@
         )
 
 
+class Scaling(NamedTuple):
+    """How many engines of a service may be ordered, and what they cost.
+
+    Attributes
+    ----------
+    minimum, maximum : int
+        Engines of all kinds in a data centre.
+    boot : float
+        Seconds from an order until a new engine serves.
+    spot_price : float
+        Price of an engine that may be reclaimed, relative to any other.
+    prices : Mapping of str to float
+        Price of an engine per second, by data centre.
+    """
+
+    minimum: int
+    maximum: int
+    boot: float
+    spot_price: float
+    prices: Mapping[str, float]
+
+
 class Service(NamedTuple):
     """A service of endpoints.
 
@@ -114,6 +142,10 @@
     health_path : str
     transfer_seconds_per_token : float
         Time in which an engine sends a token's KV cache to another one.
+    engine_slots : int
+        Requests that an engine processes concurrently; 0 if not known.
+    scaling : Scaling or None
+        None if its engines are not ordered.
     """
 
     name: str
@@ -122,6 +154,8 @@
     kv_capacity_tokens: int
     health_path: str = "/health"
     transfer_seconds_per_token: float = 0.0
+    engine_slots: int = 0
+    scaling: Scaling | None = None
 
 
 class CallerLimits(NamedTuple):
@@ -134,12 +168,24 @@
 
 
 class RoutingConfig(NamedTuple):
-    """One version of the routes, services and limits."""
+    """One version of the routes, services, limits and workspaces.
+
+    Attributes
+    ----------
+    version : int
+    routes : tuple of Route
+    services : Mapping of str to Service
+    limits : CallerLimits
+    workspaces : Mapping of str to KeyedWorkspace, or None
+        By the digest of each key, see `key_digest`; None if requests need no
+        key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: CallerLimits
+    workspaces: Mapping[str, KeyedWorkspace] | None = None
 
 
 class RouteTable:
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -27,6 +27,8 @@
     "BegunStreams",
     "SeenVersions",
     "StreamReport",
+    "WindowUsage",
+    "ServiceWork",
     "PlacementDigest",
     "RelayedReports",
     "Leaving",
@@ -50,6 +52,7 @@
 MAX_PARTS = 16  # parts of one prompt
 Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT)]
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+SignedNumber = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Age = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 Count = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 
@@ -172,11 +175,15 @@
         Number of requests.
     pending : tuple of (int, int)
         Priorities, each with its prompt tokens that wait for prefill.
+    committed : int
+        Tokens of KV cache that its requests there take until they end; 0 from
+        a sender that does not count them.
     """
 
     endpoint: Text
     outstanding: Number
     pending: Annotated[tuple[tuple[Number, Number], ...], msgspec.Meta(max_length=16)]
+    committed: Number = 0
 
 
 class PlacedPrompt(msgspec.Struct, frozen=True, array_like=True):
@@ -245,6 +252,46 @@
     versions: Annotated[tuple[tuple[Text, Age], ...], msgspec.Meta(max_length=32)]
 
 
+class WindowUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that engines began to run in one usage window.
+
+    Attributes
+    ----------
+    window : int
+        Its number, counted from the start of 1970.
+    counts : tuple of (str, int)
+        Each workspace that had any, with their number.
+    """
+
+    window: Number
+    counts: Annotated[tuple[tuple[Text, Number], ...], msgspec.Meta(max_length=2048)]
+
+
+class ServiceWork(msgspec.Struct, frozen=True, array_like=True):
+    """Work that callers brought to the sender since its start.
+
+    Attributes
+    ----------
+    service : str
+    requests : int
+    prompt_tokens : int
+        Prompt tokens that engines had to prefill, without cached ones.
+    stream_tokens : int
+        KV cache of all streams in tokens, prompt and output.
+    stream_ms : int
+        Milliseconds that all streams took at engines, added up.
+    refused : int
+        Requests refused as no engine could serve them in time.
+    """
+
+    service: Text
+    requests: Number
+    prompt_tokens: Number
+    stream_tokens: Number
+    stream_ms: Number
+    refused: Number
+
+
 class PlacementDigest(MessageBase):
     """Endpoints whose load by the sender changed, and prompts it placed.
 
@@ -258,6 +305,13 @@
     `proxy` is where it takes requests of peers, in `data_centre`, for all
     services but `lost_services`, which it does not reach itself: empty if it
     takes none, and None if this digest does not say.
+
+    Older builds do not send or read the fields from `table_store_ms` on.
+    `table_store_ms` is the store's own clock at its latest answer to the
+    sender, by table, in `clock_era`, and `clock_offset_ms` the sender's time
+    of day less the store's clock. `usage` holds windows that changed, and
+    `usage_sums` those whose sums over all instances have been reported.
+    `work` is by service, in `data_centre`.
     """
 
     incarnation: Text
@@ -274,6 +328,14 @@
     data_centre: Text = ""
     lost_services: Annotated[tuple[Text, ...], msgspec.Meta(max_length=64)] = ()
     table_ages_ms: Annotated[tuple[Number | None, ...], msgspec.Meta(max_length=8)] = ()
+    table_store_ms: Annotated[
+        tuple[Number | None, ...], msgspec.Meta(max_length=8)
+    ] = ()
+    clock_era: Number = 0
+    clock_offset_ms: SignedNumber | None = None
+    usage: Annotated[tuple[WindowUsage, ...], msgspec.Meta(max_length=64)] = ()
+    usage_sums: Annotated[tuple[WindowUsage, ...], msgspec.Meta(max_length=64)] = ()
+    work: Annotated[tuple[ServiceWork, ...], msgspec.Meta(max_length=64)] = ()
 
 
 class StreamReport(MessageBase):
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -17,9 +17,11 @@
     RequestKind,
     Route,
     RoutingConfig,
+    Scaling,
     Service,
     ServiceShare,
 )
+from wagtailfront.workspaces.keys import KeyedWorkspace, key_digest
 
 __all__ = [
     "StoreRows",
@@ -93,6 +95,7 @@
     cold_remaining_ms: float = 0.0
     sequence: Number = 0
     version: str = ""
+    spot: bool = False
 
 
 class _Share(_Wire, kw_only=True):
@@ -113,12 +116,22 @@
     max_attempts: int = 1
     resumable: bool = False
     gap_aim_ms: float = 0.0
+    public: bool = False
 
 
 class _Engine(_Wire, kw_only=True):
     kv_capacity_tokens: int = 0
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
+    slots: Number = 0
+
+
+class _Scaling(_Wire, kw_only=True):
+    min: Number = 1
+    max: Number = 1
+    boot_s: float = 0.0
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
 
 
 class _Service(_Wire, kw_only=True):
@@ -126,6 +139,13 @@
     max_connections: int = 0
     health_path: str = "/health"
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
+
+
+class _Tenant(_Wire, kw_only=True):
+    name: NonEmpty
+    api_keys: list[str] = []
+    priority: Number | None = None
 
 
 class _Limits(_Wire, kw_only=True):
@@ -140,6 +160,7 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 def read_rows(body):
@@ -228,6 +249,7 @@
         stage=wire.stage,
         started_ms=wire.born,
         software_version=_read_version(wire.version),
+        is_spot=wire.spot,
     )
 
 
@@ -264,6 +286,7 @@
             routes=tuple(_read_route(route) for route in wire.routes),
             services={s.name: _read_service(s) for s in wire.services},
             limits=_read_limits(wire.limits),
+            workspaces=_read_workspaces(wire.tenants),
         )
     except (ValueError, KeyError, ProtocolError) as error:
         raise ValueError(f"unreadable configuration: {error!r}")
@@ -287,9 +310,21 @@
         max_attempts=wire.max_attempts,
         is_resumable=wire.resumable,
         gap_target=wire.gap_aim_ms / MS_PER_SECOND,
+        is_public=wire.public,
     )
 
 
+def _read_workspaces(tenants):
+    """Return each workspace by the digests of its keys, or None."""
+    if tenants is None:
+        return None
+    return {
+        key_digest(key): KeyedWorkspace(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
+
+
 def _read_service(wire):
     return Service(
         name=wire.name,
@@ -298,6 +333,20 @@
         kv_capacity_tokens=wire.engine.kv_capacity_tokens if wire.engine else 0,
         health_path=wire.health_path,
         transfer_seconds_per_token=_read_transfer_time(wire.engine),
+        engine_slots=wire.engine.slots if wire.engine else 0,
+        scaling=_read_scaling(wire.scaling),
+    )
+
+
+def _read_scaling(wire):
+    if wire is None:
+        return None
+    return Scaling(
+        minimum=wire.min,
+        maximum=max(wire.min, wire.max),
+        boot=wire.boot_s,
+        spot_price=wire.spot_price,
+        prices=wire.zone_prices,
     )
 
 
--- a/wagtailfront/platform/tests/test_rows.py
+++ b/wagtailfront/platform/tests/test_rows.py
@@ -3,13 +3,14 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from wagtailfront.forwarding.routes import RequestKind, ServiceShare
+from wagtailfront.forwarding.routes import RequestKind, Scaling, ServiceShare
 from wagtailfront.platform.rows import read_registry, read_routing, read_rows
 from wagtailfront.platform.tests.builders import (
     make_config,
     make_registration,
     make_row,
 )
+from wagtailfront.workspaces.keys import KeyedWorkspace, key_digest
 
 JUNK = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
@@ -136,3 +137,39 @@
         for number in order
     ]
     assert read_routing(rows).version == 11
+
+
+def read_config(**fields):
+    return read_routing([make_row("config", {"version": 1, **fields})])
+
+
+def test_keys_are_kept_as_digests():
+    """Guards against a key in a log line that shows the configuration."""
+    tenants = [{"name": "t", "api-keys": ["secret", "other"], "priority": 1}]
+    config = read_config(tenants=tenants)
+    workspace = KeyedWorkspace("t", 1)
+    assert config.workspaces == {
+        key_digest("secret"): workspace,
+        key_digest("other"): workspace,
+    }
+    assert "secret" not in repr(config)
+
+
+def test_no_workspaces_differ_from_an_empty_list():
+    """Guards against public requests where every key has been removed."""
+    assert read_config().workspaces is None
+    assert read_config(tenants=[]).workspaces == {}
+
+
+def test_reads_how_a_service_scales():
+    engine = {"slots": 64, "kv-capacity-tokens": 439456}
+    scaling = {"min": 1, "max": 30, "boot-s": 4.0, "spot-price": 0.18}
+    service = {"name": "s", "engine": engine, "scaling": scaling}
+    found = read_config(services=[service]).services["s"]
+    assert found.engine_slots == 64
+    assert found.scaling == Scaling(1, 30, 4.0, 0.18, {})
+
+
+def test_reads_whether_an_engine_may_be_reclaimed():
+    records = read_registry([make_row("i-1", make_registration(spot=True))])
+    assert [record.is_spot for record in records] == [True]
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -84,7 +84,7 @@
     # These imports take most of the time of a start; main() is called first.
     from wagtailfront.observe.decision_log import standard_output_log
     from wagtailfront.observe.log import start_logging
-    from wagtailfront.platform.settings_file import read_config_apply
+    from wagtailfront.platform.settings_file import read_platform_settings
     from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
     from wagtailfront.transport.supervisor import make_root
 
@@ -100,7 +100,7 @@
         proxy=proxy,
         drain_timeout=drain_timeout,
         registry_gap=registry_gap,
-        config_apply=read_config_apply(settings, default=config_apply),
+        platform=read_platform_settings(settings, config_apply=config_apply),
         prefill_share=prefill_share,
         repeat_share=repeat_share,
         repeat_slack=repeat_slack,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -76,7 +76,10 @@
 
 
 class ForwardSettings(NamedTuple):
-    """Settings of one forwarding instance; addresses are (host, port)."""
+    """Settings of one forwarding instance; addresses are (host, port).
+
+    `platform` is a PlatformSettings.
+    """
 
     instance: str
     data_centre: str
@@ -87,7 +90,7 @@
     metrics: Any
     drain_timeout: float
     registry_gap: float
-    config_apply: float
+    platform: Any
     prefill_share: float
     repeat_share: float
     repeat_slack: float
@@ -145,6 +148,7 @@
         )
         self.contact = StoreContact()
         self.watchers = {}
+        self.digest_parts = []
         self.confirmation = None
         self.forwarder = Forwarder(context=self._make_context())
         context = self.forwarder.context
@@ -166,7 +170,7 @@
         self.versions = StoreVersions(tables=("routing", "registry"))
         self.confirmations = Confirmations(
             tables=self.versions.tables,
-            bound=settings.config_apply,
+            bound=settings.platform.config_apply,
             address=str(settings.peers),
             find_live=lambda: context.load.live_addresses(now=time.monotonic()),
         )
@@ -264,7 +268,7 @@
             timers=self.timers,
             log=self.log,
             confirmations=self.confirmations,
-            bound=self.settings.config_apply,
+            bound=self.settings.platform.config_apply,
             **options,
         )
         return self.watchers[table]
@@ -318,6 +322,7 @@
             pace=self.pace,
             find_service=self.directory.find_service,
             make_offer=self.make_proxy_offer,
+            parts=self.digest_parts,
             timers=self.timers,
             log=self.log,
         )
--- a/wagtailfront/programs/tests/forward_site.py
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -8,6 +8,7 @@
 from wagtailfront.forwarding.tests.builders import LogLines
 from wagtailfront.forwarding.tests.scripted_endpoint import ScriptedEndpoint
 from wagtailfront.forwarding.tests.socket_instance import wait_for
+from wagtailfront.platform.settings_file import PlatformSettings
 from wagtailfront.platform.tests.builders import make_registration
 from wagtailfront.platform.tests.row_store import RowStore
 from wagtailfront.programs.forward_tree import ForwardSettings, ForwardTree
@@ -59,7 +60,7 @@
         data_centre="a",
         drain_timeout=8.0,
         registry_gap=0.1,
-        config_apply=2.0,
+        platform=PlatformSettings(config_apply=2.0),
         prefill_share=0.0,
         repeat_share=0.2,
         repeat_slack=50.0,
--- a/wagtailfront/programs/tests/test_docs.py
+++ b/wagtailfront/programs/tests/test_docs.py
@@ -8,8 +8,9 @@
 import pytest
 
 ROOT = pathlib.Path(__file__).parents[3]
-PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").glob("*.md"))]
-TEXT = {page.name: page.read_text() for page in PAGES}
+PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+TEXT = {page.relative_to(ROOT): page.read_text() for page in PAGES}
+DESIGN = pathlib.Path("docs/design/README.md")
 PROGRAMS = {
     "wagtailfront-entry": "entry",
     "wagtailfront-forward": "forward",
@@ -68,7 +69,7 @@
 def test_links_have_targets():
     """Guards against links to missing pages or files."""
     broken = [
-        (page.name, link)
+        (str(page.relative_to(ROOT)), link)
         for page in PAGES
         for link in re.findall(r"\]\(([^)#:]+)\)", page.read_text())
         if not (page.parent / link).exists()
@@ -78,7 +79,7 @@
 
 def test_design_names_the_modules_that_exist():
     """Guards against an outdated table of modules."""
-    rows = re.findall(r"^\| `([a-z]+)` \| (.*) \| (.*) \|$", TEXT["design.md"], re.M)
+    rows = re.findall(r"^\| `([a-z_]+)` \| (.*) \| (.*) \|$", TEXT[DESIGN], re.M)
     listed = {
         package: set(re.findall(r"`([a-z_0-9]+)`", pure + other))
         for package, pure, other in rows
