Count the runs of a peer that broke a stream off

Cause: a stream whose endpoint was reset inside its second event was resumed by the peer that had sent it, up to max_attempts, and then once more by the instance of its caller, which counted the peer's runs as one. Change: an answer that a peer breaks off after its head counts as all runs that the route allows.

--- a/wagtailfront/forwarding/proxied_attempt.py
+++ b/wagtailfront/forwarding/proxied_attempt.py
@@ -225,6 +225,9 @@
             "attempt_failed", reason, endpoint=attempt.record.endpoint_id, sent=True
         )
         task.may_have_run = True
+        if attempt.answer is not None:
+            # The peer resumes a stream itself as often as the route allows.
+            task.runs = task.route.max_attempts
         if task.may_repeat() and task.reserve(1):
             task.repeat_elsewhere(attempt)
         else:
--- a/wagtailfront/forwarding/tests/test_peer_proxies.py
+++ b/wagtailfront/forwarding/tests/test_peer_proxies.py
@@ -103,6 +103,26 @@
     assert reply.status == 502
 
 
+def test_a_stream_cut_at_a_peer_runs_no_more_often_than_allowed():
+    """Guards the largest number of runs where a peer has repeated some."""
+    pair = ProxiedPair(RESUMABLE._replace(max_attempts=2))
+    _task, reply = pair.call()
+    _far_task, far_reply = pair.deliver()
+    pair.offer("10.0.0.3:7395", incarnation="third")
+    for number in (1, 2):
+        pair.at_endpoint.sink.on_head(200, EVENT_STREAM)
+        pair.at_endpoint.sink.on_data(EVENT % number + b"id: 9")
+        pair.at_endpoint.fail(sent=True)
+    assert len(pair.far.pool.exchanges) == 2
+    assert far_reply.is_aborted
+    pair.to_peer.sink.on_head(200, far_reply.headers)
+    pair.to_peer.sink.on_data(far_reply.body)
+    pair.to_peer.fail(sent=True)
+    assert len(pair.near.proxies.pool.exchanges) == 1
+    assert reply.body == EVENT % 1 + EVENT % 2
+    assert reply.is_aborted
+
+
 def test_a_repeat_by_a_peer_is_charged():
     """Guards the budget of repeats, which all instances share."""
     pair = ProxiedPair(make_route(SAFE, max_attempts=9))
