Start without circuits.web, and import aioprometheus for the first page of metrics

Cause: a start after a loss of power is processor time of imports: circuits.web came in for the store's client and the readiness page, aioprometheus for counters that nobody had asked for yet.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m wagtailfront.programs.load bench
+	$(BIN)/python scripts/start_cost.py
 
 slopes: $(STAMP)
 	$(BIN)/python scripts/slopes.py $(SLOPES)
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -17,7 +17,7 @@
 from wagtailfront.forwarding.half_closed_callers import HalfClosedCallers
 from wagtailfront.forwarding.unanswered_log import UnansweredLog
 from wagtailfront.transport.http_listener import CLOSED_HERE, SLOW_PEER, HttpListener
-from wagtailfront.transport.http_protocol import ServerLimits
+from wagtailfront.transport.server_limits import ServerLimits
 from wagtailfront.transport.ticker import Ticker
 
 __all__ = ["ForwardServer"]
--- a/wagtailfront/forwarding/status_server.py
+++ b/wagtailfront/forwarding/status_server.py
@@ -1,21 +1,51 @@
 """Readiness and metrics pages of a forwarding instance."""
 
-import logging
+from typing import Any, NamedTuple
 
-from circuits import BaseComponent, handler
-from circuits.web.events import response
-
-from wagtailfront.transport.http_server import HttpServer, ServerLimits
+from wagtailfront.forwarding.caller_limits import LimitsInForce
+from wagtailfront.forwarding.caller_server import ForwardServer
+from wagtailfront.forwarding.routes import CallerLimits
 
 __all__ = ["StatusServer"]
 
-logger = logging.getLogger(__name__)
-
 MAX_CONNECTIONS = 50
 MAX_BODY = 1024  # bytes; the pages read no body
+GET = b"GET"
+NOT_FOUND = 404
+
+
+class _PageContext(NamedTuple):
+    """The parts of a ForwardContext that a server itself uses."""
+
+    timers: Any
+    log: Any
+    metrics: Any
+    dialect: Any
+
+
+class _Pages:
+    """Answers requests of pages in place of a Forwarder."""
 
+    config = config_applied_at = None
 
-class StatusServer(BaseComponent):
+    def __init__(self, *, pages, context):
+        self.pages = dict(pages)
+        self.context = context
+        self.limits = LimitsInForce()
+        self.limits.replace(CallerLimits(max_body=MAX_BODY), now=0.0)
+
+    def accept(self, request, reply):
+        """Answer a request at once."""
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        page = self.pages.get(path)
+        if request.method != GET or page is None:
+            status, content_type, body = NOT_FOUND, "text/plain", b""
+        else:
+            status, content_type, body = page()
+        reply.answer(status, [(b"Content-Type", content_type.encode())], body)
+
+
+class StatusServer(ForwardServer):
     """HTTP server of pages that are rendered on each GET.
 
     Parameters
@@ -24,24 +54,15 @@
     pages : mapping of str to callable
         Maps a path to a function that returns status, content type and
         body.
+    context : ForwardContext
+    channel : str, optional
     """
 
-    def __init__(self, *, bind, pages, channel="status"):
-        super().__init__(channel=channel)
-        self.pages = dict(pages)
-        self.server = HttpServer(
+    def __init__(self, *, bind, pages, context, channel="status"):
+        fields = [getattr(context, name) for name in _PageContext._fields]
+        super().__init__(
             bind=bind,
+            forwarder=_Pages(pages=pages, context=_PageContext(*fields)),
+            max_connections=MAX_CONNECTIONS,
             channel=channel,
-            limits=ServerLimits(max_body=MAX_BODY, max_connections=MAX_CONNECTIONS),
-        ).register(self)
-
-    @handler("request")
-    def _on_request(self, req, res):
-        page = self.pages.get(req.path)
-        if req.method != "GET" or page is None:
-            res.status, content_type, res.body = 404, "text/plain", b""
-        else:
-            res.status, content_type, res.body = page()
-        res.headers["Content-Type"] = content_type
-        self.fire(response(res))
-        return True
+        )
--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -9,7 +9,7 @@
     ResponseReader,
 )
 from wagtailfront.forwarding.request_reader import RequestReader
-from wagtailfront.transport.http_exchange import MAX_FRAMING
+from wagtailfront.transport.http_responses import MAX_FRAMING
 
 CHUNKED = b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 REQUESTS = (
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -1,17 +1,17 @@
-"""Metrics of an entry instance."""
+"""Metrics of an instance."""
 
+import bisect
 import resource
 import time
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
-
 __all__ = ["Metrics", "catalogue"]
 
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.77, 1.0, 2.5, 5.0, 10.0, 60.0)
 GAP_BUCKETS = (0.01, 0.02, 0.04, 0.078, 0.15, 0.3, 1.0, 3.0)
 INFINITY = float("inf")
 KIB = 1024
+# Names of the collectors of aioprometheus.
+Counter, Gauge = "Counter", "Gauge"
 
 # Kind, name, description and labels. Every label takes values from a closed
 # set or from the configuration, so that callers cannot add time series.
@@ -72,8 +72,33 @@
 )
 
 
+class Observations:
+    """Observations of one histogram with one set of labels.
+
+    Parameters
+    ----------
+    bounds : tuple of float
+        Largest value of each bucket.
+    """
+
+    def __init__(self, *, bounds):
+        self.bounds = bounds
+        self.counts = [0] * len(bounds)
+        self.sum = 0.0
+
+    def add(self, value):
+        """Count one value."""
+        self.counts[bisect.bisect_left(self.bounds, value)] += 1
+        self.sum += value
+
+
 class Metrics:
-    """Registry with all metrics of one instance.
+    """All metrics of one instance.
+
+    Notes
+    -----
+    aioprometheus renders them, and is imported for the first page only: it
+    takes a tenth of the processor time of a start.
 
     Examples
     --------
@@ -86,47 +111,48 @@
     def __init__(self, *, clock=time.monotonic):
         self.clock = clock
         self.started = clock()
-        self.registry = Registry()
-        self.collectors = {}
-        for kind, name, text, _labels in DEFINITIONS:
-            self._add(name, kind(f"wagtailfront_{name}", text, registry=self.registry))
-        for name, text, _labels, buckets in HISTOGRAMS:
-            collector = Histogram(
-                f"wagtailfront_{name}",
-                text,
-                registry=self.registry,
-                buckets=(*buckets, INFINITY),
-            )
-            self._add(name, collector)
-
-    def _add(self, name, collector):
-        self.collectors[name] = collector
+        names = [name for _kind, name, _text, _labels in DEFINITIONS]
+        self.values = {name: {} for name in names}
+        self.observations = {name: {} for name, _text, _labels, _bounds in HISTOGRAMS}
+        self.bounds = {
+            name: (*bounds, INFINITY) for name, _text, _labels, bounds in HISTOGRAMS
+        }
 
     def count(self, name, amount=1, **labels):
         """Add `amount` to a counter."""
-        self.collectors[name].add(labels, amount)
+        values, key = self.values[name], _key(labels)
+        values[key] = values.get(key, 0) + amount
 
     def set(self, name, value, **labels):
         """Set a gauge, or a counter that is counted elsewhere."""
-        self.collectors[name].set(labels, value)
+        self.values[name][_key(labels)] = value
 
     def observe(self, name, seconds, **labels):
         """Add an observation in seconds to a histogram."""
-        self.collectors[name].observe(labels, float(seconds))
+        series, key = self.observations[name], _key(labels)
+        if key not in series:
+            series[key] = Observations(bounds=self.bounds[name])
+        series[key].add(float(seconds))
 
     def render(self):
         """Return all metrics in the Prometheus text format."""
+        from wagtailfront.observe.metrics_page import render_page
+
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.set("process_cpu_seconds", usage.ru_utime + usage.ru_stime)
         self.set("process_memory_bytes", usage.ru_maxrss * KIB)
         self.set("process_uptime_seconds", self.clock() - self.started)
-        return render(self.registry, ["text/plain"])[0]
+        return render_page(self, DEFINITIONS, HISTOGRAMS)
+
+
+def _key(labels):
+    return tuple(sorted(labels.items()))
 
 
 def catalogue():
     """Return the catalogue of all metrics as a Markdown page."""
     rows = [
-        (f"wagtailfront_{name}", kind.kind.name, text, labels)
+        (f"wagtailfront_{name}", kind.lower(), text, labels)
         for kind, name, text, labels in DEFINITIONS
     ]
     rows += [
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -354,12 +354,17 @@
         )
 
     def _make_status_server(self):
-        return StatusServer(bind=self.settings.status, pages={READY_PATH: self.ready})
+        return StatusServer(
+            bind=self.settings.status,
+            pages={READY_PATH: self.ready},
+            context=self.forwarder.context,
+        )
 
     def _make_metrics_server(self):
         return StatusServer(
             bind=self.settings.metrics,
             pages={METRICS_PATH: self.render_metrics},
+            context=self.forwarder.context,
             channel="metrics",
         )
 
--- a/wagtailfront/transport/http_exchange.py
+++ b/wagtailfront/transport/http_exchange.py
@@ -1,17 +1,19 @@
 """One HTTP request on one connection, and the state of its response."""
 
-import math
 import time
 from collections import deque
 from typing import Protocol
 
-from circuits.web.parsers import HttpParser
-
-from wagtailfront.transport.first_line import FirstLineBuffer
+from wagtailfront.transport.http_responses import (
+    ResponseData,
+    ResponseEnd,
+    ResponseHead,
+    ResponseReader,
+)
 
 __all__ = [
-    "MAX_FRAMING",
     "MAX_TRANSFER",
+    "ResponseHeaders",
     "ResponseSink",
     "WholeResponse",
     "Exchange",
@@ -19,19 +21,37 @@
     "split_address",
 ]
 
+CRLF = b"\r\n"
 MAX_WHOLE_BODY = 16 * 1024 * 1024  # bytes
-# Bytes of a response that may be heads, chunk lines or trailers, from one part
-# of its body to the next.
-MAX_FRAMING = 128 * 1024
 # Seconds from the first to the last byte of an answer without a total limit.
 MAX_TRANSFER = 10.0
 
 
+class ResponseHeaders(dict):
+    """Headers of a response by name, in any case; the last one of a name.
+
+    Examples
+    --------
+    >>> headers = ResponseHeaders([(b"ETag", b"1")])
+    >>> headers.get("etag"), headers.get("Age")
+    ('1', None)
+    """
+
+    def __init__(self, pairs):
+        super().__init__(
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in pairs
+        )
+
+    def get(self, name, default=None):
+        return super().get(name.lower(), default)
+
+
 class ResponseSink(Protocol):
     """Receiver of one response."""
 
     def on_head(self, status, headers):
-        """Handle the status code and the headers."""
+        """Handle the status code and the ResponseHeaders."""
 
     def on_data(self, data):
         """Handle a part of the body, with its transfer coding removed."""
@@ -109,15 +129,10 @@
         self.outgoing = deque([payload])
         self.sent = False
         self.done = False
-        self.head_received = False
         self.reused = False
         self.connected = False
         self.sock = None
-        self.first_line = FirstLineBuffer()
-        self.parser = HttpParser(1, False)
-        self.framing_bytes = 0
-        self.body_left = math.inf
-        self.has_excess = False
+        self.reader = ResponseReader()
         self.last_progress = time.monotonic()
         self.begun_at = None
         self.bytes_received = 0
@@ -139,36 +154,20 @@
         """Parse bytes of the response and pass them to the sink."""
         self._record_progress(time.monotonic())
         self.bytes_received += len(data)
-        self.framing_bytes += len(data)
-        if self.framing_bytes > MAX_FRAMING:
-            return self.fail("response head or trailer too large")
-        data = self.first_line.feed(data)
-        if not data:
-            return None
-        try:
-            self.parser.execute(data, len(data))
-        except (TypeError, ValueError) as error:
-            # circuits' parser raises these on malformed lengths and escapes.
-            return self.fail(f"invalid response: {error}")
-        if not self.head_received and self.parser.is_headers_complete():
-            if not self._is_head_valid():
-                return self.fail("invalid response head")
-            self.head_received = True
-            length = self.parser.get_headers().get("content-length", math.inf)
-            self.body_left = float(length)
-            self.sink.on_head(self.parser.get_status_code(), self.parser.get_headers())
-        if self.done:
-            return None
-        if self.parser.errno is not None and not self.head_received:
-            return self.fail("invalid response head")
-        if self.parser.is_partial_body():
-            body = self._cut_excess(self.parser.recv_body())
-            if body:
-                self.framing_bytes = 0
-                self.sink.on_data(body)
-        if not self.done and self.head_received and self._is_complete():
-            self.finish()
-        return None
+        parts = deque(self.reader.feed(data))
+        while parts and not self.done:
+            part = parts.popleft()
+            if isinstance(part, ResponseHead):
+                self.sink.on_head(part.status, ResponseHeaders(part.headers))
+            elif isinstance(part, ResponseData):
+                self.sink.on_data(part.data)
+            else:
+                # Bytes after the response belong to no request.
+                is_last = not parts and not self.reader.is_open
+                is_sound = is_last and self.reader.failure is None
+                self.finish(is_reusable=part.keep_alive and is_sound)
+        if not self.done and self.reader.failure is not None:
+            self.fail(f"invalid response: {self.reader.failure}")
 
     def _record_progress(self, now):
         self.last_progress = now
@@ -178,32 +177,9 @@
             self.begun_at = now
         self.deadline = min(now + self.stall_timeout, self.begun_at + MAX_TRANSFER)
 
-    def _is_head_valid(self):
-        """Return whether there is a status, and at most one valid framing."""
-        headers = self.parser.get_headers()
-        coding = headers.get("transfer-encoding")
-        length = headers.get("content-length")
-        if self.parser.get_status_code() is None:
-            return False
-        if coding is not None:
-            return length is None and coding.lower() == "chunked"
-        return length is None or (length.isascii() and length.isdigit())
-
-    def _cut_excess(self, data):
-        """Return `data` up to Content-Length, which the parser ignores."""
-        self.has_excess = len(data) > self.body_left
-        body = data[: int(self.body_left)] if self.has_excess else data
-        self.body_left -= len(body)
-        return body
-
-    def _is_complete(self):
-        bodiless = self.parser.get_status_code() in (204, 304)
-        return bodiless or self.parser.is_message_complete()
-
-    def finish(self):
+    def finish(self, *, is_reusable):
         """Release the connection and report the end of the response."""
         self.done = True
-        is_reusable = self.parser.should_keep_alive() and not self.has_excess
         self.pool.release(self, reusable=is_reusable)
         self.sink.on_end()
 
@@ -211,16 +187,22 @@
         """Handle EOF, which completes a response without other framing."""
         if self.done:
             return
-        has_framing = self.parser.is_chunked() or (
-            self.head_received and "content-length" in self.parser.get_headers()
-        )
-        if self.head_received and not has_framing:
+        if self.reader.feed_end() or self._ends_with_last_chunk():
             self.done = True
             self.pool.drop(self)
             self.sink.on_end()
         else:
             self.fail("connection closed before the response ended")
 
+    def _ends_with_last_chunk(self):
+        """Return whether only the line that ends the trailers is missing.
+
+        The last chunk completes a body, see RFC 9112, section 8.
+        """
+        if not self.reader.is_open or not self.reader.is_chunked:
+            return False
+        return any(isinstance(part, ResponseEnd) for part in self.reader.feed(CRLF))
+
 
 def split_address(address):
     """Return host and port of an address "host:port".
--- a/wagtailfront/transport/http_server.py
+++ b/wagtailfront/transport/http_server.py
@@ -6,7 +6,8 @@
 from circuits.net.events import close
 
 from wagtailfront.transport.http_listener import HttpListener
-from wagtailfront.transport.http_protocol import LimitedHttp, ServerLimits
+from wagtailfront.transport.http_protocol import LimitedHttp
+from wagtailfront.transport.server_limits import ServerLimits
 from wagtailfront.transport.ticker import Ticker
 
 __all__ = ["HttpServer", "ServerLimits"]
--- a/wagtailfront/transport/tests/test_split_reads.py
+++ b/wagtailfront/transport/tests/test_split_reads.py
@@ -8,7 +8,7 @@
 from hypothesis import given, strategies as st
 
 from wagtailfront.transport.http_client import Exchange, WholeResponse
-from wagtailfront.transport.http_exchange import MAX_FRAMING
+from wagtailfront.transport.http_responses import MAX_FRAMING
 from wagtailfront.transport.http_server import HttpServer
 from wagtailfront.transport.tests.event_loop import EventLoop
 
