Test that neither an early answer that is reset nor a status below 100 is an answer

Cause: other systems took the part of an answer without a length for all of it when its connection was reset while the request was still being written, and passed an answer of status 000 on. Change: tests on real sockets for calls, streams and the client of the store and of the product's own interface.

--- a/wagtailfront/forwarding/tests/test_endpoint_resets.py
+++ b/wagtailfront/forwarding/tests/test_endpoint_resets.py
@@ -8,7 +8,8 @@
 import pytest
 
 from wagtailfront.forwarding.endpoint_pool import CONNECT_TIMEOUT
-from wagtailfront.forwarding.tests.builders import make_route
+from wagtailfront.forwarding.framing import LAST_CHUNK
+from wagtailfront.forwarding.tests.builders import SAFE, STREAMING, make_route
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     LIMITS,
@@ -21,6 +22,8 @@
 from wagtailfront.platform.tests.wire import signed_head, signed_response
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\nContent-Length: %d\r\n\r\n"
+EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
+END_OF_DATA = b"until the connection ends"
 LONG_BODY = b"x" * 8_000_000  # more than the buffers of a connection hold
 
 
@@ -77,11 +80,13 @@
         assert data.startswith(b"HTTP/1.1 200 ")
 
 
-def send_long_body(begin, response):
+def send_long_body(begin, response, *, kind=SAFE):
     """Return the answer to a body that an endpoint resets while it is sent."""
     instance = begin(lambda *arguments: False)
     limits = LIMITS._replace(max_body=2 * len(LONG_BODY))
-    instance.forwarder.apply_config(make_config(make_route(), version=2, limits=limits))
+    instance.forwarder.apply_config(
+        make_config(make_route(kind), version=2, limits=limits)
+    )
     endpoint = EarlyAnswer(response)
     port = endpoint.listener.getsockname()[1]
     flush, open_connection = instance.pool._flush, instance.pool._open
@@ -96,7 +101,7 @@
     instance.pool._open = lambda record: open_connection(record._replace(port=port))
     with endpoint.listener, instance.connect() as caller:
         caller.sendall(HEAD % (b"r1", len(LONG_BODY)) + LONG_BODY)
-        data = read_until(caller, [b"\r\n\r\n"])
+        data = read_until(caller, [END_OF_DATA if kind is STREAMING else b"\r\n\r\n"])
     wait_for(lambda: not instance.pool.connections)
     return data
 
@@ -113,6 +118,33 @@
     assert data.startswith(b"HTTP/1.1 502 ")
 
 
+@pytest.mark.parametrize("events", [b"", b"id: 1\ndata: a\n\n", b"id: 1\ndata: a"])
+def test_stream_without_a_length_that_is_reset_is_no_whole_stream(begin, events):
+    """Guards against a reset that is taken for the end of a stream."""
+    data = send_long_body(
+        begin,
+        lambda name: signed_head(name, EVENT_STREAM) + events,
+        kind=STREAMING,
+    )
+    assert b"\r\n" + LAST_CHUNK not in data
+    assert data.startswith((b"HTTP/1.1 502 ", b"HTTP/1.1 200 "))
+
+
+@pytest.mark.parametrize("kind", [SAFE, STREAMING])
+def test_status_below_100_is_no_answer(begin, kind):
+    """Guards callers against an answer whose status says nothing."""
+    instance = begin(
+        lambda connection, request_id, request: connection.sendall(
+            signed_response(request_id, b"x").replace(b" 200 ", b" 000 ", 1)
+        )
+    )
+    instance.forwarder.apply_config(make_config(make_route(kind), version=2))
+    with instance.connect() as caller:
+        caller.sendall(GET % b"r1")
+        data = read_until(caller, [b"\r\n\r\n"])
+    assert data.startswith(b"HTTP/1.1 502 ")
+
+
 def test_connection_made_while_the_instance_stands_still_is_used(begin):
     """Guards endpoints against a failure for the instance's own stall."""
     instance = begin(echo)
--- a/wagtailfront/transport/tests/test_cut_responses.py
+++ b/wagtailfront/transport/tests/test_cut_responses.py
@@ -97,6 +97,14 @@
         assert receive(SPLITS[split](data), ends=True)[0] is None
 
 
+@pytest.mark.parametrize("status", [b"000", b"007", b"99"])
+@pytest.mark.parametrize("framing", [b"Content-Length: 5", b"X-Own: a"])
+def test_a_status_below_100_is_no_response(status, framing):
+    """Guards the store's client against a status that says nothing."""
+    data = b"HTTP/1.1 " + status + b" OK\r\n" + framing + b"\r\n\r\nhello"
+    assert receive([data], ends=True)[0] is None
+
+
 def test_bytes_after_a_response_are_no_part_of_it_or_the_next():
     """Guards against extra bytes in a body, or on a kept connection."""
     whole = RESPONSES["length"]
