Check the keys of requests, and bound the age of the configuration by the store's clock

Cause: where the configuration names workspaces, engines got the callers' keys, any key was served, and a removed key was served for as long as an instance had an old configuration. Change: the key of a request is looked up by its digest when the request is taken, and removed from it; endpoints and peers get the workspace. A workspace's priority replaces that of the route. Instruction headers are removed from callers' requests, which so far reached endpoints.

--- a/wagtailfront/admission/control.py
+++ b/wagtailfront/admission/control.py
@@ -76,12 +76,22 @@
         self.shares = defaultdict(FairShare)
         self.arriving = {}
 
-    def set_routes(self, routes):
-        """Adopt the ranks of requests from the routes of a configuration."""
+    def set_routes(self, routes, workspaces=None):
+        """Adopt the ranks of requests from a configuration.
+
+        Parameters
+        ----------
+        routes : iterable of Route
+        workspaces : Mapping of str to KeyedWorkspace, optional
+            A priority of theirs goes before that of the route.
+        """
+        own = {workspace.priority for workspace in (workspaces or {}).values()}
         ranks = defaultdict(set)
         for route in routes:
+            has_own_rank = not own or None in own or route.is_public
+            route_ranks = (own - {None}) | ({route.priority} if has_own_rank else set())
             for share in route.shares:
-                ranks[share.service].add(route.priority)
+                ranks[share.service] |= route_ranks
         self.ranks = {service: sorted(each) for service, each in ranks.items()}
 
     def expect(self, work, *, now):
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -14,7 +14,10 @@
     time_limit,
 )
 from wagtailfront.forwarding.prefix_cache import PrefixCacheEstimate
-from wagtailfront.forwarding.proxy_headers import unreached_headers
+from wagtailfront.forwarding.proxy_headers import (
+    unreached_headers,
+    without_proxy_headers,
+)
 from wagtailfront.forwarding.resumption import (
     find_origin,
     is_resumption,
@@ -22,13 +25,14 @@
     refusal,
 )
 from wagtailfront.forwarding.routes import RouteTable, choose_service
+from wagtailfront.workspaces.key_check import KeyCheck, KeyedRequest, KeyRefusal
 
 __all__ = ["Forwarder", "AttemptBudgets", "PrefixCachesByService"]
 
 logger = logging.getLogger(__name__)
 
 UNCONFIGURED_RETRY_AFTER = 0.5  # seconds; about one read of the configuration
-BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 400, 404, 503
+BAD_REQUEST, UNAUTHORIZED, NOT_FOUND, UNAVAILABLE = 400, 401, 404, 503
 
 
 class AttemptBudgets(defaultdict):
@@ -67,6 +71,8 @@
     Parameters
     ----------
     context : ForwardContext
+    key_check : KeyCheck, optional
+        By default one without a bound on the configuration's age.
 
     Attributes
     ----------
@@ -79,8 +85,11 @@
         Time from which requests are refused that may take longer.
     """
 
-    def __init__(self, *, context):
+    def __init__(self, *, context, key_check=None):
         self.context = context
+        self.key_check = key_check or KeyCheck(
+            dialect=context.dialect, log=context.log, metrics=context.metrics
+        )
         self.serves_until = math.inf
         self.refuses_from = math.inf
         self.config = None
@@ -111,12 +120,13 @@
         """
         if not self._is_newer(config, era):
             return False
-        self.config, self.config_era = config, era
+        before, self.config, self.config_era = self.config, config, era
+        self.key_check.record_config(before and before.workspaces, config.workspaces)
         self.table = RouteTable(config.routes)
         self.config_applied_at = self.context.clock()
         self.limits.replace(config.limits, now=self.config_applied_at)
         self.context.prefix_caches.add_services(config.services)
-        self.context.admission.set_routes(config.routes)
+        self.context.admission.set_routes(config.routes, config.workspaces)
         return True
 
     def _is_newer(self, config, era):
@@ -130,7 +140,10 @@
         """Start a request; return its task, or None if it was rejected.
 
         `instructions` are those of a peer, if the request is of its caller.
+        Headers that look like such are removed from the request.
         """
+        headers = without_proxy_headers(request.headers)
+        request = request._replace(headers=headers)
         try:
             task = self._make_task(request, reply, instructions)
         except Exception:
@@ -164,6 +177,19 @@
         if instructions is not None and not route.leads_to(instructions.service):
             answer(fields.request_id, UNAVAILABLE, "another configuration")
             return None
+        keyed = self.key_check.check(
+            KeyedRequest(request, fields, route), self.config.workspaces, instructions
+        )
+        if isinstance(keyed, KeyRefusal):
+            answer(fields.request_id, keyed.status, keyed.reason)
+            return None
+        return self._make_routed_task(*keyed, reply, instructions)
+
+    def _make_routed_task(self, request, fields, route, reply, instructions):
+        """Return the task of a request that is allowed, or None."""
+        answer = functools.partial(
+            self._answer, reply, is_proxied=instructions is not None
+        )
         origin = None
         if is_resumption(fields, route):
             origin = named_origin(instructions) or find_origin(
@@ -252,14 +278,14 @@
             status=status,
             config=self.config and self.config.version,
         )
-        headers = (
-            self.context.dialect.refusal_headers(retry_after)
-            if status == UNAVAILABLE
-            else []
-        )
+        headers, body = [], b""
+        if status == UNAVAILABLE:
+            headers = self.context.dialect.refusal_headers(retry_after)
+        elif status == UNAUTHORIZED:
+            headers, body = self.context.dialect.unauthorized_headers(), reason.encode()
         if is_proxied:
             headers += unreached_headers()
-        reply.answer(status, headers, b"")
+        reply.answer(status, headers, body)
 
     def _on_done(self, task):
         self.tasks.discard(task)
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -49,7 +49,10 @@
     resumes : str or None
         Id of the caller's attempt that got the first event of that stream.
     caller : str
-        Names the caller, the same in all its requests; empty if unknown.
+        Names the caller, the same in all its requests and on all instances;
+        empty if unknown. A digest where requests need keys.
+    workspace : str or None
+        Name of the workspace that the request's key belongs to.
     """
 
     request_id: str
@@ -62,6 +65,7 @@
     last_event_id: int | None = None
     resumes: str | None = None
     caller: str = ""
+    workspace: str | None = None
 
     @property
     def shared_parts(self):
@@ -87,6 +91,8 @@
         Where the endpoint fetches the KV cache of the prompt.
     resume_after : int or None
         Event after which a stream resumes.
+    workspace : str or None
+        Workspace that the request belongs to.
     """
 
     endpoint_id: str
@@ -95,6 +101,7 @@
     prefill_only: bool = False
     kv_source: str | None = None
     resume_after: int | None = None
+    workspace: str | None = None
 
 
 class EndpointNotice(NamedTuple):
@@ -159,6 +166,15 @@
     def read_request(self, headers) -> RequestFields:
         """Decode a caller's headers; ValueError if one cannot be read."""
 
+    def read_key(self, headers) -> str | None:
+        """Return the digest of a caller's key, or None without one."""
+
+    def without_credentials(self, headers) -> list:
+        """Return a caller's headers without its key and its workspace."""
+
+    def unauthorized_headers(self) -> list:
+        """Return the headers of an answer to a request that needs a key."""
+
     def endpoint_headers(self, headers, options: SendOptions) -> list:
         """Return the headers of a request to an endpoint."""
 
@@ -230,6 +246,9 @@
         Position of the latest change; that of no change has version 0.
     largest_row : int
         Bytes of the largest row in the answer; 0 if it has none.
+    store_time : float or None
+        The store's clock in seconds, when nothing newer was there; None if
+        the answer does not say.
     """
 
     is_known: bool
@@ -238,6 +257,7 @@
     reason: str = ""
     changed: StorePosition = StorePosition()
     largest_row: int = 0
+    store_time: float | None = None
 
 
 class RoutingSource(Protocol):
--- a/wagtailfront/forwarding/proxied_attempt.py
+++ b/wagtailfront/forwarding/proxied_attempt.py
@@ -81,6 +81,8 @@
             service=task.service.name,
             runs=task.runs,
             software_version=task.dispatcher.choice.software_version,
+            workspace=task.fields.workspace,
+            caller=task.fields.caller if task.fields.workspace is not None else "",
         )
         headers = [
             *dialect.proxy_headers(
@@ -89,6 +91,7 @@
                 ),
                 time_left=task.deadline - self.started,
                 resume_after=task.stream.last_event_id,
+                workspace=task.fields.workspace,
             ),
             *instruction_headers(instructions),
             (b"Content-Length", b"%d" % len(request.body)),
--- a/wagtailfront/forwarding/proxy_headers.py
+++ b/wagtailfront/forwarding/proxy_headers.py
@@ -21,6 +21,8 @@
 RUNS = b"Wagtailfront-Proxy-Runs"
 STREAM_VERSION = b"Wagtailfront-Proxy-Stream-Version"
 ENDPOINT = b"Wagtailfront-Proxy-Endpoint"
+WORKSPACE = b"Wagtailfront-Proxy-Workspace"
+CALLER = b"Wagtailfront-Proxy-Caller"
 SOFTWARE_VERSION = b"Wagtailfront-Proxy-Software-Version"
 UNREACHED = b"Wagtailfront-Proxy-Unreached"
 MAX_RUNS = 9
@@ -37,11 +39,18 @@
         Runs that the request may have had.
     software_version : str or None
         Version that began the stream, if it has begun.
+    workspace : str or None
+        That of the key, which need not be checked again; None for a request
+        without one, or of an instance that does not check keys.
+    caller : str
+        Names the caller of a workspace, as in its RequestFields.
     """
 
     service: str
     runs: int = 0
     software_version: str | None = None
+    workspace: str | None = None
+    caller: str = ""
 
 
 class ProxyAnswer(NamedTuple):
@@ -78,9 +87,9 @@
 
     Examples
     --------
-    >>> headers = instruction_headers(ProxyInstructions("s", 1, "v2"))
-    >>> read_instructions(headers)
-    ProxyInstructions(service='s', runs=1, software_version='v2')
+    >>> instructions = ProxyInstructions("s", 1, "v2", workspace="archive")
+    >>> read_instructions(instruction_headers(instructions)) == instructions
+    True
     """
     headers = [
         (SERVICE, _encode(instructions.service)),
@@ -88,6 +97,9 @@
     ]
     if instructions.software_version is not None:
         headers.append((STREAM_VERSION, _encode(instructions.software_version)))
+    if instructions.workspace is not None:
+        headers.append((WORKSPACE, _encode(instructions.workspace)))
+        headers.append((CALLER, _encode(instructions.caller)))
     return headers
 
 
@@ -103,10 +115,13 @@
     if service is None:
         raise ValueError("a request of a peer names no service")
     version = find_header(headers, STREAM_VERSION.lower())
+    workspace = find_header(headers, WORKSPACE.lower())
     return ProxyInstructions(
         service=_decode(service),
         runs=int(find_header(headers, RUNS.lower()) or 0),
         software_version=None if version is None else _decode(version),
+        workspace=None if workspace is None else _decode(workspace),
+        caller=_decode(find_header(headers, CALLER.lower()) or b""),
     )
 
 
--- a/wagtailfront/forwarding/proxy_server.py
+++ b/wagtailfront/forwarding/proxy_server.py
@@ -1,10 +1,7 @@
 """Server for requests that peers cannot send to endpoints themselves."""
 
 from wagtailfront.forwarding.caller_server import ForwardServer
-from wagtailfront.forwarding.proxy_headers import (
-    read_instructions,
-    without_proxy_headers,
-)
+from wagtailfront.forwarding.proxy_headers import read_instructions
 
 __all__ = ["PeerRequests", "ProxyServer"]
 
@@ -49,10 +46,7 @@
             )
             reply.answer(BAD_REQUEST, [], b"")
             return None
-        headers = without_proxy_headers(request.headers)
-        return self.forwarder.accept(
-            request._replace(headers=headers), reply, instructions
-        )
+        return self.forwarder.accept(request, reply, instructions)
 
 
 class ProxyServer(ForwardServer):
--- a/wagtailfront/forwarding/request_sender.py
+++ b/wagtailfront/forwarding/request_sender.py
@@ -77,6 +77,7 @@
             prefill_only=attempt.is_prefill,
             kv_source=task.dispatcher.kv_source,
             resume_after=task.stream.last_event_id,
+            workspace=task.fields.workspace,
         )
         kind = "prefill" if attempt.is_prefill else "run"
         task.context.metrics.count("sends_total", service=task.service.name, kind=kind)
--- a/wagtailfront/forwarding/store_watcher.py
+++ b/wagtailfront/forwarding/store_watcher.py
@@ -217,7 +217,8 @@
         )
         if number == self.call_number > self.answered_number:
             self.watch = watch
-            if wait > WATCH_SECONDS:
+            is_strict = self.confirmations.is_strict(self.table)
+            if wait > WATCH_SECONDS or (wait and is_strict):
                 self._check_age(number)
 
     def _check_age(self, number):
@@ -348,6 +349,8 @@
         if self.seen_to >= self.catch_up_to:
             self.reported_at = None
         self.versions.record(self.table, read.changed)
+        if read.cursor is not None and self.reported_at is None:
+            self.confirmations.record_applied(self.table, read)
 
     def _log_contact(self, read):
         """Log a call that failed after others that did not, or the reverse."""
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -15,6 +15,7 @@
     ResponseFields,
 )
 from wagtailfront.platform.notices import read_notice
+from wagtailfront.workspaces.keys import CONFLICTING_KEYS, key_digest
 
 __all__ = [
     "EXPECTED_ID",
@@ -33,6 +34,9 @@
 PROMPT_PARTS = b"X-Prompt-Prefix"  # all parts; the request's own is last
 LAST_EVENT = b"Last-Event-Id"
 CALLER = b"Authorization"  # the page names no header for the caller
+WORKSPACE = b"X-Tenant"
+CHALLENGE = b"WWW-Authenticate"
+KEY_SCHEME = b"Token"
 RESUMES = b"Resumes"  # the attempt of the caller that began the stream
 SIGNATURE = b"X-Response-Stamp"  # proof that an engine produced the response
 NOT_RUN = b"X-Not-Executed"
@@ -86,6 +90,10 @@
 )
 
 
+# They are not passed on where requests need keys.
+CREDENTIAL_HEADERS = frozenset((CALLER.lower(), WORKSPACE.lower()))
+
+
 class _Handle(msgspec.Struct):
     """Body of a prefill response; `handle` names the KV cache to fetch."""
 
@@ -120,8 +128,39 @@
             caller=text(CALLER),
         )
 
+    def read_key(self, headers):
+        """Return the digest of a caller's key, or None without one.
+
+        Headers that contradict each other, of which one has a key, give the
+        digest of no key.
+        """
+        values = {value for name, value in headers if name.lower() == CALLER.lower()}
+        parts = [(*value.split(None, 1), b"", b"")[:2] for value in values]
+        keys = [key for scheme, key in parts if scheme.lower() == KEY_SCHEME.lower()]
+        if not keys:
+            return None
+        if len(values) > 1:
+            return CONFLICTING_KEYS
+        return key_digest(_decode_key(keys[0].strip()))
+
+    def without_credentials(self, headers):
+        """Return a caller's headers without its key and its workspace."""
+        return [h for h in headers if h[0].lower() not in CREDENTIAL_HEADERS]
+
+    def unauthorized_headers(self):
+        """Return the headers of an answer to a request that needs a key."""
+        return [(CHALLENGE, KEY_SCHEME), (b"Content-Type", b"text/plain")]
+
+    def _workspace_headers(self, headers, workspace):
+        """Return `headers` with those of a workspace in place of a key."""
+        if workspace is None:
+            return headers
+        added = (WORKSPACE, workspace.encode())
+        return [*self.without_credentials(headers), added]
+
     def endpoint_headers(self, headers, options):
         """Return the headers of a request to an endpoint."""
+        headers = self._workspace_headers(headers, options.workspace)
         replaced = set(SYSTEM_HEADERS)
         added = [
             (EXPECTED_ID, options.endpoint_id.encode()),
@@ -138,7 +177,7 @@
             added.append((LAST_EVENT, b"%d" % options.resume_after))
         return [h for h in headers if h[0].lower() not in replaced] + added
 
-    def proxy_headers(self, headers, *, time_left, resume_after):
+    def proxy_headers(self, headers, *, time_left, resume_after, workspace=None):
         """Return the headers of a request that a peer is to send on.
 
         Parameters
@@ -149,7 +188,10 @@
             Seconds until the caller's deadline.
         resume_after : int or None
             Last event of its stream that the caller has got.
+        workspace : str, optional
+            That of the caller. A peer of an older build passes its header on.
         """
+        headers = self._workspace_headers(headers, workspace)
         replaced = {DEADLINE.lower()}
         added = [(DEADLINE, b"%d" % max(1, round(time_left * MS_PER_SECOND)))]
         if resume_after is not None:
@@ -206,6 +248,14 @@
     return rate
 
 
+def _decode_key(value):
+    """Return a key as text; it may be any bytes."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def _read_tokens(text):
     prompt, _comma, output = text.partition(",")
     return _read_count(prompt or 0), _read_count(output or 0)
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -5,7 +5,7 @@
 import json
 import logging
 import re
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -26,6 +26,7 @@
 __all__ = [
     "StoreRows",
     "read_rows",
+    "read_store_time",
     "read_registry",
     "read_instance_address",
     "read_routing",
@@ -52,6 +53,8 @@
 
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
+# It is sent as a header's value.
+WorkspaceName = Annotated[str, msgspec.Meta(pattern=r"^[^\x00-\x1f\x7f]+\Z")]
 
 
 class _Wire(msgspec.Struct, rename="kebab"):
@@ -68,11 +71,25 @@
 
 
 class StoreRows(_Wire, kw_only=True):
-    """Response to a read; `ver` is the latest version of the whole store."""
+    """Response to a read; `ver` is the latest version of the whole store.
+
+    `now_ms` is its clock, which runs steadily; a value of another type is
+    taken as missing, as the rows do not depend on it.
+    """
 
     rows: list[StoreRow]
     ver: Number
     has_more: bool = False
+    now_ms: Any = None
+
+    @property
+    def store_time(self):
+        """Return the store's clock in seconds, or None if it is not given."""
+        return _read_seconds(self.now_ms)
+
+
+class _Clock(_Wire, kw_only=True):
+    now_ms: Any = None
 
 
 class _Registration(_Wire, kw_only=True):
@@ -143,7 +160,7 @@
 
 
 class _Tenant(_Wire, kw_only=True):
-    name: NonEmpty
+    name: WorkspaceName
     api_keys: list[str] = []
     priority: Number | None = None
 
@@ -163,6 +180,22 @@
     tenants: list[_Tenant] | None = None
 
 
+def read_store_time(body):
+    """Return the store's clock in seconds in any of its answers, or None."""
+    try:
+        return _read_seconds(decode_json(body, _Clock).now_ms)
+    except ProtocolError as error:
+        logger.warning("[store] no clock in an answer: %s", error)
+        return None
+
+
+def _read_seconds(milliseconds):
+    is_number = isinstance(milliseconds, int | float)
+    if not is_number or not 0 <= milliseconds <= MAX_NUMBER:
+        return None
+    return milliseconds / MS_PER_SECOND
+
+
 def read_rows(body):
     """Decode the store's response to a read.
 
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -12,12 +12,14 @@
     RoutingRead,
     StorePosition,
 )
+from wagtailfront.freshness.store_clock import StoreTime, boot_clock
 from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.rows import (
     StoreRows,
     read_registry,
     read_routing,
     read_rows,
+    read_store_time,
 )
 from wagtailfront.platform.skipped_rows import SkippedRows
 
@@ -32,6 +34,7 @@
 STALL_TIMEOUT = 1.0
 ERA = "Store-Era"  # rises each time the store comes back from an older copy
 ERA_NUMBER = re.compile("[0-9]{1,15}")
+OK = 200
 GONE = 410  # the store no longer has the history after the cursor
 TOO_MANY = 429  # from here on the store has not handled the call
 MS_PER_SECOND = 1000
@@ -72,6 +75,10 @@
         Called when the store has handled a call, before `reply`.
     on_silence : callable, optional
         Called when a call got no answer, after `reply`.
+    on_clock : callable, optional
+        Called before `reply` with the StoreTime of each answer that has one.
+    clock : callable, optional
+        Returns the times of a StoreTime on this machine's clock.
 
     Attributes
     ----------
@@ -95,6 +102,8 @@
         on_era=lambda era: None,
         on_answer=lambda: None,
         on_silence=lambda: None,
+        on_clock=None,
+        clock=boot_clock,
     ):
         self.pool = pool
         self.host = host
@@ -102,6 +111,8 @@
         self.on_era = on_era
         self.on_answer = on_answer
         self.on_silence = on_silence
+        self.on_clock = on_clock
+        self.clock = clock
         self.era = 0
 
     def get(self, path, reply, *, timeout=CALL_TIMEOUT, max_body=None):
@@ -146,6 +157,7 @@
 
     def _call(self, reply, **request):
         is_outdated = False
+        sent = self.clock()
 
         def on_headers(status, headers):
             nonlocal is_outdated
@@ -163,6 +175,8 @@
             if is_outdated:
                 reply(None, "answer of an earlier era of the store")
             else:
+                if status == OK:
+                    self._record_clock(body, sent)
                 reply(status, body)
             if status is None:
                 self.on_silence()
@@ -177,6 +191,14 @@
             **request,
         )
 
+    def _record_clock(self, body, sent):
+        """Pass on the store's clock in an answer to a call."""
+        if self.on_clock is None or not body:
+            return
+        store = read_store_time(body)
+        if store is not None:
+            self.on_clock(StoreTime(self.era, sent, self.clock(), store))
+
     def drop_idle(self):
         """Close the idle connections, which may be silent."""
         self.pool.drop_idle_to(self.host, self.port)
@@ -206,7 +228,8 @@
                 return
             rows = [row for each in pages for row in each.rows]
             # A watch from the first page's version reports later changes.
-            reply(StoreRows(rows=rows, ver=pages[0].ver), "")
+            first = pages[0]
+            reply(StoreRows(rows=rows, ver=first.ver, now_ms=first.now_ms), "")
 
         path = f"/api/rows-get?table={table}&part="
         if first_key:
@@ -387,4 +410,5 @@
             cursor=self.client.position(rows.ver),
             changed=self.client.position(_latest_version(rows.rows)),
             largest_row=max((len(row.value) for row in rows.rows), default=0),
+            store_time=rows.store_time,
         )
--- a/wagtailfront/platform/tests/restored_store.py
+++ b/wagtailfront/platform/tests/restored_store.py
@@ -16,6 +16,7 @@
 from wagtailfront.forwarding.store_watcher import StoreWatcher
 from wagtailfront.forwarding.tests.builders import LogLines, Scene, VirtualTimers
 from wagtailfront.freshness.confirmations import Confirmations
+from wagtailfront.freshness.store_clock import StoreClock
 from wagtailfront.platform.store_client import (
     OPERATOR_TABLE,
     REGISTRY_TABLE,
@@ -26,10 +27,12 @@
 from wagtailfront.platform.tests.builders import make_registration, make_row
 from wagtailfront.platform.tests.store_pool import StorePool
 from wagtailfront.transport.http_exchange import MAX_TRANSFER
+from wagtailfront.workspaces.config_age import ConfigAge
 
 LATENCY = 0.004  # seconds
 REWRITE_DELAY = 0.3  # seconds
 PACKET_BYTES = 16384
+BOOT_DIFFERENCE = 40.0  # seconds by which the store's clock is behind others
 
 
 class DrillStore(StorePool):
@@ -51,6 +54,7 @@
         self.is_deaf = False
         self.told_ver = None
         self.timers = VirtualTimers()
+        self.clock = lambda: self.timers.now - BOOT_DIFFERENCE
         self.history = [(self.timers.now, self.copy())]
         self.written = {}
         self.watches = []
@@ -189,7 +193,8 @@
 
     def _end_watch(self, sink):
         if not self.store.is_away:
-            answer = {"rows": [], "ver": self.store.watch_ver}
+            told = self.store.told_time()
+            answer = {"rows": [], "ver": self.store.watch_ver, **told}
             self._respond(sink, 200, answer, self.store.era)
 
     def _respond(self, sink, status, answer, era):
@@ -271,6 +276,8 @@
         Rate of its link.
     config_apply : float, optional
         Seconds within which changes must be in force.
+    revoke_within : float, optional
+        Seconds after which no removed key may be served.
 
     Attributes
     ----------
@@ -281,7 +288,14 @@
     """
 
     def __init__(
-        self, *, store, peers=0, seed=1, bytes_per_second=math.inf, config_apply=2.0
+        self,
+        *,
+        store,
+        peers=0,
+        seed=1,
+        bytes_per_second=math.inf,
+        config_apply=2.0,
+        revoke_within=None,
     ):
         self.link = StoreLink(store=store, bytes_per_second=bytes_per_second)
         self.timers = store.timers
@@ -290,6 +304,16 @@
         self.routing_arrivals = []
         self.versions = StoreVersions(tables=("routing", "registry"))
         self.contact = StoreContact()
+        self.config_age = None
+        store_clock = StoreClock(log=self.log)
+        if revoke_within is not None:
+            self.config_age = ConfigAge(
+                store_clock=store_clock,
+                versions=self.versions,
+                limit=revoke_within,
+                clock=self.timers.clock,
+                timer_clock=self.timers.clock,
+            )
         self.address = f"a{seed}"
         self.peer_addresses = {f"p{number}" for number in range(peers)}
         self.confirmations = Confirmations(
@@ -297,6 +321,7 @@
             bound=config_apply,
             address=self.address,
             find_live=lambda: self.peer_addresses,
+            ages={"routing": self.config_age} if self.config_age else {},
         )
         self.client = StoreClient(
             pool=self.link,
@@ -305,6 +330,8 @@
             on_era=self.versions.handle_era,
             on_answer=lambda: self.contact.record_answer(now=self.timers.now),
             on_silence=self._on_silence,
+            on_clock=store_clock.record,
+            clock=self.timers.clock,
         )
         self.forwarder = Forwarder(context=Scene([]).context)
         self.directory = EndpointDirectory()
--- a/wagtailfront/platform/tests/store_pool.py
+++ b/wagtailfront/platform/tests/store_pool.py
@@ -20,6 +20,8 @@
         Version, table, key and value of each write, in order.
     failures : list of int or None
         Statuses of the next responses; None for a timeout.
+    clock : callable or None
+        Returns the seconds of the store's clock, which its answers contain.
     """
 
     def __init__(self, *, page_rows=500):
@@ -30,6 +32,7 @@
         self.era = 1
         self.calls = []
         self.failures = []
+        self.clock = None
 
     def write(self, table, key, value):
         """Write a row, or remove it if `value` is None."""
@@ -71,11 +74,15 @@
         """Return the status and the answer to a request."""
         if method == "POST":
             status, answer = self._transact(msgspec.json.decode(body))
-            return status, {**answer, "ver": self.ver}
+            return status, {**answer, "ver": self.ver, **self.told_time()}
         fields = self.read_query(path)
         if int(fields.get("after", 0)) > self.ver:
             return 410, {}
-        return 200, {**self._rows(fields), "ver": self.ver}
+        return 200, {**self._rows(fields), "ver": self.ver, **self.told_time()}
+
+    def told_time(self):
+        """Return the field of an answer that contains the store's clock."""
+        return {} if self.clock is None else {"now-ms": int(self.clock() * 1000)}
 
     @staticmethod
     def read_query(path):
--- a/wagtailfront/platform/tests/test_boundary.py
+++ b/wagtailfront/platform/tests/test_boundary.py
@@ -9,6 +9,7 @@
 WIRE_NAMES = re.compile(
     r"X-Response-Stamp|X-Not-Executed|X-Expect-Instance|X-Kv-|"
     r"Server-Limit|Server-Leaving|Store-Era|X-Prompt-Prefix|X-Token-Count|X-Stage|X-Request-Priority|Last-Event-Id|"
+    r"X-Tenant|api-keys|now-ms|WWW-Authenticate|"
     r"rows-(?:tx|get|feed)|op/config|servers/|fencing-token|/api/"
 )
 DECISION_MODULES = re.compile(
--- a/wagtailfront/platform/tests/wire.py
+++ b/wagtailfront/platform/tests/wire.py
@@ -18,6 +18,8 @@
 PREFILL_LINE = b"X-Stage: prefill"
 KV_SOURCE = b"X-Kv-Source"
 LEAVING = (b"Server-Leaving", b"1")
+KEY = b"Authorization"
+WORKSPACE = b"X-Tenant"
 
 
 def deadline_line(milliseconds):
@@ -25,6 +27,26 @@
     return b"%b: %d" % (DEADLINE, milliseconds)
 
 
+def key_line(key):
+    """Return the header line of a caller's key."""
+    return b"%b: Token %b" % (KEY, key.encode())
+
+
+def workspace_line(name):
+    """Return the header line of a workspace."""
+    return b"%b: %b" % (WORKSPACE, name)
+
+
+def workspaces_of(headers):
+    """Return the workspaces that the headers of a request name."""
+    return [value for name, value in headers if name.lower() == WORKSPACE.lower()]
+
+
+def tenants(*keys, name="hule930", **fields):
+    """Return the field of a configuration with one workspace."""
+    return [{"name": name, "api-keys": list(keys), **fields}]
+
+
 def read_deadline(request):
     """Return the milliseconds that a request's head leaves for it."""
     return int(re.search(rb"(?i)%b: (\d+)" % DEADLINE, request)[1])
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -1,5 +1,6 @@
 """Supervisor tree of a forwarding instance."""
 
+import math
 import random
 import time
 from typing import Any, NamedTuple
@@ -40,6 +41,7 @@
 from wagtailfront.forwarding.store_versions import StoreVersions
 from wagtailfront.forwarding.store_watcher import StoreWatcher
 from wagtailfront.freshness.confirmations import Confirmations
+from wagtailfront.freshness.store_clock import StoreClock
 from wagtailfront.identifiers import new_id
 from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
@@ -57,6 +59,8 @@
 from wagtailfront.transport.http_client import HttpPool
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
 from wagtailfront.transport.timers import Timers
+from wagtailfront.workspaces.config_age import ConfigAge
+from wagtailfront.workspaces.key_check import KeyCheck
 
 __all__ = ["ForwardSettings", "ForwardTree"]
 
@@ -72,6 +76,9 @@
 RESERVED_DESCRIPTORS = 1200
 PEER_PORTS = 16  # that the platform keeps free for peers, that of the bus included
 MAX_PORT = 65_535
+# Seconds after the start in which an instance is not ready, as it cannot tell
+# yet how old its configuration is. A restored store takes two of them.
+MAX_START_WAIT = 3.0
 MAX_PEER_CONNECTIONS = 400  # with requests of peers; of the reserved ones
 
 
@@ -112,6 +119,7 @@
         self.settings = settings
         self.log = log
         self.metrics = Metrics()
+        self.started_at = time.monotonic()
         self.directory = EndpointDirectory()
         self.timers = Timers()
         self.rng = random.Random()
@@ -135,6 +143,7 @@
         self.proxy_pool = EndpointPool(
             timers=self.timers, channel="proxies", max_idle=lambda record: 0
         )
+        self.store_clock = StoreClock(log=log)
         self.store_pool = HttpPool(
             channel="store", connect_timeout=STORE_CONNECT_TIMEOUT
         )
@@ -145,12 +154,15 @@
             on_era=self._on_store_era,
             on_answer=lambda: self.contact.record_answer(now=time.monotonic()),
             on_silence=self._on_store_silence,
+            on_clock=self.store_clock.record,
         )
         self.contact = StoreContact()
         self.watchers = {}
         self.digest_parts = []
         self.confirmation = None
-        self.forwarder = Forwarder(context=self._make_context())
+        self.versions = StoreVersions(tables=("routing", "registry"))
+        self.config_age = self._make_config_age()
+        self.forwarder = self._make_forwarder()
         context = self.forwarder.context
         self.engines = EngineClient(
             pool=self.store_pool,
@@ -167,12 +179,12 @@
             rng=context.rng,
         )
         self.server = self.proxy_server = None
-        self.versions = StoreVersions(tables=("routing", "registry"))
         self.confirmations = Confirmations(
             tables=self.versions.tables,
             bound=settings.platform.config_apply,
             address=str(settings.peers),
             find_live=lambda: context.load.live_addresses(now=time.monotonic()),
+            ages={"routing": self.config_age} if self.config_age else {},
         )
         self.pace = FleetPace(
             count_peers=lambda: len(context.load.peers), rng=context.rng
@@ -185,6 +197,28 @@
             timers=self.timers,
         )
 
+    def _make_config_age(self):
+        """Return the ConfigAge, or None where the age has no bound."""
+        if self.settings.platform.revoke_within is None:
+            return None
+        config_age = ConfigAge(
+            store_clock=self.store_clock,
+            versions=self.versions,
+            limit=self.settings.platform.revoke_within,
+        )
+        self.digest_parts.append(config_age)
+        return config_age
+
+    def _make_forwarder(self):
+        context = self._make_context()
+        key_check = KeyCheck(
+            dialect=context.dialect,
+            log=self.log,
+            metrics=self.metrics,
+            age=self.config_age,
+        )
+        return Forwarder(context=context, key_check=key_check)
+
     def _make_context(self):
         settings = self.settings
         health, rng = EndpointHealth(), self.rng
@@ -488,12 +522,25 @@
             and not self.server.is_draining
             and self.forwarder.config is not None
             and bool(self.directory.records)
+            and not self._awaits_config_age()
         )
         return (200 if is_ready else 503), "text/plain", b""
 
+    def _awaits_config_age(self):
+        """Return whether keyed work will be served soon after the start."""
+        return (
+            self.config_age is not None
+            and self.forwarder.config.workspaces is not None
+            and self.config_age.newest_at == -math.inf
+            and time.monotonic() - self.started_at < MAX_START_WAIT
+        )
+
     def render_metrics(self):
         """Return the metrics page."""
         self.metrics.set("requests_in_progress", len(self.forwarder.tasks))
+        if self.config_age is not None:
+            age = self.config_age.age()
+            self.metrics.set("config_age_seconds", -1 if age == math.inf else age)
         self.metrics.set(
             "rate_limited_endpoints", self.forwarder.context.rate_limits.count_limited()
         )
