Hold duties by one class, and call the platform's API

Cause: calls of duties may be made by one instance at a time, with fencing numbers that never fall and no holder that returns within the lease gap. Stage orders had their own lease, candidates and wait after a takeover. Grants say whether the predecessor released the lease.

--- a/wagtailfront/authority/lease.py
+++ b/wagtailfront/authority/lease.py
@@ -88,6 +88,8 @@
         No effect may start at or after this time on the holder's clock.
     has_predecessor : bool
         Whether another instance may have held the lease before.
+    was_released : bool
+        Whether its predecessor released it, so that no time has passed since.
     """
 
     key: Key
@@ -96,6 +98,7 @@
     since: float
     until: float
     has_predecessor: bool = True
+    was_released: bool = False
 
 
 def lease_key(group):
@@ -168,6 +171,7 @@
         self.wanted = False
         self.era = None
         self.has_predecessor = True
+        self.was_released = False
         self.unreadable = None  # latest version of the row that was not read
         self.row = None  # version and Lease of the last known row
         self.seen_at = None  # when that version was first read or written
@@ -195,6 +199,7 @@
             self.since,
             self.until,
             self.has_predecessor,
+            self.was_released,
         )
 
     def want(self, now, wanted):
@@ -288,6 +293,7 @@
         is_free = lease.holder == NO_HOLDER and lease.era == self.era
         if is_free or sent_at >= self._takeover_at():
             self.has_predecessor = not is_free or lease.fencing > 0
+            self.was_released = is_free and self.has_predecessor
             fencing = max(lease.fencing, self.era * FENCING_NUMBERS_PER_ERA) + 1
             return self._write(now, Lease(self.instance, fencing, 0))
         self.next_step = min(now + self.times.renew_every, self._takeover_at())
--- a/wagtailfront/duties/interfaces.py
+++ b/wagtailfront/duties/interfaces.py
@@ -32,11 +32,14 @@
         Whether the platform has none of the engines that were ordered.
     reason : str
         Why it was not accepted. A call without an answer may have been.
+    is_refused : bool
+        Whether the platform would refuse a repeat too.
     """
 
     is_accepted: bool
     is_unavailable: bool = False
     reason: str = ""
+    is_refused: bool = False
 
 
 class DutyHold(Protocol):
--- a/wagtailfront/forwarding/stage_manager.py
+++ b/wagtailfront/forwarding/stage_manager.py
@@ -4,8 +4,8 @@
 
 from circuits import BaseComponent, Event, handler
 
-from wagtailfront.authority.lease import candidates
-from wagtailfront.authority.lease_manager import LeaseManager
+from wagtailfront.authority.lease import LeaseTimes
+from wagtailfront.duties.holder import DutyHolder, HolderWaits
 from wagtailfront.forwarding.stage_plan import plan_stages
 from wagtailfront.transport.ticker import Ticker
 
@@ -84,8 +84,17 @@
         self.known = frozenset()
         self.known_since = self.started_at
         self.is_done = not prefill_share
-        self.lease = LeaseManager(
-            group=LEASE, instance=incarnation, store=table, clock=clock
+        self.lease = DutyHolder(
+            group=LEASE,
+            incarnation=incarnation,
+            find_live=lambda: [incarnation, *load.peers],
+            table=table,
+            times=LeaseTimes(),
+            waits=HolderWaits(SUCCESSION_SECONDS, SUCCESSION_SECONDS),
+            candidate_count=1,
+            keeps=False,
+            log=log,
+            clock=clock,
         ).register(self)
         Ticker(
             interval=CHECK_INTERVAL,
@@ -107,12 +116,12 @@
         if not self._is_settled(now):
             return
         changes = self._changes(now)
-        self.lease.want(bool(changes) and self._is_first())
-        if changes and self._may_order():
-            for change in changes:
-                # An engine that pauses gets its order at a later check.
-                if not self.notices.wait(change.record.incarnation):
-                    self._order(change, now)
+        self.lease.want(bool(changes))
+        for change in changes:
+            grant = self.lease.grant()
+            # An engine that pauses gets its order at a later check.
+            if grant and not self.notices.wait(change.record.incarnation):
+                self._order(change, grant, now)
 
     def _is_settled(self, now):
         """Return whether the set of engines has been stable long enough."""
@@ -142,22 +151,8 @@
         stage, until = self.ordered.get(record.incarnation, ("", 0.0))
         return record._replace(stage=stage) if now < until else record
 
-    def _is_first(self):
-        instances = [self.incarnation, *self.load.peers]
-        return candidates(LEASE, instances, count=1) == [self.incarnation]
-
-    def _may_order(self):
-        grant = self.lease.grant()
-        if grant is None:
-            return False
-        return (
-            not grant.has_predecessor
-            or self.clock() - grant.since >= SUCCESSION_SECONDS
-        )
-
-    def _order(self, change, now):
+    def _order(self, change, grant, now):
         record, stage = change
-        grant = self.lease.grant()
         self.ordered[record.incarnation] = (stage, now + CHANGE_SECONDS)
         self.log.decision(
             "stage_ordered",
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -38,6 +38,12 @@
         ("reason",),
     ),
     (Counter, "endpoint_connections_total", "Connections opened to endpoints.", ()),
+    (
+        Counter,
+        "duty_calls_total",
+        "Calls to the platform that one instance makes at a time.",
+        ("duty", "outcome"),
+    ),
     (Gauge, "requests_in_progress", "Accepted requests in progress.", ()),
     (Gauge, "rate_limited_endpoints", "Endpoints that name a rate limit.", ()),
     (Gauge, "leaving_endpoints", "Registered endpoints that said they leave.", ()),
--- a/wagtailfront/platform/tests/test_boundary.py
+++ b/wagtailfront/platform/tests/test_boundary.py
@@ -9,7 +9,8 @@
 WIRE_NAMES = re.compile(
     r"X-Response-Stamp|X-Not-Executed|X-Expect-Instance|X-Kv-|"
     r"Server-Limit|Server-Leaving|Store-Era|X-Prompt-Prefix|X-Token-Count|X-Stage|X-Request-Priority|Last-Event-Id|"
-    r"rows-(?:tx|get|feed)|op/config|servers/|fencing-token|/api/"
+    r"rows-(?:tx|get|feed)|op/config|servers/|fencing-token|/api/|"
+    r"X-Lease-Holder|X-Fencing-Token|\"/(?:usage|scale)\"|window-id|now-ms"
 )
 DECISION_MODULES = re.compile(
     r"wagtailfront\.(decisions|authority|callers|programs)|"
