Count usage by window and workspace, and report it once

Cause: the platform wants the requests that engines began to run in each window, whatever instances, clocks, the store and the platform do meanwhile. Change: an attempt reports its run at its first event, or for a call at its send (at most 90 ms before its answer). Counts and clock offsets travel in digests; the holder writes each sum to the store if there is none, then sends what the store has. The store client reports the store's clock where duties need it. Result: 60 s in virtual time with 3 to 6 instances, lost and repeated digests, the holder killed or frozen at each step, clocks 100 s and 3000 s off, the platform and the store away: no two reports of a window differ, counts within 0.05. Four deliberate faults are found.

--- a/wagtailfront/duties/holder.py
+++ b/wagtailfront/duties/holder.py
@@ -1,15 +1,16 @@
 """Holder of duties: one instance at a time, with fencing numbers."""
 
-import time
 from typing import NamedTuple
 
 from circuits import BaseComponent, Event, handler
 
 from wagtailfront.authority.lease import LeaseTimes, candidates
 from wagtailfront.authority.lease_manager import LeaseManager
+from wagtailfront.duties.true_time import boot_time
+from wagtailfront.identifiers import new_id
 from wagtailfront.transport.ticker import Ticker
 
-__all__ = ["DUTY_TIMES", "DutyHolder", "HolderWaits", "boot_time", "duty_waits"]
+__all__ = ["DUTY_TIMES", "DutyHolder", "HolderWaits", "duty_waits"]
 
 # The holder stops 3.75 s after its last write was sent, and a successor takes
 # the lease over at the earliest 5.25 s after it saw that write.
@@ -63,15 +64,6 @@
     return HolderWaits(after_release, max(EXPIRY_WAIT, gap - lifetime))
 
 
-def boot_time():
-    """Return seconds since boot, the time in which the machine slept included.
-
-    The monotonic clock stops while a machine is suspended, and a lease would
-    seem to be valid at its resumption.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class check_candidates(Event):
     """Check whether this instance is to ask for the lease: ()."""
 
@@ -141,7 +133,13 @@
         self.wanted = False
         self.asks = False
         self.lease = LeaseManager(
-            group=group, instance=incarnation, store=table, clock=clock, times=times
+            group=group,
+            # A component that was restarted must not take the writes of the
+            # one before it for its own, as it counts anew.
+            instance=f"{incarnation}/{new_id()}",
+            store=table,
+            clock=clock,
+            times=times,
         ).register(self)
         Ticker(
             interval=CHECK_INTERVAL,
--- a/wagtailfront/duties/interfaces.py
+++ b/wagtailfront/duties/interfaces.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple, Protocol
 
-__all__ = ["DutyAnswer", "DutyCalls", "DutyHold", "EngineOrder"]
+__all__ = ["DutyAnswer", "DutyCalls", "DutyHold", "EngineOrder", "UsageStore"]
 
 
 class EngineOrder(NamedTuple):
@@ -68,3 +68,16 @@
 
     def order_engines(self, order: EngineOrder, hold: DutyHold, reply) -> None:
         """Order engines of a service in a data centre."""
+
+
+class UsageStore(Protocol):
+    """Store of the sums that are reported."""
+
+    def read(self, reply) -> None:
+        """Read the sums; `reply` gets them by window, or None."""
+
+    def write(self, window: int, counts, removed, reply) -> None:
+        """Write the sum of a window that has none yet, and remove others.
+
+        `reply` gets whether it was certainly written.
+        """
--- a/wagtailfront/duties/tests/test_holder.py
+++ b/wagtailfront/duties/tests/test_holder.py
@@ -6,7 +6,7 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from wagtailfront.duties import holder
+from wagtailfront.duties import holder, true_time
 from wagtailfront.duties.tests.duty_world import DutyWorld
 
 WAIT = st.sampled_from([0.0, 0.1, 1.0, 4.0, 6.0])
@@ -133,5 +133,5 @@
 
 def test_a_sleep_of_the_machine_ends_the_hold():
     """Guards against the monotonic clock, which stops while it sleeps."""
-    assert holder.boot_time() >= 0.0
-    assert holder.DutyHolder.__init__.__kwdefaults__["clock"] is holder.boot_time
+    assert true_time.boot_time() >= 0.0
+    assert holder.DutyHolder.__init__.__kwdefaults__["clock"] is true_time.boot_time
--- /dev/null
+++ b/wagtailfront/duties/tests/test_usage.py
@@ -0,0 +1,228 @@
+"""Tests of usage reports under faults, in virtual time."""
+
+import itertools
+import random
+from collections import Counter
+
+import pytest
+
+from wagtailfront.duties.tests.usage_world import LENGTH, UsageWorld
+from wagtailfront.duties.true_time import TrueTime
+from wagtailfront.duties.usage_counts import UsageCounts
+from wagtailfront.duties.usage_reporter import UsageReporter
+
+STEPS = ("read", "write", "written", "report", "reported")
+TOLERANCE = 0.05
+
+
+def test_all_windows_are_reported_in_time_and_exactly():
+    """Guards against counts that are lost without any fault."""
+    world = UsageWorld()
+    world.run(40.0)
+    world.check(tolerance=0.0)
+    assert len(world.rows) <= 14
+
+
+def test_windows_without_requests_are_reported_empty():
+    """Guards against gaps in the reports."""
+    world = UsageWorld()
+    world.run(30.0, rate=0)
+    world.check(tolerance=0.0)
+    assert set(map(len, world.reported().values())) == {0}
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_digests_may_be_lost_repeated_or_out_of_order(seed):
+    """Guards the sums against messages between instances."""
+    world = UsageWorld(5, rng=random.Random(seed))
+    world.run(60.0)
+    world.check(tolerance=0.01)
+
+
+@pytest.mark.parametrize("number", [1, 2, 3])
+@pytest.mark.parametrize("kind", STEPS)
+@pytest.mark.parametrize("end", ["kill", "freeze"])
+def test_a_holder_that_ends_at_any_step_has_a_successor(kind, number, end):
+    """Guards against two reports of a window that differ, and against none."""
+    world = UsageWorld(6)
+    seen = Counter()
+
+    def on_step(step, instance):
+        seen[step] += 1
+        if step != kind or seen[step] != number:
+            return
+        if end == "kill":
+            world.kill(instance)
+        else:
+            instance.frozen_until = world.now + 7.0
+            world.succeed()
+
+    world.on_step = on_step
+    world.run(60.0)
+    assert kind == "read" or seen[kind] >= number
+    # A frozen instance begins no runs, and its last counts arrive later.
+    world.check(tolerance=TOLERANCE)
+
+
+@pytest.mark.parametrize("offset", [0.3, 2.0, 4.9])
+def test_an_instance_that_dies_in_a_window_leaves_its_counts(offset):
+    """Guards against counts that only the instance itself knows."""
+    world = UsageWorld(6)
+    world.run(10.0 + offset)
+    world.kill(world.instances[3])
+    world.run(2.0)
+    world.start("i3 again")
+    world.run(30.0)
+    world.check(tolerance=0.03)
+
+
+def test_clocks_that_differ_or_jump_do_not_move_windows():
+    """Guards against an instance's own time of day."""
+    world = UsageWorld(5, wall_errors=[0.0, 0.05, -0.05, 100.0, 0.02])
+    world.run(20.0)
+    world.instances[0].wall_error = -3000.0
+    world.run(20.0)
+    world.start("new", wall_error=-500.0)
+    world.run(30.0)
+    world.check(tolerance=TOLERANCE)
+
+
+def test_windows_are_caught_up_in_order_after_the_platform_was_away():
+    """Guards against windows that are skipped, and counts that are lost."""
+    world = UsageWorld()
+    world.statuses = ["down"] * 90
+    world.run(90.0)
+    assert len({window for _, window, _ in world.reports}) >= 10
+    world.check(tolerance=0.0, late=True)
+
+
+@pytest.mark.parametrize("status", ["slow", None, 429])
+def test_a_platform_that_is_slow_silent_or_busy_gets_the_same_counts(status):
+    """Guards against a repeat that differs from a report without an answer."""
+    world = UsageWorld()
+    world.statuses = [200, 200, status, status, 200, status]
+    world.run(60.0)
+    world.check(tolerance=0.0)
+
+
+def test_a_report_that_is_refused_does_not_block_later_ones():
+    """Guards against one window that ends all reports."""
+    world = UsageWorld()
+    world.run(12.0)
+    reporter = world.holder.reporter
+    answers = itertools.chain([True] * 3, itertools.repeat(False))
+    report = reporter.calls.report_usage
+
+    def refuse(window, counts, hold, reply):
+        is_refused = next(answers)
+        report(
+            window,
+            counts,
+            hold,
+            lambda answer: reply(
+                answer._replace(is_accepted=not is_refused, is_refused=is_refused)
+            ),
+        )
+
+    reporter.calls.report_usage = refuse
+    world.run(20.0)
+    assert len(world.reported()) >= 4
+
+
+def test_a_write_without_an_answer_is_read_again():
+    """Guards against a sum that differs from the row that was written."""
+    world = UsageWorld()
+    world.lost_answers = [False, True, True, False, True]
+    world.run(50.0)
+    world.check(tolerance=0.0)
+
+
+def test_counts_outlast_a_store_that_is_away():
+    """Guards against windows that are lost with the store."""
+    world = UsageWorld()
+    world.run(11.0)
+    world.is_store_away = True
+    world.run(40.0)
+    world.is_store_away = False
+    world.run(20.0)
+    world.check(tolerance=0.0, late=True)
+
+
+@pytest.mark.parametrize("kept", [0, 1, 2])
+def test_a_store_from_an_older_copy_leads_to_no_second_sum(kept):
+    """Guards against a successor that does not find what was reported."""
+    world = UsageWorld(6)
+    world.run(32.0)
+    world.rows = dict(list(world.rows.items())[:kept])
+    # It counted only a part, so a sum of its own would differ.
+    world.instances[1].counts.peers.clear()
+    world.kill(world.holder)
+    world.run(30.0)
+    world.reported()
+    lost = range(int(world.now // LENGTH) - 12, int(world.now // LENGTH) - 5)
+    world.check(tolerance=0.2, without=lost)
+
+
+def test_counts_that_come_too_late_are_logged_and_change_nothing():
+    """Guards against counts that vanish without a line."""
+    world = UsageWorld(3)
+    world.run(8.0)
+    cut = world.instances[2]
+    cut.is_cut = True
+    world.run(7.0)
+    cut.is_cut = False
+    world.run(25.0)
+    world.reported()
+    lines = [line for line in world.holder.log if line[0] == "usage_late"]
+    assert sum(inputs["count"] for _kind, _outcome, inputs in lines) > 0
+
+
+def resum(self, window, counts):
+    """Report what this instance counted, in place of the store's sum."""
+    self.reporting = (window, self.counts.sum(window))
+
+
+def lose_digests():
+    world = UsageWorld(5, rng=random.Random(1))
+    world.run(60.0)
+    world.check(tolerance=0.01)
+    return world
+
+
+def kill_after_the_report():
+    """Have a successor come after a report, one that counted less."""
+    world = UsageWorld(6)
+    world.run(32.0)
+    world.instances[1].counts.peers.clear()
+    world.kill(world.holder)
+    return world
+
+
+def restore_the_store():
+    world = kill_after_the_report()
+    world.rows.clear()
+    return world
+
+
+def set_a_clock():
+    world = UsageWorld(3, wall_errors=[0.0, 0.0, 100.0])
+    world.run(20.0)
+    return world
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "value", "play"),
+    [
+        (UsageReporter, "_start_report", resum, kill_after_the_report),
+        (UsageCounts, "last_sum", lambda self: None, restore_the_store),
+        (TrueTime, "at", lambda self, at: self.wall_clock(), set_a_clock),
+        (UsageCounts, "_repeat", lambda self: None, lose_digests),
+    ],
+)
+def test_world_finds_the_fault(monkeypatch, owner, name, value, play):
+    """Guards against a world that passes whatever the reporter does."""
+    monkeypatch.setattr(owner, name, value)
+    with pytest.raises(AssertionError):
+        world = play()
+        world.run(30.0)
+        world.check(tolerance=TOLERANCE)
--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -10,6 +10,10 @@
 OK = 200
 MISDIRECTED = 421
 EVENT_STREAM = b"text/event-stream"
+# Seconds that an engine takes for a call, at most, in the common case. It
+# begins a call when it is sent, if it has a free slot, or else some time
+# before the answer.
+CALL_SECONDS = 0.09
 BODILESS_METHODS = (b"GET", b"HEAD")
 
 
@@ -329,6 +333,7 @@
         """Record that the endpoint has begun to answer the request."""
         if not self.has_answered:
             self.has_answered = True
+            self._record_run(0.0)
             parts = self.task.fields.shared_parts
             self.context.crashing_parts.record_answer(parts, now=self.context.clock())
 
@@ -344,8 +349,15 @@
         is_stream = content_type.lower().startswith(EVENT_STREAM)
         if status == OK and is_stream and self.is_trusted:
             self.splitter = EventSplitter(after=self.task.stream.last_event_id)
+        elif self.fields.is_signed and self.is_attributable and not self.is_not_run:
+            now = self.context.clock()
+            self._record_run(min(now - self.started, CALL_SECONDS))
         return True
 
+    def _record_run(self, age):
+        """Record that the endpoint began to run the request."""
+        self.context.record_run(self.task.fields.workspace, age=age)
+
     def on_data(self, data):
         if self.splitter is None:
             super().on_data(data)
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -10,6 +10,8 @@
 
     `confirm_registry` is called with a callable, which gets whether the
     directory has the endpoints that are registered from the call on.
+    `record_run` is called with a workspace or None, and how many seconds ago
+    an engine began to run a request.
     """
 
     data_centre: str
@@ -35,3 +37,4 @@
     metrics: Any
     clock: Any
     rng: Any
+    record_run: Any = lambda workspace, *, age: None
--- a/wagtailfront/forwarding/proxied_attempt.py
+++ b/wagtailfront/forwarding/proxied_attempt.py
@@ -122,6 +122,9 @@
     def record_answer(self):
         self.has_answered = True
 
+    def _record_run(self, age):
+        """The peer records the run, at the endpoint that it chose."""
+
     def record_crash(self):
         """The peer records what the endpoint did."""
 
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wagtailfront.duties.true_time import boot_time
 from wagtailfront.forwarding.interfaces import (
     RegistryRead,
     RoutingRead,
@@ -15,6 +16,7 @@
 from wagtailfront.platform.calls import call, describe_failure
 from wagtailfront.platform.rows import (
     StoreRows,
+    read_clock,
     read_registry,
     read_routing,
     read_rows,
@@ -32,6 +34,7 @@
 STALL_TIMEOUT = 1.0
 ERA = "Store-Era"  # rises each time the store comes back from an older copy
 ERA_NUMBER = re.compile("[0-9]{1,15}")
+OK = 200
 GONE = 410  # the store no longer has the history after the cursor
 TOO_MANY = 429  # from here on the store has not handled the call
 MS_PER_SECOND = 1000
@@ -72,6 +75,9 @@
         Called when the store has handled a call, before `reply`.
     on_silence : callable, optional
         Called when a call got no answer, after `reply`.
+    on_clock : callable, optional
+        Called with `sent`, `received`, `store_ms` and `era` for an answer
+        that tells the store's clock; the times are seconds since boot.
 
     Attributes
     ----------
@@ -95,6 +101,7 @@
         on_era=lambda era: None,
         on_answer=lambda: None,
         on_silence=lambda: None,
+        on_clock=None,
     ):
         self.pool = pool
         self.host = host
@@ -102,6 +109,7 @@
         self.on_era = on_era
         self.on_answer = on_answer
         self.on_silence = on_silence
+        self.on_clock = on_clock
         self.era = 0
 
     def get(self, path, reply, *, timeout=CALL_TIMEOUT, max_body=None):
@@ -115,7 +123,7 @@
             reply, method="GET", path=path, timeout=timeout, max_body=max_body
         )
 
-    def put(self, table, key, value, reply, *, expected_ver=None):
+    def put(self, table, key, value, reply, *, expected_ver=None, removed=()):
         """Write a row; `reply` as for `get`.
 
         Parameters
@@ -123,11 +131,16 @@
         expected_ver : int, optional
             Version that the row must have, 0 if it must not exist. The
             status is 412 if it has another one.
+        removed : iterable of str, optional
+            Keys of the table that the same transaction removes.
         """
         row = {"table": table, "part": "", "key": key}
         expect = [] if expected_ver is None else [{**row, "ver": expected_ver}]
         value = base64.b64encode(value).decode()
-        self._transact(reply, expect=expect, put=[{**row, "value": value}])
+        remove = [{**row, "key": each} for each in removed]
+        self._transact(
+            reply, expect=expect, put=[{**row, "value": value}], remove=remove
+        )
 
     def remove(self, table, key, reply):
         """Remove a row; `reply` as for `get`."""
@@ -146,6 +159,7 @@
 
     def _call(self, reply, **request):
         is_outdated = False
+        sent = boot_time()
 
         def on_headers(status, headers):
             nonlocal is_outdated
@@ -160,6 +174,8 @@
                 self.drop_idle()
             elif status < TOO_MANY:
                 self.on_answer()
+                if status == OK and self.on_clock is not None and not is_outdated:
+                    self._read_clock(body, sent)
             if is_outdated:
                 reply(None, "answer of an earlier era of the store")
             else:
@@ -177,6 +193,14 @@
             **request,
         )
 
+    def _read_clock(self, body, sent):
+        """Report the store's clock, if an answer tells it."""
+        store_ms = read_clock(body)
+        if store_ms is not None:
+            self.on_clock(
+                sent=sent, received=boot_time(), store_ms=store_ms, era=self.era
+            )
+
     def drop_idle(self):
         """Close the idle connections, which may be silent."""
         self.pool.drop_idle_to(self.host, self.port)
--- /dev/null
+++ b/wagtailfront/programs/forward_duties.py
@@ -0,0 +1,137 @@
+"""Duties of a forwarding instance, where its deployment has any."""
+
+import time
+
+from wagtailfront.duties.holder import DutyHolder, duty_waits
+from wagtailfront.duties.isolation import Isolation
+from wagtailfront.duties.true_time import TrueTime, boot_time
+from wagtailfront.duties.usage_counts import UsageCounts
+from wagtailfront.duties.usage_reporter import UsageReporter
+from wagtailfront.platform.duty_client import DutyClient, make_duty_pool
+from wagtailfront.platform.store_table import StoreTable
+from wagtailfront.platform.usage_store import StoreUsage
+
+__all__ = ["ForwardDuties", "make_duties"]
+
+LEASE = "duties"
+# Seconds after the start in which the instances hear of each other, so that
+# only some of them read the lease.
+DISCOVERY_SECONDS = 1.5
+
+
+def make_duties(tree):
+    """Return the ForwardDuties of a ForwardTree, or None without duties."""
+    platform = tree.settings.platform
+    if not platform.duties or platform.duty_address is None:
+        return None
+    return ForwardDuties(tree=tree)
+
+
+class ForwardDuties:
+    """Builds the holder of duties and what it does.
+
+    Parameters
+    ----------
+    tree : ForwardTree
+
+    Attributes
+    ----------
+    hold : DutyHolder or None
+        None before `children` have been built.
+    calls : DutyClient
+    """
+
+    def __init__(self, *, tree):
+        self.tree = tree
+        self.platform = tree.settings.platform
+        self.load = tree.forwarder.context.load
+        self.hold = None
+        self.started = boot_time()
+        self.isolation = Isolation()
+        self.true_time = TrueTime(
+            incarnation=self.load.incarnation,
+            find_era=lambda: tree.versions.era,
+            count_instances=lambda: self.load.instances,
+            may_report=self._may_report,
+        )
+        self.counts = UsageCounts(
+            window_length=self.platform.usage_window, true_time=self.true_time
+        )
+        self.pool = make_duty_pool()
+        self.calls = DutyClient(
+            pool=self.pool,
+            address=self.platform.duty_address,
+            instance=tree.settings.instance,
+            rate=self.platform.duty_rate,
+            timers=tree.timers,
+            log=tree.log,
+            metrics=tree.metrics,
+        )
+        tree.store.on_clock = self.true_time.store_clock.record_answer
+        tree.digest_parts.append(self.true_time)
+        if self.has_usage:
+            tree.digest_parts.append(self.counts)
+
+    @property
+    def has_usage(self):
+        """Return whether usage is to be reported."""
+        return "usage" in self.platform.duties
+
+    def record_run(self, workspace, *, age):
+        """Count a run that an engine began."""
+        if self.has_usage:
+            self.counts.record(workspace, age=age)
+
+    def children(self):
+        """Return the factories of the components, by name and in order."""
+        factories = {
+            "duty_calls": lambda: self.pool,
+            "duty_holder": self._make_holder,
+        }
+        if self.has_usage:
+            factories["usage"] = self._make_reporter
+        return factories
+
+    def _make_holder(self):
+        self.hold = DutyHolder(
+            group=LEASE,
+            incarnation=self.load.incarnation,
+            find_live=self.true_time.reporters,
+            table=StoreTable(client=self.tree.store),
+            waits=duty_waits(self.platform.holder_gap),
+            may_hold=self._may_hold,
+            log=self.tree.log,
+        )
+        self.hold.want(True)
+        return self.hold
+
+    def _make_reporter(self):
+        return UsageReporter(
+            hold=self.hold,
+            calls=self.calls,
+            store=StoreUsage(client=self.tree.store, log=self.tree.log),
+            counts=self.counts,
+            true_time=self.true_time,
+            due=self.platform.usage_due,
+            log=self.tree.log,
+            metrics=self.tree.metrics,
+            clock=boot_time,
+        )
+
+    def _is_leaving(self):
+        return self.tree.server is not None and self.tree.server.is_draining
+
+    def _may_report(self):
+        return not self._is_leaving() and not self.counts.is_new()
+
+    def _may_hold(self):
+        now = boot_time()
+        if now - self.started < DISCOVERY_SECONDS or self._is_leaving():
+            return False
+        heard = len(self.load.live_addresses(now=time.monotonic()))
+        return self.isolation.may_hold(now, heard=heard, known=self.load.instances)
+
+    def render_metrics(self):
+        """Set the gauges of duties."""
+        is_held = self.hold is not None and self.hold.grant() is not None
+        self.tree.metrics.set("duties_held", int(is_held))
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -54,6 +54,7 @@
 )
 from wagtailfront.platform.store_membership import StoreMembership
 from wagtailfront.platform.store_table import StoreTable
+from wagtailfront.programs.forward_duties import make_duties
 from wagtailfront.transport.http_client import HttpPool
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
 from wagtailfront.transport.timers import Timers
@@ -150,6 +151,7 @@
         self.watchers = {}
         self.digest_parts = []
         self.confirmation = None
+        self.duties = None
         self.forwarder = Forwarder(context=self._make_context())
         context = self.forwarder.context
         self.engines = EngineClient(
@@ -184,6 +186,7 @@
             log=log,
             timers=self.timers,
         )
+        self.duties = make_duties(self)
 
     def _make_context(self):
         settings = self.settings
@@ -228,8 +231,13 @@
             metrics=self.metrics,
             clock=time.monotonic,
             rng=rng,
+            record_run=self._record_run,
         )
 
+    def _record_run(self, workspace, *, age):
+        if self.duties is not None:
+            self.duties.record_run(workspace, age=age)
+
     def build(self):
         """Return the root supervisor.
 
@@ -253,6 +261,8 @@
             "stages": self._make_stage_manager,
             "status": self._make_status_server,
         }
+        if self.duties is not None:
+            factories.update(self.duties.children())
         if self.settings.metrics is not None:
             factories["metrics"] = self._make_metrics_server
         return Supervisor(
@@ -468,6 +478,8 @@
         """Have open watches asked again, as they may be silent too."""
         for watcher in self.watchers.values():
             watcher.handle_silence()
+        if self.duties is not None:
+            self.duties.true_time.store_clock.record_silence()
 
     def _max_idle(self, record):
         if self.forwarder.context.notices.is_leaving(record.incarnation):
@@ -497,6 +509,8 @@
         self.metrics.set(
             "rate_limited_endpoints", self.forwarder.context.rate_limits.count_limited()
         )
+        if self.duties is not None:
+            self.duties.render_metrics()
         notices = self.forwarder.context.notices
         incarnations = (r.incarnation for r in self.directory.records.values())
         self.metrics.set(
