Test which runs count, and duties of a whole instance

Cause: counting, the rows of sums and the wiring had no tests of their own. Change: tests of counted runs, of the rows, of the store's clock, and of a whole instance with the platform's API on real sockets, with and without duties.

--- a/wagtailfront/platform/tests/row_store.py
+++ b/wagtailfront/platform/tests/row_store.py
@@ -26,7 +26,8 @@
     def _answer(self):
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         status, answer = self.server.store.answer(self.command, self.path, body)
-        data = msgspec.json.encode(answer)
+        now_ms = round(time.monotonic() * MS_PER_SECOND)
+        data = msgspec.json.encode({**answer, "now-ms": now_ms})
         self.send_response(status)
         self.send_header("Store-Era", "1")
         self.send_header("Content-Length", str(len(data)))
--- a/wagtailfront/programs/tests/forward_site.py
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -22,6 +22,7 @@
 # Below those of outgoing connections.
 LISTENING_PORTS = range(10_240, 32_768)
 GIVEN_PORTS = set()
+PLATFORM = PlatformSettings(config_apply=2.0)
 
 
 def free_port():
@@ -53,14 +54,14 @@
     return head.split(b"\r\n")[0], body
 
 
-def make_settings(**addresses):
+def make_settings(*, platform=PLATFORM, **addresses):
     """Return the settings of an instance with the given addresses."""
     return ForwardSettings(
         instance="i1",
         data_centre="a",
         drain_timeout=8.0,
         registry_gap=0.1,
-        platform=PlatformSettings(config_apply=2.0),
+        platform=platform,
         prefill_share=0.0,
         repeat_share=0.2,
         repeat_slack=50.0,
@@ -117,12 +118,16 @@
         self.store.write("op", "config", config)
 
     @contextlib.contextmanager
-    def run_tree(self):
-        """Run an instance in a thread; yield its ForwardTree and root."""
+    def run_tree(self, **options):
+        """Run an instance in a thread; yield its ForwardTree and root.
+
+        `options` are further arguments of `make_settings`.
+        """
         addresses = {
             name: HostPort("127.0.0.1", port) for name, port in self.ports.items()
         }
-        settings = make_settings(store=HostPort(*self.store.address), **addresses)
+        store = HostPort(*self.store.address)
+        settings = make_settings(store=store, **addresses, **options)
         tree = ForwardTree(settings=settings, log=LogLines())
         root = tree.build()
         with running(root):
