Keep calls of two holders further apart, and tell counts less often

Cause: a call may be handled seconds after it was written, by a platform that is 50 times slower than usual; whole windows in each digest took up to 10 KB/s of an instance at 84; a clock that was ahead could end the reports for as long. Change: the last 0.75 s of a lease that is not renewed are not used; windows are repeated at their end and 8 and 18 s later; sums of windows to come are passed over; fewer than three reports do not move true time by half a second.

--- a/wagtailfront/duties/holder.py
+++ b/wagtailfront/duties/holder.py
@@ -19,24 +19,29 @@
 # Seconds by which a call may reach the platform after it was written; the
 # connections of DutyClient give up by then.
 CALL_DELAY = 0.75
-# Seconds from a takeover of an expired lease to the first call. With the
-# margins, 2 s then lie between the calls of two holders.
-EXPIRY_WAIT = 0.5
+# Seconds from a takeover of an expired lease to the first call, and from the
+# last call to the end of the lease. With the margins, 2.75 s then lie between
+# the calls of two holders: a platform that answers 50 times slower than usual
+# may handle a call that late, and the next one at once.
+EXPIRY_WAIT, END_MARGIN = 0.5, 0.75
 
 
 class HolderWaits(NamedTuple):
-    """Seconds from a takeover to the first call.
+    """Seconds in which the holder of a lease makes no calls.
 
     Attributes
     ----------
     after_release : float
-        If the predecessor released the lease.
+        From a takeover, if the predecessor released the lease.
     after_expiry : float
-        If the predecessor has stopped renewing it.
+        From a takeover, if the predecessor has stopped renewing it.
+    before_end : float
+        Until the end of a lease that is not renewed.
     """
 
     after_release: float
     after_expiry: float
+    before_end: float = 0.0
 
 
 def duty_waits(gap, times=DUTY_TIMES):
@@ -55,13 +60,14 @@
     Examples
     --------
     >>> duty_waits(3.0)
-    HolderWaits(after_release=3.75, after_expiry=0.5)
+    HolderWaits(after_release=3.75, after_expiry=0.5, before_end=0.75)
     >>> duty_waits(9.0).after_expiry
     4.5
     """
     after_release = gap + CALL_DELAY
     lifetime = times.lifetime + times.margin - CALL_DELAY
-    return HolderWaits(after_release, max(EXPIRY_WAIT, gap - lifetime))
+    after_expiry = max(EXPIRY_WAIT, gap - lifetime)
+    return HolderWaits(after_release, after_expiry, END_MARGIN)
 
 
 class check_candidates(Event):
@@ -172,10 +178,10 @@
         To be asked directly before each call: after a pause of the process
         the lease may have expired.
         """
-        grant = self.lease.grant()
-        if grant is None or self.clock() - grant.since < self._wait(grant):
+        grant, now = self.lease.grant(), self.clock()
+        if grant is None or now >= grant.until - self.waits.before_end:
             return None
-        return grant
+        return grant if now - grant.since >= self._wait(grant) else None
 
     def _wait(self, grant):
         if not grant.has_predecessor:
--- a/wagtailfront/duties/isolation.py
+++ b/wagtailfront/duties/isolation.py
@@ -6,6 +6,9 @@
 # take them over, which may hear them; and after which none has done so, since
 # the others have ended.
 CUT_SECONDS, ALONE_SECONDS = 1.5, 9.0
+# An instance that hears less of the fleet is rather cut off than one of few
+# that are left, as after the loss of a data centre.
+LEAST_SHARE = 0.25
 
 
 class Isolation:
@@ -16,7 +19,7 @@
     >>> isolation = Isolation()
     >>> [isolation.may_hold(now, heard=1, known=6) for now in (0.0, 2.0, 9.0)]
     [True, False, True]
-    >>> isolation.may_hold(10.0, heard=3, known=6)
+    >>> isolation.may_hold(10.0, heard=2, known=6)
     True
     """
 
@@ -34,7 +37,7 @@
             Instances that are heard, and that were there lately; this one is
             among them.
         """
-        if 2 * heard >= known:
+        if heard >= LEAST_SHARE * known:
             self.since = None
             return True
         if self.since is None:
--- a/wagtailfront/duties/tests/test_usage.py
+++ b/wagtailfront/duties/tests/test_usage.py
@@ -36,7 +36,7 @@
     """Guards the sums against messages between instances."""
     world = UsageWorld(5, rng=random.Random(seed))
     world.run(60.0)
-    world.check(tolerance=0.01)
+    world.check(tolerance=TOLERANCE / 2)
 
 
 @pytest.mark.parametrize("number", [1, 2, 3])
@@ -183,9 +183,12 @@
 
 
 def lose_digests():
-    world = UsageWorld(5, rng=random.Random(1))
-    world.run(60.0)
-    world.check(tolerance=0.01)
+    """Lose all digests of an instance around the end of a window."""
+    world = UsageWorld()
+    world.run(9.0)
+    world.instances[2].is_cut = True
+    world.run(1.2)
+    world.instances[2].is_cut = False
     return world
 
 
@@ -210,6 +213,13 @@
     return world
 
 
+def test_counts_that_are_lost_around_the_end_of_a_window_are_told_again():
+    """Guards against a sum without the last counts of an instance."""
+    world = lose_digests()
+    world.run(30.0)
+    world.check(tolerance=0.0)
+
+
 @pytest.mark.parametrize(
     ("owner", "name", "value", "play"),
     [
--- a/wagtailfront/duties/true_time.py
+++ b/wagtailfront/duties/true_time.py
@@ -13,6 +13,9 @@
 # Seconds from the start after which an instance that does not hear of half of
 # the fleet goes by what it has.
 AGREE_SECONDS = 2.5
+# Reports that outvote a clock that is wrong; fewer do not move true time by
+# more than a correction of a clock, in seconds.
+ENOUGH_REPORTS, MAX_CORRECTION = 3, 0.5
 MS_PER_SECOND = 1000
 
 
@@ -160,15 +163,18 @@
         if self._is_reporting() or not offsets:
             offsets.append(self._own_offset())
         is_majority = 2 * len(offsets) >= max(1, self.count_instances())
-        if self.clock() - self.started >= AGREE_SECONDS:
-            self.is_agreed = True
-        elif is_majority and self.count_instances() > 0:
-            self.is_agreed = True
-        if self.ahead is None or is_majority:
-            # One of the reports, as a mean could be that of a right clock and
-            # of a wrong one.
-            median = statistics.median_low(offsets)
-            self.ahead = median + self.store_clock.ahead
+        # One of the reports, as a mean could be that of a right clock and of a
+        # wrong one.
+        ahead = statistics.median_low(offsets) + self.store_clock.ahead
+        if not self.is_agreed:
+            self.ahead = ahead
+            is_late = self.clock() - self.started >= AGREE_SECONDS
+            is_known = is_majority and self.count_instances() > 0
+            self.is_agreed = is_late or is_known
+        elif is_majority and (
+            len(offsets) >= ENOUGH_REPORTS or abs(ahead - self.ahead) < MAX_CORRECTION
+        ):
+            self.ahead = ahead
 
     def fields(self, *, now, full):
         """Return this instance's report, once a second."""
--- a/wagtailfront/duties/usage_counts.py
+++ b/wagtailfront/duties/usage_counts.py
@@ -1,18 +1,17 @@
 """Requests that engines began to run, by window and workspace."""
 
-import itertools
 from collections import Counter, defaultdict
 
 from wagtailfront.membership.messages import MAX_TEXT, WindowUsage
 
 __all__ = ["UsageCounts"]
 
-# Seconds after the end of a window in which its counts are told and taken.
-TOLD_FOR = 20.0
+# Seconds after the end of a window until which its counts are taken.
 MERGED_FOR = 25.0
-# Seconds after its end in which a window is repeated in each full digest. The
-# sum is made then, and a message may have been lost.
-REPEATED_FOR = 3.0
+# Seconds after its end in which a window is repeated in each full digest,
+# which is one in a second: before the sum is made, as a message may have been
+# lost, and later, for a peer that was cut off.
+REPEATED = ((0.0, 2.0), (8.0, 9.0), (18.0, 19.0))
 # Bytes of counts in one digest; a relayed message has up to 24 digests, and
 # may be 96 KB long.
 MAX_COUNT_BYTES = 2500
@@ -74,7 +73,6 @@
         self.untold = {}  # window and workspace, in order, of counts to tell
         self.untold_sum = None
         self.told_sum = None  # window of the sum that this instance decided
-        self.turn = itertools.count()
         self.first_window = None
         self.oldest_heard = None  # oldest window that a peer counted
 
@@ -135,6 +133,13 @@
         """Return the latest window whose sum was decided, or None."""
         return max(self.sums, default=None)
 
+    def forget_sums_after(self, window):
+        """Forget sums of later windows, which a wrong clock has made."""
+        for later in [each for each in self.sums if each > window]:
+            del self.sums[later]
+        if self.told_sum is not None and self.told_sum > window:
+            self.told_sum = self.untold_sum = None
+
     def take_late(self):
         """Return the requests that were late, here and at peers, once."""
         late = self.late, self.late_of_peers
@@ -181,7 +186,7 @@
         if self.told_sum is not None and (full or self.untold_sum is not None):
             self.untold_sum = None
             counts = self.sums.get(self.told_sum, {})
-            if _count_bytes(counts) <= MAX_SUM_BYTES:
+            if _is_tellable(counts):
                 fields["usage_sums"] = (_usage(self.told_sum, counts),)
         return fields
 
@@ -216,20 +221,14 @@
         return last is not None and window <= last
 
     def _repeat(self):
-        """Have the window that has just ended told again, and one other."""
+        """Have windows told again whose end was some time ago."""
         now = self.true_time.now()
-        oldest = self.window_at(now - TOLD_FOR)
-        recent = sorted(window for window in self.own if window >= oldest)
-        if not recent:
-            return
-        ended = self.window_at(now - REPEATED_FOR)
-        windows = {recent[next(self.turn) % len(recent)]}
-        if ended in self.own and ended != self.window_at(now):
-            windows.add(ended)
-        for window in sorted(windows, reverse=True):
-            for workspace in self.own[window]:
-                if len(workspace) <= MAX_TEXT:
-                    self.untold.setdefault((window, workspace))
+        for window in tuple(self.own):
+            age = now - self.window_end(window)
+            if any(first <= age < last for first, last in REPEATED):
+                for workspace in self.own[window]:
+                    if len(workspace) <= MAX_TEXT:
+                        self.untold.setdefault((window, workspace))
 
     def _take_untold(self):
         """Return as many untold counts as one digest may hold."""
@@ -249,5 +248,7 @@
     return WindowUsage(window, tuple(sorted(counts.items())))
 
 
-def _count_bytes(counts):
-    return sum(len(name.encode()) + ENTRY_BYTES for name in counts)
+def _is_tellable(counts):
+    """Return whether peers accept a message with these counts."""
+    size = sum(len(name.encode()) + ENTRY_BYTES for name in counts)
+    return size <= MAX_SUM_BYTES and all(len(name) <= MAX_TEXT for name in counts)
--- a/wagtailfront/duties/usage_reporter.py
+++ b/wagtailfront/duties/usage_reporter.py
@@ -110,6 +110,11 @@
         is_waiting = now < self.waits_until or not self.true_time.is_agreed
         if grant is None or is_waiting:
             return
+        if self.last is not None and self.last > self._present():
+            # True time was ahead until now, so these windows are to come.
+            self.log.decision("usage", outcome="clock was ahead", window=self.last)
+            self.counts.forget_sums_after(self._present())
+            self._forget()
         if self.rows is None:
             self._read()
         elif self.reporting is not None:
@@ -152,7 +157,9 @@
             self._pause()
             return
         self.rows = set(sums)
-        newest = max(sums, default=None)
+        present = self._present()
+        newest = max((each for each in sums if each <= present), default=None)
+        self.counts.forget_sums_after(present)
         told = self.counts.last_sum()
         if newest is not None and (told is None or newest >= told):
             if self.last is None or newest > self.last:
