--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -126,7 +126,7 @@
             reply, method="GET", path=path, timeout=timeout, max_body=max_body
         )
 
-    def put(self, table, key, value, reply, *, expected_ver=None):
+    def put(self, table, key, value, reply, *, expected_ver=None, removed=()):
         """Write a row; `reply` as for `get`.
 
         Parameters
@@ -134,11 +134,16 @@
         expected_ver : int, optional
             Version that the row must have, 0 if it must not exist. The
             status is 412 if it has another one.
+        removed : iterable of str, optional
+            Keys of the table that the same transaction removes.
         """
         row = {"table": table, "part": "", "key": key}
         expect = [] if expected_ver is None else [{**row, "ver": expected_ver}]
         value = base64.b64encode(value).decode()
-        self._transact(reply, expect=expect, put=[{**row, "value": value}])
+        remove = [{**row, "key": each} for each in removed]
+        self._transact(
+            reply, expect=expect, put=[{**row, "value": value}], remove=remove
+        )
 
     def remove(self, table, key, reply):
         """Remove a row; `reply` as for `get`."""
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -56,6 +56,7 @@
 )
 from wagtailfront.platform.store_membership import StoreMembership
 from wagtailfront.platform.store_table import StoreTable
+from wagtailfront.programs.forward_duties import make_duties
 from wagtailfront.transport.http_client import HttpPool
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
 from wagtailfront.transport.timers import Timers
@@ -144,6 +145,7 @@
             timers=self.timers, channel="proxies", max_idle=lambda record: 0
         )
         self.store_clock = StoreClock(log=log)
+        self.clock_listeners = []
         self.store_pool = HttpPool(
             channel="store", connect_timeout=STORE_CONNECT_TIMEOUT
         )
@@ -154,12 +156,12 @@
             on_era=self._on_store_era,
             on_answer=lambda: self.contact.record_answer(now=time.monotonic()),
             on_silence=self._on_store_silence,
-            on_clock=self.store_clock.record,
         )
         self.contact = StoreContact()
         self.watchers = {}
         self.digest_parts = []
         self.confirmation = None
+        self.duties = None
         self.versions = StoreVersions(tables=("routing", "registry"))
         self.config_age = self._make_config_age()
         self.forwarder = self._make_forwarder()
@@ -196,6 +198,9 @@
             log=log,
             timers=self.timers,
         )
+        self.duties = make_duties(self)
+        if self.clock_listeners:
+            self.store.on_clock = self._on_store_clock
 
     def _make_config_age(self):
         """Return the ConfigAge, or None where the age has no bound."""
@@ -207,6 +212,7 @@
             limit=self.settings.platform.revoke_within,
         )
         self.digest_parts.append(config_age)
+        self.clock_listeners.append(self.store_clock.record)
         return config_age
 
     def _make_forwarder(self):
@@ -262,8 +268,13 @@
             metrics=self.metrics,
             clock=time.monotonic,
             rng=rng,
+            record_run=self._record_run,
         )
 
+    def _record_run(self, workspace, *, age):
+        if self.duties is not None:
+            self.duties.record_run(workspace, age=age)
+
     def build(self):
         """Return the root supervisor.
 
@@ -287,6 +298,8 @@
             "stages": self._make_stage_manager,
             "status": self._make_status_server,
         }
+        if self.duties is not None:
+            factories.update(self.duties.children())
         if self.settings.metrics is not None:
             factories["metrics"] = self._make_metrics_server
         return Supervisor(
@@ -503,10 +516,16 @@
         self.log.decision("store_era", outcome="changed", era=era)
         self.versions.handle_era(era)
 
+    def _on_store_clock(self, time):
+        for listener in self.clock_listeners:
+            listener(time)
+
     def _on_store_silence(self):
         """Have open watches asked again, as they may be silent too."""
         for watcher in self.watchers.values():
             watcher.handle_silence()
+        if self.duties is not None:
+            self.duties.true_time.store_clock.record_silence()
 
     def _max_idle(self, record):
         if self.forwarder.context.notices.is_leaving(record.incarnation):
@@ -549,6 +568,8 @@
         self.metrics.set(
             "rate_limited_endpoints", self.forwarder.context.rate_limits.count_limited()
         )
+        if self.duties is not None:
+            self.duties.render_metrics()
         notices = self.forwarder.context.notices
         incarnations = (r.incarnation for r in self.directory.records.values())
         self.metrics.set(
