Play keys on sockets and revocations in virtual time, and keep 401 for keys that are surely unknown

Cause: an instance out of touch with the store answered 401 for a key that the operator had added since; the 401 to HEAD would have had a body. What keys may show up in, and removals beside failures, had no test of whole instances. Change: an unknown key gets 503 while the configuration was confirmed longer ago than its bound, or a peer has reported a later one.

--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -32,6 +32,7 @@
 logger = logging.getLogger(__name__)
 
 UNCONFIGURED_RETRY_AFTER = 0.5  # seconds; about one read of the configuration
+HEAD = b"HEAD"  # its answer has no body
 BAD_REQUEST, UNAUTHORIZED, NOT_FOUND, UNAVAILABLE = 400, 401, 404, 503
 
 
@@ -181,7 +182,8 @@
             KeyedRequest(request, fields, route), self.config.workspaces, instructions
         )
         if isinstance(keyed, KeyRefusal):
-            answer(fields.request_id, keyed.status, keyed.reason)
+            body = b"" if request.method == HEAD else keyed.reason.encode()
+            answer(fields.request_id, keyed.status, keyed.reason, body=body)
             return None
         return self._make_routed_task(*keyed, reply, instructions)
 
@@ -270,6 +272,7 @@
         reason,
         retry_after=UNCONFIGURED_RETRY_AFTER,
         is_proxied=False,
+        body=b"",
     ):
         self.context.log.decision(
             "rejected",
@@ -278,11 +281,11 @@
             status=status,
             config=self.config and self.config.version,
         )
-        headers, body = [], b""
+        headers = []
         if status == UNAVAILABLE:
             headers = self.context.dialect.refusal_headers(retry_after)
         elif status == UNAUTHORIZED:
-            headers, body = self.context.dialect.unauthorized_headers(), reason.encode()
+            headers = self.context.dialect.unauthorized_headers()
         if is_proxied:
             headers += unreached_headers()
         reply.answer(status, headers, body)
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -216,9 +216,18 @@
             log=self.log,
             metrics=self.metrics,
             age=self.config_age,
+            may_lack_keys=self._may_lack_keys,
         )
         return Forwarder(context=context, key_check=key_check)
 
+    def _may_lack_keys(self):
+        """Return whether the configuration may be older than is allowed."""
+        confirmed_at = self.confirmations.confirmed_at["routing"]
+        return (
+            self.watchers["routing"].reported_at is not None
+            or time.monotonic() - confirmed_at > self.settings.platform.config_apply
+        )
+
     def _make_context(self):
         settings = self.settings
         health, rng = EndpointHealth(), self.rng
--- a/wagtailfront/programs/tests/forward_site.py
+++ b/wagtailfront/programs/tests/forward_site.py
@@ -95,7 +95,7 @@
         }
         self.change()
 
-    def change(self, *, limits=None, **route):
+    def change(self, *, limits=None, tenants=None, **route):
         """Write the next version of the configuration."""
         self.version += 1
         fields = {
@@ -114,24 +114,36 @@
             "services": [{"name": name, "max-connections": 500} for name in SERVICES],
             "limits": limits or {},
         }
+        if tenants is not None:
+            config["tenants"] = tenants
         self.store.write("op", "config", config)
 
     @contextlib.contextmanager
-    def run_tree(self):
-        """Run an instance in a thread; yield its ForwardTree and root."""
+    def run_tree(self, *, ports=None, **changes):
+        """Run an instance in a thread; yield its ForwardTree and root.
+
+        Parameters
+        ----------
+        ports : dict of str to int, optional
+            By default those of the site.
+        changes
+            Settings to replace.
+        """
         addresses = {
-            name: HostPort("127.0.0.1", port) for name, port in self.ports.items()
+            name: HostPort("127.0.0.1", port)
+            for name, port in (ports or self.ports).items()
         }
         settings = make_settings(store=HostPort(*self.store.address), **addresses)
+        settings = settings._replace(**changes)
         tree = ForwardTree(settings=settings, log=LogLines())
         root = tree.build()
         with running(root):
             wait_for(lambda: tree.ready()[0] == 200)
             yield tree, root
 
-    def connect(self):
-        """Return a connection to the instance."""
-        address = ("127.0.0.1", self.ports["callers"])
+    def connect(self, ports=None):
+        """Return a connection to the instance, or to one with these ports."""
+        address = ("127.0.0.1", (ports or self.ports)["callers"])
         return socket.create_connection(address, timeout=TIMEOUT)
 
     def close(self):
--- a/wagtailfront/workspaces/key_check.py
+++ b/wagtailfront/workspaces/key_check.py
@@ -40,6 +40,9 @@
 OLD = KeyRefusal(
     UNAVAILABLE, "the configuration may be too old to check keys", "old_configuration"
 )
+UNCONFIRMED = OLD._replace(
+    reason="the key is not known, and the configuration may be too old to know it"
+)
 
 
 class KeyedRequest(NamedTuple):
@@ -60,6 +63,9 @@
     metrics : Metrics
     age : ConfigAge, optional
         Without it the configuration may have any age.
+    may_lack_keys : callable, optional
+        Returns whether a key may have been added that is not known yet, as
+        the store is out of reach. A caller does not try again after 401.
 
     Attributes
     ----------
@@ -67,11 +73,12 @@
         Whether keys could be checked at the latest keyed request.
     """
 
-    def __init__(self, *, dialect, log, metrics, age=None):
+    def __init__(self, *, dialect, log, metrics, age=None, may_lack_keys=lambda: False):
         self.dialect = dialect
         self.log = log
         self.metrics = metrics
         self.age = age
+        self.may_lack_keys = may_lack_keys
         self.is_sound = True
 
     def check(self, keyed, workspaces, instructions=None):
@@ -111,7 +118,9 @@
             return OLD  # also for a key that may have been added since
         if credential.kind is CredentialKind.WORKSPACE:
             return None
-        return CONFLICTING if digest == CONFLICTING_KEYS else UNKNOWN
+        if digest == CONFLICTING_KEYS:
+            return CONFLICTING
+        return UNCONFIRMED if self.may_lack_keys() else UNKNOWN
 
     def _may_serve(self):
         """Return whether keys can be checked, and log when this changes."""
--- a/wagtailfront/workspaces/tests/builders.py
+++ b/wagtailfront/workspaces/tests/builders.py
@@ -101,29 +101,45 @@
     ----------
     size : int
     config_apply : float, optional
+
+    Attributes
+    ----------
+    deaf : set of Follower
+        Instances that are cut from all others.
     """
 
     def __init__(self, store, size, *, config_apply=3.0):
         self.store = store
         publish_config(store, 1, tenants=tenants(KEY))
-        self.followers = [
-            Follower(
-                store=store,
-                peers=size - 1,
-                seed=seed,
-                config_apply=config_apply,
-                revoke_within=LIMIT,
-            )
-            for seed in range(size)
-        ]
-        for each in self.followers:
-            each.peer_addresses = {other.address for other in self.followers}
+        self.size, self.config_apply = size, config_apply
+        self.followers = [self._make_follower(seed) for seed in range(size)]
+        self.deaf = set()
         self.oldest = 0.0
         for number, follower in enumerate(self.followers):
             self._send_digests(follower, number / size * DIGEST_INTERVAL)
 
+    def _make_follower(self, seed, **options):
+        follower = Follower(
+            store=self.store,
+            peers=self.size - 1,
+            seed=seed,
+            config_apply=self.config_apply,
+            revoke_within=LIMIT,
+            **options,
+        )
+        follower.peer_addresses = {f"a{number}" for number in range(self.size)}
+        return follower
+
+    def restart(self, number, **options):
+        """Replace an instance by one that knows nothing."""
+        follower = self._make_follower(number, **options)
+        self.followers[number] = follower
+        self._send_digests(follower, 0.0)
+
     def _send_digests(self, follower, delay):
         def send():
+            if follower not in self.followers:
+                return
             versions, age = follower.versions, follower.config_age
             digest = PlacementDigest(
                 incarnation=follower.address,
@@ -143,7 +159,7 @@
     def _deliver(self, sender, digest, ages):
         now = self.store.timers.now
         for follower in self.followers:
-            if follower is not sender:
+            if follower is not sender and not self.deaf & {follower, sender}:
                 versions = follower.versions
                 versions.handle_peer_versions(digest.era, digest.versions)
                 is_level = versions.is_level(digest.era, digest.versions)
--- a/wagtailfront/workspaces/tests/test_fleet_age.py
+++ b/wagtailfront/workspaces/tests/test_fleet_age.py
@@ -1,9 +1,12 @@
 """Tests of the configuration's age in whole fleets."""
 
+import random
+
 import pytest
 
 from wagtailfront.platform.tests.restored_store import DrillStore, publish_config
 from wagtailfront.platform.tests.wire import tenants
+from wagtailfront.workspaces.keys import key_digest
 from wagtailfront.workspaces.tests.builders import KEY, LIMIT, StrictFleet
 
 REFUSED_FROM = 0.9 * LIMIT
@@ -88,3 +91,71 @@
     fleet.advance(2.0)
     fleet.advance(10.0)
     assert fleet.oldest < REFUSED_FROM
+
+
+class Revocations:
+    """Keys that the operator adds and removes while things fail.
+
+    Attributes
+    ----------
+    removed_at : dict of str to float
+        When the store acknowledged the removal, by the key's digest.
+    """
+
+    def __init__(self, *, seed):
+        self.rng = random.Random(seed)
+        self.store = DrillStore()
+        self.fleet = StrictFleet(self.store, 6)
+        self.fleet.advance(5.0)
+        self.keys, self.version = [KEY], 1
+        self.removed_at = {}
+        self.served = 0
+
+    def change(self):
+        """Replace the oldest key, if the store takes the change."""
+        if self.store.is_away:
+            return
+        self.version += 1
+        removed, self.keys = self.keys[0], [f"key-{self.version}"]
+        publish_config(self.store, self.version, tenants=tenants(*self.keys))
+        self.removed_at[key_digest(removed)] = self.store.timers.now
+
+    def disturb(self):
+        """Let one thing fail, or be whole again."""
+        fleet, rng = self.fleet, self.rng
+        number = rng.randrange(6)
+        follower = fleet.followers[number]
+        step = rng.randrange(6)
+        if step == 0:
+            follower.link.is_cut = not follower.link.is_cut
+        elif step == 1:
+            fleet.deaf ^= {follower}
+        elif step == 2:
+            follower.link.silence()
+        elif step == 3:
+            fleet.restart(number, bytes_per_second=rng.choice([200.0, 1e6]))
+        elif step == 4 and not self.store.is_away:
+            self.store.drill(lost=rng.uniform(0.0, 3.0), away=rng.uniform(0.2, 3.0))
+
+    def check(self):
+        """Check that no removed key is served too late."""
+        for follower in self.fleet.followers:
+            if follower.config_age.age() < REFUSED_FROM:
+                for digest in follower.forwarder.config.workspaces:
+                    removed_at = self.removed_at.get(digest, self.store.timers.now)
+                    assert self.store.timers.now - removed_at < LIMIT
+                self.served += 1
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_removed_key_is_served_after_the_limit(seed):
+    """Guards against each way in which an old configuration seems new."""
+    play = Revocations(seed=seed)
+    for step in range(600):
+        if step % 25 == 24:
+            play.change()
+        if step % 12 == 11:
+            play.disturb()
+        play.fleet.advance(0.1)
+        play.check()
+    assert play.served > 600
--- a/wagtailfront/workspaces/tests/test_key_check.py
+++ b/wagtailfront/workspaces/tests/test_key_check.py
@@ -121,6 +121,21 @@
     assert scene.log.kinds().count("keyed_work") == 2
 
 
+def test_a_key_that_may_have_been_added_is_not_turned_away_for_good():
+    """Guards added keys at an instance that is out of touch with the store."""
+    scene = KeyedScene()
+    scene.forwarder.key_check.may_lack_keys = lambda: True
+    assert scene.send(UNKNOWN).status == 503
+    assert scene.send().status == 401
+    assert scene.send(AUTHORIZATION).status is None
+
+
+def test_the_answer_to_head_has_no_body():
+    """Guards the next answer on a connection against a part of this one."""
+    reply = KeyedScene().send(first_line=b"HEAD /a HTTP/1.1")
+    assert (reply.status, reply.body) == (401, b"")
+
+
 def test_no_configuration_is_not_an_unknown_key():
     """Guards against a 401 for a key that may be known soon."""
     scene = KeyedScene()
