--- a/wagtailfront/workspaces/tests/test_key_leaks.py
+++ b/wagtailfront/workspaces/tests/test_key_leaks.py
@@ -1,16 +1,20 @@
 """Tests that keys leave an instance in no form of request."""
 
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from wagtailfront.forwarding.attempt import end_to_end_headers
 from wagtailfront.forwarding.proxy_headers import without_proxy_headers
 from wagtailfront.forwarding.tests.builders import STREAMING, make_record, make_route
 from wagtailfront.platform.headers import END_TO_END
+from wagtailfront.platform.rows import read_routing
+from wagtailfront.platform.tests.builders import make_row
 from wagtailfront.platform.tests.wire import (
     EVENT_STREAM,
     HANDLE,
     WORKSPACE,
     prompt_headers,
+    tenants,
     workspaces_of,
 )
 from wagtailfront.workspaces.tests.builders import (
@@ -139,6 +143,24 @@
         assert KEY_BYTES not in outputs(scene)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"name": ""},
+        {"name": "a\r\nX: y"},
+        {"name": 5},
+        {"priority": KEY},
+        {"priority": -1},
+    ],
+)
+def test_a_configuration_that_cannot_be_read_shows_no_key(changes):
+    """Guards the log against the contents of a faulty configuration."""
+    config = {"version": 1, "tenants": tenants(KEY, **changes)}
+    with pytest.raises(ValueError, match="unreadable") as caught:
+        read_routing([make_row("config", config)])
+    assert KEY not in str(caught.value)
+
+
 def test_a_prefill_and_its_run_name_the_workspace():
     """Guards the requests of one caller that go to two engines."""
     engines = [make_record(stage, stage=stage) for stage in ("prefill", "decode")]
