--- a/wagtailfront/duties/tests/duty_world.py
+++ b/wagtailfront/duties/tests/duty_world.py
@@ -4,7 +4,7 @@
 import itertools
 from types import SimpleNamespace
 
-from wagtailfront.duties.holder import CALL_DELAY, DutyHolder, duty_waits
+from wagtailfront.duties.holder import DutyHolder, duty_waits
 from wagtailfront.forwarding.tests.builders import LogLines
 from wagtailfront.stores.interfaces import (
     Committed,
@@ -22,6 +22,7 @@
 STEP = 0.05  # seconds between the turns of an instance
 RATES = (1.0, 0.95, 1.05)  # of the machines' clocks
 LATENCY = 0.005  # seconds of the store, one way
+SLOW_CALL = 2.2  # seconds until the platform has handled a call, if it is slow
 
 
 class LeaseRow:
@@ -159,7 +160,7 @@
         """Record a call when it reaches the platform, perhaps late."""
         entry = SimpleNamespace(machine=machine.number, fencing=grant.fencing)
         entry.name = machine.name
-        delay = CALL_DELAY if self.is_late else 0.0
+        delay = SLOW_CALL if self.is_late else 0.0
         self.after(delay, lambda: self.calls.append((self.now, entry)))
 
     def run(self, seconds):
--- a/wagtailfront/duties/tests/test_holder.py
+++ b/wagtailfront/duties/tests/test_holder.py
@@ -83,10 +83,12 @@
     """Carry out steps one directly after the other, then let time pass."""
     machine = HolderMachine()
     machine.world.run(5.2)
+    # Late calls of a holder must not come after its successor's.
+    machine.delay_calls(True)
     for step in steps:
         step(machine)
+    machine.delay_calls(False)
     machine.world.run(14.0)
-    return machine.world
 
 
 STEPS = {
