Test that callers that nobody controls leave an instance its memory

Cause: nothing bounds the bytes of unfinished and waiting requests together, and no test sends more than one legal request at a time.

--- /dev/null
+++ b/wagtailfront/programs/tests/caller_crowd.py
@@ -0,0 +1,221 @@
+"""Callers that send much, stop short of an end, or don't read."""
+
+import contextlib
+import itertools
+import socket
+import threading
+from typing import Any, NamedTuple
+
+from wagtailfront.platform.tests.wire import signed_response
+
+__all__ = ["CROWDS", "Crowd", "CrowdRun", "answer_late", "answer_long"]
+
+MEGABYTE = 1024 * 1024
+PIECE = b"x" * 65536
+LONG_ANSWER = b"y" * (3 * MEGABYTE)
+SEND_TIMEOUT = 5.0  # seconds for one piece, until a caller gives up sending
+JOIN_TIMEOUT = 120.0  # seconds; ends a test whose callers never stop
+WORK_SECONDS = 0.3  # of an endpoint for one request
+HEAD = b"%b /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: c%d\r\n"
+NUMBERS = itertools.count()
+SHORT = 100  # bytes that those who stop short leave out
+WHOLE_EACH = 10  # one of so many sends its whole request
+
+
+def head(method=b"POST"):
+    """Return a head without its last line; each has an id of its own."""
+    return HEAD % (method, next(NUMBERS))
+
+
+def length_head(size):
+    """Return the head of a request with an announced length."""
+    return head() + b"Content-Length: %d\r\n\r\n" % size
+
+
+def chunked_head():
+    """Return the head of a request in chunks."""
+    return head() + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def pieces(size):
+    """Yield a body in pieces."""
+    for start in range(0, size, len(PIECE)):
+        yield PIECE[: size - start]
+
+
+def stops_short(number):
+    """Return whether a caller leaves its request without an end."""
+    return number % WHOLE_EACH != 0
+
+
+def whole_body(number, size):
+    """Yield a request in one part."""
+    yield length_head(size) + b"x" * size
+
+
+def body_in_pieces(number, size):
+    """Yield a request with its length, most without the last bytes."""
+    yield length_head(size)
+    yield from pieces(size - SHORT * stops_short(number))
+
+
+def large_chunks(number, size):
+    """Yield a request in large chunks, most without the last one."""
+    yield chunked_head()
+    for piece in pieces(size - SHORT):
+        yield b"%x\r\n%b\r\n" % (len(piece), piece)
+    if not stops_short(number):
+        yield b"0\r\n\r\n"
+
+
+def tiny_chunks(number, size):
+    """Yield a request in chunks of one byte, most without the last one."""
+    yield chunked_head()
+    for piece in pieces(size - SHORT):
+        yield b"1\r\nx\r\n" * len(piece)
+    if not stops_short(number):
+        yield b"0\r\n\r\n"
+
+
+def announced_too_large(number, size):
+    """Yield a body far over the limit, with its length."""
+    yield length_head(1000 * size)
+    yield from pieces(4 * size)
+
+
+def endless_chunks(number, size):
+    """Yield a body far over the limit, in chunks."""
+    yield chunked_head()
+    for piece in pieces(4 * size):
+        yield b"%x\r\n%b\r\n" % (len(piece), piece)
+
+
+def endless_trailer(number, size):
+    """Yield a body whose trailer has one value without end."""
+    yield chunked_head() + b"1\r\nx\r\n0\r\nX-Own: "
+    yield from pieces(size)
+
+
+def pipelined(number, size):
+    """Yield many requests at once on one connection."""
+    for _request in range(8):
+        yield length_head(size)
+        yield from pieces(size)
+
+
+def long_answer(number, size):
+    """Yield a request whose answer is never read."""
+    yield head(b"GET") + b"\r\n"
+
+
+def long_head(number, size):
+    """Yield a head of many small headers, without its end."""
+    yield head() + b"a:b\r\n" * (size // 6 - SHORT)
+
+
+def answer_late(connection, request_id, request):
+    """Answer a request after the time that an engine takes for it."""
+    threading.Event().wait(WORK_SECONDS)
+    with contextlib.suppress(OSError):
+        connection.sendall(signed_response(request_id, b"ok"))
+        return True
+
+
+def answer_long(connection, request_id, request):
+    """Answer a caller of the crowd at length, and others shortly."""
+    body = LONG_ANSWER if request_id.startswith(b"c") else b"ok"
+    with contextlib.suppress(OSError):
+        connection.sendall(signed_response(request_id, body))
+        return True
+
+
+class Crowd(NamedTuple):
+    """Callers of one kind and the bound that an instance must keep.
+
+    Attributes
+    ----------
+    send : callable
+        Yields what one caller sends, by its number and `size`.
+    size : int
+        Bytes that are legal for its kind of request.
+    memory_mb : int
+        `limits.memory-mb` of the instance.
+    limits : dict
+        Of the configuration.
+    port : str
+        Name of the port that the callers connect to.
+    endpoint : callable
+        Script of the endpoint.
+    """
+
+    send: Any
+    size: int = 4 * MEGABYTE
+    callers: int = 60
+    memory_mb: int = 160
+    limits: dict = {}
+    port: str = "callers"
+    endpoint: Any = answer_late
+
+
+CROWDS = {
+    "whole-bodies": Crowd(whole_body),
+    "bodies-in-pieces": Crowd(body_in_pieces),
+    "large-chunks": Crowd(large_chunks),
+    "tiny-chunks": Crowd(tiny_chunks, size=MEGABYTE // 8, callers=40, memory_mb=100),
+    "announced-too-large": Crowd(announced_too_large),
+    "endless-chunks": Crowd(endless_chunks),
+    "endless-chunks-at-the-peers-port": Crowd(endless_chunks, port="proxy"),
+    "endless-trailers": Crowd(endless_trailer),
+    "pipelined": Crowd(pipelined, size=2 * MEGABYTE, callers=30),
+    "unread-answers": Crowd(long_answer, endpoint=answer_long),
+    "long-heads": Crowd(
+        long_head,
+        size=65536,
+        callers=120,
+        memory_mb=100,
+        limits={"max-header-bytes": 65536},
+    ),
+}
+
+
+class CrowdRun:
+    """Connections of a Crowd, which stay open until `close`.
+
+    Parameters
+    ----------
+    crowd : Crowd
+    address : (str, int)
+    """
+
+    def __init__(self, crowd, address):
+        self.crowd = crowd
+        self.sockets = [self._connect(address) for _caller in range(crowd.callers)]
+        self.threads = [
+            threading.Thread(target=self._send, args=caller, daemon=True)
+            for caller in enumerate(self.sockets)
+        ]
+
+    def _connect(self, address):
+        sock = socket.socket()
+        # Answers that are not read must not vanish in a large buffer here.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.settimeout(SEND_TIMEOUT)
+        sock.connect(address)
+        return sock
+
+    def _send(self, number, sock):
+        # A refused caller, or one that is not read any more, stops sending.
+        with contextlib.suppress(OSError):
+            for part in self.crowd.send(number, self.crowd.size):
+                sock.sendall(part)
+
+    def send(self):
+        """Send from all connections at once, until each has stopped."""
+        for thread in self.threads:
+            thread.start()
+        for thread in self.threads:
+            thread.join(JOIN_TIMEOUT)
+
+    def close(self):
+        for sock in self.sockets:
+            sock.close()
--- a/wagtailfront/programs/tests/conftest.py
+++ b/wagtailfront/programs/tests/conftest.py
@@ -13,10 +13,10 @@
 
 @pytest.fixture
 def process():
-    """Return a function that starts the program at a site."""
+    """Return a function that starts the program at a site, with options."""
     started = []
 
-    def start(site):
+    def start(site, **options):
         environ = {
             f"WAGTAILFRONT_{name.upper()}": f"127.0.0.1:{port}"
             for name, port in site.ports.items()
@@ -26,6 +26,9 @@
             "WAGTAILFRONT_DATA_CENTRE": "a",
             "WAGTAILFRONT_STORE": f"127.0.0.1:{site.store.address[1]}",
         }
+        environ |= {
+            f"WAGTAILFRONT_{name.upper()}": value for name, value in options.items()
+        }
         child = subprocess.Popen(
             [sys.executable, "-m", "wagtailfront.programs.forward"],
             env=os.environ | environ,
