Bound the memory of callers' requests and unread answers

Cause: each connection could hold up to the limits of the configuration, and nothing bounded all connections together; a body over the limit was read up to it and kept; a trailer without end was kept by the parser; glibc kept freed bodies, as its threshold for returning blocks rises to 32 MB.

Change: intake.IntakeMemory is one bound for the callers' and peers' ports, a share of limits.memory-mb or of /proc/meminfo. When it is full, the stalled connection that holds most is refused with 503 and Retry-After, or closed if it does not read; else the one that grows, unless another holds much more. Requests up to 256 KiB have a reserve. Announced bodies over the limit end at their head with 413; trailers count towards max-header-bytes (431). Pipelined requests wait in the kernel beyond 256 KiB. mallopt fixes the threshold.

--- a/wagtailfront/forwarding/caller_connection.py
+++ b/wagtailfront/forwarding/caller_connection.py
@@ -14,6 +14,7 @@
 
     request: Request
     read_at: float
+    held_bytes: int
 
 
 class CallerConnection:
@@ -23,6 +24,10 @@
     ----------
     waiting : deque of ReceivedRequest
         Requests that follow the one in progress.
+    waiting_bytes : int
+        Bytes of memory that they take.
+    intake : ConnectionIntake
+        Reports the memory that it takes.
     current : ReceivedRequest or None
         The request in progress, until its answer is complete.
     close_reason : str or None
@@ -42,8 +47,9 @@
         self.limits = limits
         self.reader = RequestReader(max_head=limits.max_head, max_body=limits.max_body)
         self.waiting = deque()
+        self.waiting_bytes = 0
         self.current = None
-        self.task = None
+        self.task = self.intake = None
         self.is_closing = False
         self.close_reason = None
         self.is_part_refused = False
@@ -68,7 +74,31 @@
 
     def receive(self, data, *, now):
         """Return the requests that `data` completes."""
-        return [ReceivedRequest(request, now) for request in self.reader.feed(data)]
+        return [
+            ReceivedRequest(request, now, request.held_bytes)
+            for request in self.reader.feed(data)
+        ]
+
+    @property
+    def pending_bytes(self):
+        """Return the bytes of memory of requests that are not in progress."""
+        return self.waiting_bytes + self.reader.held_bytes
+
+    @property
+    def held_bytes(self):
+        """Return the bytes of memory of all its requests."""
+        current = 0 if self.current is None else self.current.held_bytes
+        return current + self.pending_bytes
+
+    def add_waiting(self, received):
+        """Add requests that follow the one in progress."""
+        self.waiting.extend(received)
+        self.waiting_bytes += sum(each.held_bytes for each in received)
+
+    def take_next(self):
+        """Make the first waiting request the one in progress."""
+        self.current = self.waiting.popleft()
+        self.waiting_bytes -= self.current.held_bytes
 
     def take_unanswered(self):
         """Remove and return all requests without their complete answer."""
@@ -76,6 +106,7 @@
         unanswered = [*current, *self.waiting]
         self.current = None
         self.waiting.clear()
+        self.waiting_bytes = 0
         return unanswered
 
     def use_limits(self, limits):
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -16,6 +16,10 @@
 )
 from wagtailfront.forwarding.half_closed_callers import HalfClosedCallers
 from wagtailfront.forwarding.unanswered_log import UnansweredLog
+from wagtailfront.intake.connection_intake import IntakeGate
+from wagtailfront.intake.giving_way import SMALL_BYTES
+from wagtailfront.intake.intake_memory import IntakeMemory
+from wagtailfront.intake.shares import divide_memory, machine_memory
 from wagtailfront.transport.http_listener import CLOSED_HERE, SLOW_PEER, HttpListener
 from wagtailfront.transport.http_protocol import ServerLimits
 from wagtailfront.transport.ticker import Ticker
@@ -29,7 +33,6 @@
 # Seconds in which a caller reads the refusal of a request that it still sends.
 LINGER_SECONDS = 1.0
 MAX_UNREAD_SECONDS = 30.0  # for which a caller may read nothing of an answer
-MAX_PIPELINED = 8  # requests queued on one connection until it is read on
 # Why this instance closes a connection.
 BROKEN_ANSWER = "its answer was broken off"
 AFTER_ANSWER = "closed after an answer"
@@ -50,6 +53,8 @@
         Address and port.
     forwarder : Forwarder
     max_connections : int
+    memory : IntakeMemory, optional
+        Shared by all ports of an instance; by default that of the machine.
     clock : callable, optional
     """
 
@@ -59,6 +64,7 @@
         bind,
         forwarder,
         max_connections,
+        memory=None,
         channel="forward_server",
         clock=time.monotonic,
     ):
@@ -81,6 +87,15 @@
             listener=self.listener, timers=forwarder.context.timers, clock=clock
         )
         self.listener.on_flushed = self._on_flushed
+        self.listener.on_queued = self._on_queued
+        self.intake = IntakeGate(
+            memory=memory or IntakeMemory(shares=divide_memory(machine_memory())),
+            listener=self.listener,
+            refuse=self._refuse,
+            close_slow=lambda each: self.listener.reset(each.sock, SLOW_PEER),
+            context=forwarder.context,
+            clock=clock,
+        )
         Ticker(interval=SWEEP_INTERVAL, make_event=sweep, target=channel).register(self)
 
     def receive(self, sock, data):
@@ -90,16 +105,16 @@
         connection = self.connections.get(sock)
         if connection is None:
             connection = CallerConnection(sock=sock, limits=limits, now=now)
+            connection.intake = self.intake.open(connection)
             self.connections[sock] = connection
         connection.last_activity = now
         if connection.is_closing:
             self._drop(connection, data)
             return
         connection.use_limits(limits)
-        connection.waiting.extend(connection.receive(data, now=now))
-        if len(connection.waiting) > MAX_PIPELINED:
-            self.listener.pause_reading(sock)
-        self._serve_next(connection)
+        connection.add_waiting(connection.receive(data, now=now))
+        if connection.intake.update():
+            self._serve_next(connection)
 
     def _keeps_half_closed(self, sock):
         """Return whether to keep a connection whose caller sends no more."""
@@ -128,16 +143,16 @@
             self.unanswered.record(
                 received, reason=connection.close_reason, state="read after the close"
             )
+        if connection.reader.held_bytes > SMALL_BYTES:
+            connection.reader.give_up(BAD_GATEWAY, "read after the close")
 
     def _serve_next(self, connection):
         while not connection.is_busy and not connection.is_closing:
             if connection.waiting:
                 if self._is_reading_answer(connection):
                     return  # _on_flushed goes on
-                connection.current = connection.waiting.popleft()
-                is_read = connection.has_ended_sending
-                if len(connection.waiting) == MAX_PIPELINED and not is_read:
-                    self.listener.resume_reading(connection.sock)
+                connection.take_next()
+                connection.intake.pace()
                 self._serve(connection, connection.current.request)
             elif connection.reader.failure is not None:
                 self._answer_failure(connection, connection.reader.failure.status)
@@ -154,6 +169,11 @@
         if connection is not None:
             self._serve_next(connection)
 
+    def _on_queued(self, sock):
+        connection = self.connections.get(sock)
+        if connection is not None:
+            connection.intake.update()
+
     def _serve(self, connection, request):
         reply = Reply(server=self, connection=connection, request=request)
         try:
@@ -170,8 +190,18 @@
         if task is not None and not reply.is_ended:
             connection.task = task
 
-    def _answer_failure(self, connection, status):
-        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+    def _refuse(self, connection, status, retry_after):
+        """Refuse a request of which nothing has been passed on."""
+        if connection.waiting:
+            connection.take_next()
+            connection.current = None  # the refusal is its answer
+        headers = self.forwarder.context.dialect.refusal_headers(retry_after)
+        self._answer_failure(connection, status, headers)
+        connection.reader.give_up(status, "no memory")
+        self._record_unanswered(connection)
+
+    def _answer_failure(self, connection, status, headers=()):
+        headers = [*headers, (b"Content-Length", b"0"), (b"Connection", b"close")]
         self.listener.write(connection.sock, encode_head(status_line(status), headers))
         connection.is_part_refused = not connection.reader.is_between_requests
         self._start_closing(connection, AFTER_REFUSAL)
@@ -188,6 +218,7 @@
             # Writing the answer has ended the connection.
             self._record_unanswered(connection)
         connection.current = None
+        connection.intake.update()
         connection.last_activity = self.clock()
         if keep_alive:
             # Deferred: the task that has just answered is still ending.
@@ -228,6 +259,7 @@
         connection = self.connections.pop(sock, None)
         if connection is None:
             return
+        connection.intake.release()
         self._record_unanswered(connection)
         connection.is_closing = True
         task, connection.task = connection.task, None
--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -169,7 +169,8 @@
         exchange.is_first, connection.is_new = connection.is_new, False
         exchange.connection = connection
         connection.exchange = exchange
-        connection.outgoing = exchange.payload
+        connection.outgoing = memoryview(exchange.payload)
+        exchange.payload = b""  # freed once it has been sent
         if connection.is_open:
             self._flush(connection)
 
@@ -249,6 +250,7 @@
         except OSError as error:
             self._handle_write_error(connection, error)
             return
+        connection.outgoing = b""
         if self.poller.isWriting(sock):
             self.poller.removeWriter(sock)
 
--- a/wagtailfront/forwarding/request_reader.py
+++ b/wagtailfront/forwarding/request_reader.py
@@ -15,6 +15,9 @@
 
 CONNECT = b"CONNECT"
 UPGRADE = b"upgrade"
+HEADER_COST = 200  # bytes of memory for a header beside those of its text
+# A bytearray that grows takes an eighth more than it contains.
+GROWTH_COST = 9 / 8
 
 
 class Request(NamedTuple):
@@ -27,6 +30,11 @@
     keep_alive: bool
     http_version: str
 
+    @property
+    def held_bytes(self):
+        """Return the bytes of memory that it takes."""
+        return len(self.body) + _head_cost(self.headers)
+
 
 class RequestReader(MessageHead):
     """Parses requests from a caller's bytes.
@@ -69,6 +77,34 @@
         self.is_between_requests = True
         self.partial_head_bytes = 0
         self.bytes_read = 0
+        self.announced = None
+        # Bytes of chunks' heads and trailers since the last of a body.
+        self.framing_bytes = 0
+        self.has_read_body = False
+
+    @property
+    def held_bytes(self):
+        """Return the bytes of memory that an unfinished request takes."""
+        head = self.partial_head_bytes
+        head += self.head_bytes + HEADER_COST * len(self.headers)
+        return head + int(GROWTH_COST * len(self.body))
+
+    def take_announced(self):
+        """Return the length of a body whose head was just read, or 0."""
+        announced, self.announced = self.announced, None
+        return announced or 0
+
+    def give_up(self, status, reason):
+        """Parse nothing more, and free what is unfinished."""
+        self.failure = FramingError(status, reason)
+        self._free()
+
+    def _free(self):
+        self.body = bytearray()
+        self.headers = []
+        self.head_bytes = self.partial_head_bytes = 0
+        # The parser keeps the start of a header whose end is missing.
+        self.parser = None
 
     def feed(self, data):
         """Return the requests that `data` completes; sets `failure`."""
@@ -86,6 +122,8 @@
                 if isinstance(error.__context__, FramingError)
                 else FramingError(400, f"not an HTTP request: {error}")
             )
+        if self.failure is not None:
+            self._free()
         done, self.requests = self.requests, []
         return done
 
@@ -101,6 +139,7 @@
                 self._ignore_upgrade()
             else:
                 self._count_partial_head(len(rest))
+                self._count_framing(len(rest))
                 return
 
     def _ignore_upgrade(self):
@@ -120,7 +159,7 @@
     def on_message_begin(self):
         super().on_message_begin()
         self.body = bytearray()
-        self.body_bytes = 0
+        self.body_bytes = self.framing_bytes = 0
         self.is_between_requests = False
 
     def on_headers_complete(self):
@@ -129,6 +168,10 @@
         self._check_head()
         if self.parser.get_method() == CONNECT:
             raise FramingError(400, "CONNECT is not served")
+        # The parser has refused any but one number.
+        self.announced = int(find_header(self.headers, b"content-length") or 0)
+        if self.announced > self.max_body:
+            raise FramingError(413, "announced request body too large")
         expected = find_header(self.headers, b"expect") or b""
         self.expects_continue = expected.lower() == b"100-continue"
 
@@ -137,18 +180,20 @@
         if self.body_bytes > self.max_body:
             raise FramingError(413, "request body too large")
         self.body += data
+        self.has_read_body = True
 
     def on_message_complete(self):
         if self.parser.should_upgrade():
             return  # the head is parsed again without its offer
         self.is_between_requests = True
         self.expects_continue = False
+        body, self.body = bytes(self.body), bytearray()
         self.requests.append(
             Request(
                 method=self.parser.get_method(),
                 target=self.target,
                 headers=self.headers,
-                body=bytes(self.body),
+                body=body,
                 keep_alive=self.parser.should_keep_alive(),
                 http_version=self.parser.get_http_version(),
             )
@@ -162,6 +207,20 @@
         if not (self.is_between_requests or self.in_body or self.requests):
             self.partial_head_bytes += size
 
+    def _count_framing(self, size):
+        """Count the bytes of a read that has nothing of a body."""
+        is_read, self.has_read_body = self.has_read_body, False
+        if is_read or self.is_between_requests or not self.in_body:
+            self.framing_bytes = 0
+        else:
+            self.framing_bytes += size
+
     def _check_head(self):
-        if max(self.head_bytes, self.partial_head_bytes) > self.max_head:
-            raise FramingError(431, "request head too large")
+        sizes = self.head_bytes, self.partial_head_bytes, self.framing_bytes
+        if max(sizes) > self.max_head:
+            raise FramingError(431, "request head or trailer too large")
+
+
+def _head_cost(headers):
+    """Return the bytes of memory that headers take."""
+    return sum(HEADER_COST + len(name) + len(value) for name, value in headers)
--- /dev/null
+++ b/wagtailfront/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Memory for callers' unfinished and waiting requests and unread answers."""
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -39,6 +39,13 @@
     ),
     (Counter, "endpoint_connections_total", "Connections opened to endpoints.", ()),
     (Gauge, "requests_in_progress", "Accepted requests in progress.", ()),
+    (Gauge, "intake_bytes", "Memory of callers' requests and unread answers.", ()),
+    (
+        Counter,
+        "intake_given_way_total",
+        "Callers' connections refused or closed as their memory was full.",
+        ("outcome",),
+    ),
     (Gauge, "rate_limited_endpoints", "Endpoints that name a rate limit.", ()),
     (Gauge, "leaving_endpoints", "Registered endpoints that said they leave.", ()),
     (Gauge, "paused_endpoints", "Endpoints that asked for a pause.", ()),
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -82,6 +82,7 @@
         File descriptors that the process may open.
     """
     # These imports take most of the time of a start; main() is called first.
+    from wagtailfront.intake.allocator import return_large_blocks
     from wagtailfront.observe.decision_log import standard_output_log
     from wagtailfront.observe.log import start_logging
     from wagtailfront.platform.settings_file import read_platform_settings
@@ -89,6 +90,7 @@
     from wagtailfront.transport.supervisor import make_root
 
     start_logging(level="warning", form="json")
+    return_large_blocks()
     forward_settings = ForwardSettings(
         instance=instance,
         data_centre=data_centre,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -41,6 +41,8 @@
 from wagtailfront.forwarding.store_watcher import StoreWatcher
 from wagtailfront.freshness.confirmations import Confirmations
 from wagtailfront.identifiers import new_id
+from wagtailfront.intake.intake_memory import IntakeMemory
+from wagtailfront.intake.shares import divide_memory, machine_memory
 from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
 from wagtailfront.platform.engine_client import EngineClient
@@ -147,6 +149,8 @@
             on_silence=self._on_store_silence,
         )
         self.contact = StoreContact()
+        memory = settings.platform.memory_bytes or machine_memory()
+        self.intake = IntakeMemory(shares=divide_memory(memory))
         self.watchers = {}
         self.digest_parts = []
         self.confirmation = None
@@ -209,7 +213,7 @@
                 log=self.log, rng=rng, on_leaving=self.pool.drop_idle
             ),
             pool=self.pool,
-            body_memory=BodyMemory(),
+            body_memory=BodyMemory(max_total=self.intake.shares.responses),
             timers=self.timers,
             budgets=AttemptBudgets(
                 share=settings.repeat_share,
@@ -370,6 +374,7 @@
             max_connections=max(
                 1, self.settings.max_descriptors - RESERVED_DESCRIPTORS
             ),
+            memory=self.intake,
         )
         return self.server
 
@@ -381,6 +386,7 @@
                     bind=bind,
                     forwarder=self.forwarder,
                     max_connections=MAX_PEER_CONNECTIONS,
+                    memory=self.intake,
                 )
             except OSError as error:
                 self.log.decision("proxy_server", outcome=str(error), port=bind[1])
@@ -494,6 +500,7 @@
     def render_metrics(self):
         """Return the metrics page."""
         self.metrics.set("requests_in_progress", len(self.forwarder.tasks))
+        self.metrics.set("intake_bytes", self.intake.total)
         self.metrics.set(
             "rate_limited_endpoints", self.forwarder.context.rate_limits.count_limited()
         )
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -18,6 +18,8 @@
 logger = logging.getLogger(__name__)
 
 READ_BYTES = 65536
+# Longer writes wait in slices, so that what has been sent is freed.
+WRITE_SLICE = 256 * 1024
 MAX_PENDING_WRITE = 4 * 1024 * 1024  # bytes queued on one connection
 MAX_TOTAL_WRITE = 32 * 1024 * 1024  # bytes queued on all connections
 # SO_LINGER with a timeout of 0: close() sends RST instead of FIN.
@@ -45,6 +47,11 @@
         Why a socket was closed.
     on_flushed : callable or None
         Called with a socket once the bytes that waited have been written.
+    on_queued : callable or None
+        Called with a socket when bytes have to wait, or some were written.
+    buffer_size : callable or None
+        Returns the bytes that the kernel may buffer in each direction of a
+        new connection; by default the kernel decides.
     """
 
     def __init__(
@@ -59,7 +66,7 @@
         self.total_queued = 0
         self.close_reasons = WeakKeyDictionary()
         self.is_reading = True
-        self.on_flushed = None
+        self.on_flushed = self.on_queued = self.buffer_size = None
 
     @property
     def clients(self):
@@ -73,6 +80,10 @@
             return
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.buffer_size is not None:
+            size = self.buffer_size()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
         if len(self._clients) + len(self.handshakes) >= self.limits.max_connections:
             sock.close()
             return
@@ -211,6 +222,8 @@
             self._continue_handshake(sock)
             return
         self._flush(sock)
+        if self.on_queued is not None:
+            self.on_queued(sock)
         is_flushed = sock in self._clients and not self.queued[sock]
         if is_flushed and self.on_flushed is not None:
             self.on_flushed(sock)
@@ -221,14 +234,21 @@
         if sock not in self._clients:
             return
         queue = self._buffers[sock]
-        queue.append(data)
+        is_first = not queue
+        if len(data) <= WRITE_SLICE:
+            queue.append(data)
+        else:
+            starts = range(0, len(data), WRITE_SLICE)
+            queue.extend(data[start : start + WRITE_SLICE] for start in starts)
         self._count_queued(sock, len(data))
-        if len(queue) == 1:
+        if is_first:
             self._flush(sock)
         elif self.queued[sock] > MAX_PENDING_WRITE:
             self._close_slow(sock)
         while self.total_queued > MAX_TOTAL_WRITE:
             self._close_slow(max(self.queued, key=self.queued.get))
+        if self.on_queued is not None and self.queued.get(sock):
+            self.on_queued(sock)
 
     def _close_slow(self, sock):
         logger.warning("[http] Closed a connection: the peer reads too slowly.")
