Free requests and answers at their end, and send bodies without a copy

Cause: an ended task, its attempts and its caller's connection refer to each other, so bodies and buffered responses stayed until the garbage collector ran; each send copied the body, and each partial write the rest of it; the kernel could buffer up to 32 MB for each connection to an endpoint.

Stand-ins of sockets and pools in tests take the added arguments.

--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -3,7 +3,12 @@
 import functools
 
 from wagtailfront.forwarding.event_splitter import EventSplitter
-from wagtailfront.forwarding.framing import HOP_BY_HOP, encode_head, find_header
+from wagtailfront.forwarding.framing import (
+    HOP_BY_HOP,
+    encode_head,
+    find_header,
+    join_small,
+)
 
 __all__ = ["PrefillAttempt", "RunAttempt", "end_to_end_headers"]
 
@@ -120,11 +125,11 @@
         """Send the request with `options`, a SendOptions."""
         self.health.outstanding += 1
         self.health.add_pending(self.priority, self.uncached_tokens)
-        payload = self._encode(options)
+        payload, body = self._encode(options)
         # A copy of an earlier response to the same request bears its id too.
         used = self.task.used_connections
         self.exchange = self.context.pool.send(
-            self.record, payload, sink=self, avoid=used
+            self.record, payload, sink=self, avoid=used, body=body
         )
         used.add(self.exchange.connection)
 
@@ -138,6 +143,8 @@
                 self.exchange.cancel()
             self.health.outstanding -= 1
             self.memory.release()
+            if not self.is_prefill:  # whose answer is read after the drop
+                self.buffer = bytearray()
             self.clear_pending()
 
     def clear_pending(self):
@@ -153,7 +160,7 @@
         if request.body or request.method not in BODILESS_METHODS:
             headers.append((b"Content-Length", b"%d" % len(request.body)))
         first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
-        return encode_head(first_line, headers) + request.body
+        return join_small(encode_head(first_line, headers), request.body)
 
     def record_arrival(self):
         """Use up the credit of a send that has reached the endpoint."""
--- a/wagtailfront/forwarding/caller_reply.py
+++ b/wagtailfront/forwarding/caller_reply.py
@@ -6,6 +6,7 @@
     LAST_CHUNK,
     encode_chunk,
     encode_head,
+    join_small,
     status_line,
 )
 
@@ -38,7 +39,9 @@
         self.is_started = True
         self._leave_if_last()
         length = (b"Content-Length", b"%d" % len(body))
-        self._write(self._head(status, [*headers, length]) + body)
+        for part in join_small(self._head(status, [*headers, length]), body):
+            if part:
+                self._write(part)
         self._end()
 
     def start(self, status, headers):
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/forwarding/caller_server.py
@@ -260,6 +260,8 @@
         if connection is None:
             return
         connection.intake.release()
+        # Freed now, as these objects refer to each other.
+        connection.reader.give_up(BAD_GATEWAY, "the connection has ended")
         self._record_unanswered(connection)
         connection.is_closing = True
         task, connection.task = connection.task, None
--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -29,6 +29,8 @@
 logger = logging.getLogger(__name__)
 
 READ_BYTES = 65536
+# The kernel takes twice as much, which counts as memory of the machine.
+SOCKET_BUFFER = 128 * 1024  # bytes in each direction
 CONNECT_TIMEOUT = 0.4  # seconds; some round trips within a region
 # Seconds until events of sockets are handled that came before a late timer.
 EVENT_DELAY = 0.02
@@ -73,7 +75,7 @@
         self.is_new = True
         self.reader = ResponseReader()
         self.exchange = None
-        self.outgoing = b""
+        self.outgoing = deque()  # memoryviews
         self.write_failure = None
         self.is_discarding = False
         self.keep_alive = False
@@ -137,7 +139,7 @@
                 is_needed=lambda: self.connections,
             ).register(self)
 
-    def send(self, record, payload, *, sink, avoid=()):
+    def send(self, record, payload, *, sink, avoid=(), body=b""):
         """Send a request to an endpoint and return its exchange.
 
         Parameters
@@ -147,8 +149,12 @@
         sink : ExchangeSink
         avoid : collection, optional
             Connections that must not be used.
+        body : bytes, optional
+            Sent after the payload without a copy.
         """
-        exchange = Exchange(pool=self, record=record, payload=payload, sink=sink)
+        exchange = Exchange(
+            pool=self, record=record, payload=(payload, body), sink=sink
+        )
         try:
             connection = self._take_idle(record, avoid) or self._open(record)
         except (OSError, ValueError) as error:
@@ -169,8 +175,11 @@
         exchange.is_first, connection.is_new = connection.is_new, False
         exchange.connection = connection
         connection.exchange = exchange
-        connection.outgoing = memoryview(exchange.payload)
-        exchange.payload = b""  # freed once it has been sent
+        payload, body = exchange.payload
+        exchange.payload = ()  # freed once it has been sent
+        connection.outgoing.append(memoryview(payload))
+        if body:
+            connection.outgoing.append(memoryview(body))
         if connection.is_open:
             self._flush(connection)
 
@@ -186,7 +195,7 @@
         return None
 
     def _open(self, record):
-        sock = new_client_socket(TCP_USER_TIMEOUT_MS)
+        sock = new_client_socket(TCP_USER_TIMEOUT_MS, SOCKET_BUFFER)
         try:
             result = sock.connect_ex((record.host, record.port))
         except (OSError, ValueError):
@@ -239,10 +248,12 @@
         try:
             while connection.outgoing:
                 # A call that raises has taken no byte.
-                count = sock.send(connection.outgoing)
+                count = sock.send(connection.outgoing[0])
                 if connection.exchange is not None:
                     connection.exchange.is_sent = True
-                connection.outgoing = connection.outgoing[count:]
+                connection.outgoing[0] = connection.outgoing[0][count:]
+                if not connection.outgoing[0]:
+                    connection.outgoing.popleft()
         except BlockingIOError:
             if not self.poller.isWriting(sock):
                 self.poller.addWriter(self, sock)
@@ -250,7 +261,6 @@
         except OSError as error:
             self._handle_write_error(connection, error)
             return
-        connection.outgoing = b""
         if self.poller.isWriting(sock):
             self.poller.removeWriter(sock)
 
@@ -387,6 +397,7 @@
         if self.connections.pop(connection.sock, None) is None:
             return
         connection.exchange = None
+        connection.outgoing = ()
         idle = self.idle.get(connection.record.incarnation)
         if idle and connection in idle:
             idle.remove(connection)
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -189,6 +189,8 @@
         for timer in self.timers:
             timer.cancel()
         self.drop_attempt()
+        # Freed now, as the objects of a task refer to each other.
+        self.request = self.request._replace(body=b"")
         self.silence.release("the request has ended")
         self.dispatcher.admission.record_end()
         self.context.metrics.count(
--- a/wagtailfront/forwarding/framing.py
+++ b/wagtailfront/forwarding/framing.py
@@ -17,6 +17,7 @@
     "HOP_BY_HOP",
     "find_header",
     "encode_head",
+    "join_small",
     "status_line",
     "encode_chunk",
     "LAST_CHUNK",
@@ -42,6 +43,7 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 HEAD_OVERHEAD = 4  # bytes: ": " and CRLF
 MAX_HEADERS = 1000  # of a response; each takes some hundred bytes of memory
+MAX_JOINED = 64 * 1024  # bytes of a body that is copied to save a call
 BODILESS = (204, 304)
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -244,6 +246,17 @@
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def join_small(head, body):
+    """Return a message as two parts; a large body is not copied.
+
+    Examples
+    --------
+    >>> join_small(b"head", b"body")
+    (b'headbody', b'')
+    """
+    return (head + body, b"") if len(body) <= MAX_JOINED else (head, body)
+
+
 def status_line(status):
     """Return the status line of a response."""
     return b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status"))
--- a/wagtailfront/forwarding/proxied_attempt.py
+++ b/wagtailfront/forwarding/proxied_attempt.py
@@ -2,7 +2,7 @@
 
 from wagtailfront.forwarding.attempt import RunAttempt, end_to_end_headers
 from wagtailfront.forwarding.endpoint_health import EndpointState
-from wagtailfront.forwarding.framing import encode_head, find_header
+from wagtailfront.forwarding.framing import encode_head, find_header, join_small
 from wagtailfront.forwarding.proxy_headers import (
     ProxyInstructions,
     instruction_headers,
@@ -65,8 +65,9 @@
 
     def launch(self):
         self.context.proxies.begin(self.record)
+        payload, body = self._encode_for_peer()
         self.exchange = self.context.proxies.pool.send(
-            self.record, self._encode_for_peer(), sink=self
+            self.record, payload, sink=self, body=body
         )
 
     def drop(self):
@@ -95,7 +96,7 @@
             (b"Connection", b"close"),
         ]
         first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
-        return encode_head(first_line, headers) + request.body
+        return join_small(encode_head(first_line, headers), request.body)
 
     def _record_head(self, status, fields):
         self.answer = read_answer(self.headers)
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -163,8 +163,8 @@
         self.exchanges = []
         self.is_connected = True
 
-    def send(self, record, payload, *, sink, avoid=()):
-        self.exchanges.append(FakeExchange(record, payload, sink))
+    def send(self, record, payload, *, sink, avoid=(), body=b""):
+        self.exchanges.append(FakeExchange(record, payload + body, sink))
         self.last.is_sent = self.is_connected
         return self.exchanges[-1]
 
--- a/wagtailfront/forwarding/tests/limited_fleet.py
+++ b/wagtailfront/forwarding/tests/limited_fleet.py
@@ -94,8 +94,8 @@
         self.name = name
         self.told_at = {}
 
-    def send(self, record, payload, *, sink, avoid=()):
-        exchange = FakeExchange(record, payload, sink)
+    def send(self, record, payload, *, sink, avoid=(), body=b""):
+        exchange = FakeExchange(record, payload + body, sink)
         engine = self.fleet.engines[record.endpoint_id]
         now = self.fleet.timers.now
         told_at = self.told_at.get(record.endpoint_id, now)
--- a/wagtailfront/forwarding/tests/scripted_socket.py
+++ b/wagtailfront/forwarding/tests/scripted_socket.py
@@ -53,7 +53,7 @@
         self.sock = None
         monkeypatch.setattr(endpoint_pool, "new_client_socket", self._new_socket)
 
-    def _new_socket(self, user_timeout_ms):
+    def _new_socket(self, user_timeout_ms, buffer_size):
         self.sock = _ScriptedSocket()
         return self.sock
 
--- a/wagtailfront/forwarding/tests/test_faults.py
+++ b/wagtailfront/forwarding/tests/test_faults.py
@@ -66,7 +66,7 @@
 ):
     """Guards a request against a reset though it was certainly not sent."""
     monkeypatch.setattr(
-        endpoint_pool, "new_client_socket", lambda timeout: new_socket()
+        endpoint_pool, "new_client_socket", lambda timeout, size: new_socket()
     )
     with instance.connect() as caller:
         caller.sendall(GET % b"r1")
--- a/wagtailfront/forwarding/tests/test_notice_rules.py
+++ b/wagtailfront/forwarding/tests/test_notice_rules.py
@@ -63,11 +63,11 @@
         self.leaving = set()
         self.paused_until = {}
 
-    def send(self, record, payload, *, sink, avoid=()):
+    def send(self, record, payload, *, sink, avoid=(), body=b""):
         assert record.incarnation not in self.leaving
         paused_until = self.paused_until.get(record.incarnation, 0.0)
         assert self.timers.now >= paused_until - 1e-6
-        return super().send(record, payload, sink=sink, avoid=avoid)
+        return super().send(record, payload, sink=sink, avoid=avoid, body=body)
 
     def answer(self, exchange, outcome, notice, seconds):
         """Answer a request; record first what the endpoint says with it."""
--- a/wagtailfront/forwarding/tests/test_pause_load.py
+++ b/wagtailfront/forwarding/tests/test_pause_load.py
@@ -36,8 +36,8 @@
         self.pauses = []  # endpoint, begin, end
         self.unwanted = 0
 
-    def send(self, record, payload, *, sink, avoid=()):
-        exchange = super().send(record, payload, sink=sink, avoid=avoid)
+    def send(self, record, payload, *, sink, avoid=(), body=b""):
+        exchange = super().send(record, payload, sink=sink, avoid=avoid, body=body)
         now, name = self.timers.now, record.endpoint_id
         self.unwanted += any(
             endpoint == name and begin + SETTLING <= now < end
--- a/wagtailfront/forwarding/tests/versioned_fleet.py
+++ b/wagtailfront/forwarding/tests/versioned_fleet.py
@@ -100,8 +100,8 @@
         self.fleet = fleet
         self.exchanges = []
 
-    def send(self, record, payload, *, sink, avoid=()):
-        exchange = FakeExchange(record, payload, sink)
+    def send(self, record, payload, *, sink, avoid=(), body=b""):
+        exchange = FakeExchange(record, payload + body, sink)
         self.exchanges.append(exchange)
         self.fleet.timers.after(FIRST_EVENT, lambda: self._begin(exchange))
         return exchange
--- a/wagtailfront/intake/intake_memory.py
+++ b/wagtailfront/intake/intake_memory.py
@@ -66,8 +66,6 @@
     ----------
     total : int
         Bytes that are held now.
-    given_way : int
-        Holders that gave way so far.
 
     Notes
     -----
@@ -78,7 +76,6 @@
     def __init__(self, *, shares):
         self.shares = shares
         self.total = 0
-        self.given_way = 0
         self.holders = set()
 
     def hold(self, owner, *, now):
@@ -119,7 +116,6 @@
         needed = holder.size + announced
         while not self._fits(holder, needed):
             chosen = choose_to_give_way(self.holders, holder, needed=needed, now=now)
-            self.given_way += 1
             if chosen is holder:
                 return False
             # First released, as giving way may report a smaller size.
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -11,6 +11,7 @@
     Rate,
     Seconds,
     Share,
+    Size,
     run,
 )
 
@@ -36,6 +37,7 @@
     repeat_slack: Rate = 50.0,
     repeat_window: Seconds = 10.0,
     max_descriptors: Count = 4096,
+    memory: Size | None = None,
 ):
     """Forward callers' requests to endpoints by the configured routes.
 
@@ -80,6 +82,12 @@
         Seconds over which repeated attempts are counted.
     max_descriptors : Count
         File descriptors that the process may open.
+    memory : Size
+        Memory that the process may take; `limits.memory-mb` in the file
+        `settings` goes first. By default that of the machine, but no more
+        than 1024 MB. Of it 35% of what exceeds 48 MB is for callers' requests
+        and unread answers. With 1024 MB these are 342 MB, or 61 bodies of
+        the default limit of 4 MiB at once.
     """
     # These imports take most of the time of a start; main() is called first.
     from wagtailfront.intake.allocator import return_large_blocks
@@ -91,6 +99,9 @@
 
     start_logging(level="warning", form="json")
     return_large_blocks()
+    platform = read_platform_settings(settings, config_apply=config_apply)
+    if platform.memory_bytes is None:
+        platform = platform._replace(memory_bytes=memory)
     forward_settings = ForwardSettings(
         instance=instance,
         data_centre=data_centre,
@@ -102,7 +113,7 @@
         proxy=proxy,
         drain_timeout=drain_timeout,
         registry_gap=registry_gap,
-        platform=read_platform_settings(settings, config_apply=config_apply),
+        platform=platform,
         prefill_share=prefill_share,
         repeat_share=repeat_share,
         repeat_slack=repeat_slack,
