--- a/wagtailfront/programs/tests/caller_crowd.py
+++ b/wagtailfront/programs/tests/caller_crowd.py
@@ -211,8 +211,16 @@
 
     def send(self):
         """Send from all connections at once, until each has stopped."""
+        self.begin()
+        self.wait()
+
+    def begin(self):
+        """Begin to send from all connections."""
         for thread in self.threads:
             thread.start()
+
+    def wait(self):
+        """Wait until each connection has stopped sending."""
         for thread in self.threads:
             thread.join(JOIN_TIMEOUT)
 
--- a/wagtailfront/programs/tests/test_callers_memory.py
+++ b/wagtailfront/programs/tests/test_callers_memory.py
@@ -6,6 +6,7 @@
 
 import fcntl
 import pathlib
+import signal
 import tempfile
 import time
 
@@ -23,6 +24,7 @@
 MEGABYTE = 1_000_000
 KIB = 1024
 MAX_DESCRIPTORS = 250  # open; the crowd, as many to endpoints, and its own
+FROZEN_SECONDS = 2.0  # less than a caller waits for a piece to be taken
 UNREAD_SECONDS = 1.0  # until answers that are not read have piled up
 
 
@@ -73,12 +75,33 @@
     run = CrowdRun(crowd, ("127.0.0.1", site.ports[crowd.port]))
     run.send()
     time.sleep(UNREAD_SECONDS)
+    check_bounds(name, site, child)
+    run.close()
+
+
+@pytest.mark.parametrize("name", ["bodies-in-pieces", "endless-chunks"])
+def test_an_instance_that_was_frozen_keeps_the_bound(name, start):
+    """Guards against reading all at once what has piled up."""
+    crowd = CROWDS[name]
+    site, child = start(crowd)
+    child.send_signal(signal.SIGSTOP)
+    run = CrowdRun(crowd, ("127.0.0.1", site.ports[crowd.port]))
+    run.begin()
+    time.sleep(FROZEN_SECONDS)
+    child.send_signal(signal.SIGCONT)
+    run.wait()
+    check_bounds(name, site, child)
+    run.close()
+
+
+def check_bounds(name, site, child):
+    """Check what an instance takes, and that it serves another caller."""
+    crowd = CROWDS[name]
     descriptors = open_descriptors(child.pid)
     with site.connect() as connection:
         connection.sendall(REQUEST % b"ordinary")
         answer = read_answer(connection)
     peak = peak_memory(child.pid)
-    run.close()
     print(f"{name}: peak {peak / MEGABYTE:.1f} MB, {descriptors} descriptors")
     assert child.poll() is None
     assert answer == (b"HTTP/1.1 200 OK", b"ok")
--- a/wagtailfront/programs/tests/test_forward_tree.py
+++ b/wagtailfront/programs/tests/test_forward_tree.py
@@ -15,6 +15,13 @@
 )
 
 
+def test_both_ports_share_the_memory_of_the_settings(site):
+    """Guards the bound against a port with a memory of its own."""
+    with site.run_tree() as (tree, _root):
+        ports = tree.server, tree.proxy_server
+        assert all(port.intake.memory is tree.intake for port in ports)
+
+
 class HeldAnswers:
     """Endpoint that answers when the test permits it."""
 
