--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -43,6 +43,8 @@
 from wagtailfront.freshness.confirmations import Confirmations
 from wagtailfront.freshness.store_clock import StoreClock
 from wagtailfront.identifiers import new_id
+from wagtailfront.intake.intake_memory import IntakeMemory
+from wagtailfront.intake.shares import divide_memory, machine_memory
 from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
 from wagtailfront.platform.engine_client import EngineClient
@@ -158,6 +160,8 @@
             on_silence=self._on_store_silence,
         )
         self.contact = StoreContact()
+        memory = settings.platform.memory_bytes or machine_memory()
+        self.intake = IntakeMemory(shares=divide_memory(memory))
         self.watchers = {}
         self.digest_parts = []
         self.confirmation = None
@@ -258,7 +262,7 @@
                 log=self.log, rng=rng, on_leaving=self.pool.drop_idle
             ),
             pool=self.pool,
-            body_memory=BodyMemory(),
+            body_memory=BodyMemory(max_total=self.intake.shares.responses),
             timers=self.timers,
             budgets=AttemptBudgets(
                 share=settings.repeat_share,
@@ -431,6 +435,7 @@
             max_connections=max(
                 1, self.settings.max_descriptors - RESERVED_DESCRIPTORS
             ),
+            memory=self.intake,
         )
         return self.server
 
@@ -442,6 +447,7 @@
                     bind=bind,
                     forwarder=self.forwarder,
                     max_connections=MAX_PEER_CONNECTIONS,
+                    memory=self.intake,
                 )
             except OSError as error:
                 self.log.decision("proxy_server", outcome=str(error), port=bind[1])
@@ -574,6 +580,7 @@
         if self.config_age is not None:
             age = self.config_age.age()
             self.metrics.set("config_age_seconds", -1 if age == math.inf else age)
+        self.metrics.set("intake_bytes", self.intake.total)
         self.metrics.set(
             "rate_limited_endpoints", self.forwarder.context.rate_limits.count_limited()
         )
