--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -120,6 +120,11 @@
         """Send the request with `options`, a SendOptions."""
         self.health.outstanding += 1
         self.health.add_pending(self.priority, self.uncached_tokens)
+        self.context.work.start_attempt(
+            self.task.service.name,
+            uncached_tokens=self.uncached_tokens,
+            now=self.started,
+        )
         payload = self._encode(options)
         # A copy of an earlier response to the same request bears its id too.
         used = self.task.used_connections
@@ -137,6 +142,12 @@
                     self.record_arrival()
                 self.exchange.cancel()
             self.health.outstanding -= 1
+            if not self.is_proxied:
+                self.context.work.end_attempt(
+                    self.task.service.name,
+                    started=self.started,
+                    now=self.context.clock(),
+                )
             self.memory.release()
             self.clear_pending()
 
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -33,5 +33,6 @@
     admission: Any
     log: Any
     metrics: Any
+    work: Any
     clock: Any
     rng: Any
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -133,6 +133,11 @@
             callback=self._expire,
         )
         self.credit.budget.record_request(now=self.received)
+        if not self.is_proxied:
+            self.context.work.record_request(
+                self.service.name,
+                tokens=self.fields.prompt_tokens + self.fields.max_output_tokens,
+            )
         placement = self.context.evidence.place(
             self.fingerprint, endpoints=(), live=(), now=self.received
         )
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -74,7 +74,7 @@
             return
         views = self._find_views()
         if not views:
-            task.give_up(*self.choice.refuse())
+            self._refuse(*self.choice.refuse())
         elif task.service.is_model:
             self._dispatch_model(views)
         else:
@@ -157,14 +157,14 @@
             wait=round(view.wait, 3),
             **admission.inputs,
         )
-        self.task.give_up("the answer would be late", admission.retry_after)
+        self._refuse("the answer would be late", admission.retry_after)
 
     def _dispatch_model(self, views):
         task = self.task
         may_split = task.stream.last_event_id is None and not task.runs
         plan = self.choice.plan(views, may_split=may_split)
         if plan is None:
-            task.give_up(*self.choice.refuse(stages=DECODE_STAGES))
+            self._refuse(*self.choice.refuse(stages=DECODE_STAGES))
             return
         if plan.prefill and not task.reserve(task.credit.cost(is_split=True)):
             plan = self.choice.plan(views, may_split=False)
@@ -195,7 +195,7 @@
                 self.kv_source = None
             views = fitting or views
         if not views or task.sends >= MAX_SENDS:
-            task.give_up(*self.choice.refuse(stages=DECODE_STAGES))
+            self._refuse(*self.choice.refuse(stages=DECODE_STAGES))
         else:
             self._send(RunAttempt, self.choice.least_loaded(views).record)
 
@@ -224,9 +224,14 @@
                 **task.log.input_ages(),
             )
             reason = f"a first event is expected after {expected:.2f} s"
-            task.give_up(reason, admission.retry_after)
+            self._refuse(reason, admission.retry_after)
         return admission.is_admitted
 
+    def _refuse(self, reason, retry_after):
+        """Give the request up since no endpoint can serve it in time."""
+        self.task.context.work.record_refusal(self.task.service.name)
+        self.task.give_up(reason, retry_after)
+
     def _send_to_peer(self):
         """Send the request to a peer if this instance reaches no endpoint."""
         peer = self.task.proxy.find()
@@ -246,4 +251,4 @@
             attempt_type, record, uncached_tokens=uncached_tokens, expected=expected
         )
         if wait == math.inf:
-            task.give_up(*self.choice.refuse())
+            self._refuse(*self.choice.refuse())
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -9,6 +9,7 @@
 from wagtailfront.admission.control import AdmissionControl
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
+from wagtailfront.fleet_size.work_counts import OwnWork
 from wagtailfront.forwarding.attempt_budget import SLACK_IN_USE
 from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.body_memory import BodyMemory
@@ -338,6 +339,7 @@
             admission=AdmissionControl(),
             log=self.log,
             metrics=Metrics(),
+            work=OwnWork(),
             clock=self.timers.clock,
             rng=rng,
         )
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -7,6 +7,7 @@
 from wagtailfront.admission.control import AdmissionControl
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
+from wagtailfront.fleet_size.work_counts import OwnWork
 from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.cache_inquiry import CacheInquiry
@@ -226,6 +227,7 @@
             admission=AdmissionControl(count_instances=lambda: load.instances),
             log=self.log,
             metrics=self.metrics,
+            work=OwnWork(),
             clock=time.monotonic,
             rng=rng,
         )
