--- a/wagtailfront/fleet_size/allocation.py
+++ b/wagtailfront/fleet_size/allocation.py
@@ -125,12 +125,17 @@
         for place, limit in limits.items()
         if place.is_spot == is_spot
     }
-    found = dict.fromkeys(places, 0)
-    for _ in range(count):
+    each = {place: _weight(place, weights) for place in places}
+    whole = sum(each.values())
+    found = {
+        place: min(limit, int(count * each[place] / whole))
+        for place, limit in places.items()
+    }
+    for _ in range(count - sum(found.values())):
         free = [place for place in places if found[place] < places[place]]
         if not free:
             break
-        best = max(free, key=lambda p: _weight(p, weights) / (found[p] + 0.5))
+        best = max(free, key=lambda p: each[p] / (found[p] + 0.5))
         found[best] += 1
     if not is_spot:
         for place, number in found.items():
--- a/wagtailfront/fleet_size/decision.py
+++ b/wagtailfront/fleet_size/decision.py
@@ -18,8 +18,8 @@
 SPOT_HOLD = 4.0
 PEAK_HOLDS = 11.25  # holds for which the highest demand is remembered
 # Factor on the need in reductions, so that the noise of the measured demand
-# does not take them back.
-REDUCTION_MARGIN = 1.1
+# does not take them back; smaller where room costs the whole price.
+CHEAP_MARGIN, DEAR_MARGIN = 1.1, 1.03
 MAX_HOLD_SECONDS = 64.0
 TURN_SECONDS = 30.0
 CALM_SECONDS = 240.0  # without such a turn, until the hold is shortened again
@@ -103,14 +103,16 @@
     """
     memory = _update_pressure(situation, memory)
     outlook = situation.outlook
+    is_cheap = _has_cheap_engines(situation)
     need = find_need(
         outlook,
         situation.ability,
-        is_cheap=_has_cheap_engines(situation),
+        is_cheap=is_cheap,
         pressure=memory.pressure,
     )
     target = _allocate(situation, need)
-    enough = _allocate(situation, need.times(REDUCTION_MARGIN))
+    margin = CHEAP_MARGIN if is_cheap else DEAR_MARGIN
+    enough = _allocate(situation, need.times(margin))
     most = {place: max(count, target[place]) for place, count in enough.items()}
     memory = _remember(memory, most, situation.now)
     orders = _increases(situation, need, target)
--- a/wagtailfront/fleet_size/demand.py
+++ b/wagtailfront/fleet_size/demand.py
@@ -1,7 +1,7 @@
 """Demand for a service over the last seconds, from cumulative counts."""
 
 from collections import deque
-from statistics import median
+from itertools import takewhile
 from typing import NamedTuple
 
 from wagtailfront.fleet_size.work_counts import WorkTotals
@@ -130,9 +130,8 @@
         if not self.samples:
             return None
         latest = self.samples[-1]
-        window = [s for s in self.samples if now - s.at < TYPICAL_SECONDS]
-        window = window or [latest]
-        high = [s.total for s in self.samples if now - s.at < peak_seconds]
+        window = self._last(TYPICAL_SECONDS, now) or [latest]
+        high = [sample.total for sample in self._last(peak_seconds, now)]
         typical = _typical(window)
         return Outlook(
             typical=typical.times(1.0 + self._growth(typical, now, horizon)),
@@ -143,17 +142,18 @@
             measured=now - self.first_request_at,
         )
 
+    def _last(self, seconds, now):
+        """Return the samples of the last seconds, the latest first."""
+        return list(takewhile(lambda s: now - s.at < seconds, reversed(self.samples)))
+
     def _growth(self, typical, now, horizon):
         """Return by what part the typical demand is expected to grow.
 
         It compares two averages, as the slope of a shorter time is that of a
         wave. All kinds of demand must have grown.
         """
-        earlier = [
-            s
-            for s in self.samples
-            if TYPICAL_SECONDS <= now - s.at < 2 * TYPICAL_SECONDS
-        ]
+        both = self._last(2 * TYPICAL_SECONDS, now)
+        earlier = [s for s in both if now - s.at >= TYPICAL_SECONDS]
         if now - self.first_request_at < 2 * TYPICAL_SECONDS or not earlier:
             return 0.0
         before = _typical(earlier)
@@ -202,7 +202,8 @@
 
 
 def _clipped_mean(values):
-    most = MAX_SAMPLE * median(values)
+    median = sorted(values)[len(values) // 2]
+    most = MAX_SAMPLE * median
     return sum(min(each, most) for each in values) / len(values)
 
 
--- a/wagtailfront/fleet_size/tests/test_work_counts.py
+++ b/wagtailfront/fleet_size/tests/test_work_counts.py
@@ -40,6 +40,18 @@
     assert here.sums["s", "b"].requests == 2
 
 
+def test_older_digest_by_another_path_counts_nothing_twice():
+    """Guards against work that relayed digests count again."""
+    here, peer = make_pair()
+    digests = []
+    for now in (1.0, 2.0, 3.0):
+        peer.own.record_request("s", tokens=10)
+        digests.append(report(peer, now=now))
+    for number in (0, 1, 2, 1, 2, 0, 2):
+        here.merge(digests[number], now=3.0)
+    assert here.sums["s", "b"].requests == 2
+
+
 def test_silent_peer_adds_no_burst():
     """Guards against the work of a silence that counts as one second's."""
     here, peer = make_pair()
--- a/wagtailfront/fleet_size/work_counts.py
+++ b/wagtailfront/fleet_size/work_counts.py
@@ -45,6 +45,10 @@
         """Return the sum of both."""
         return WorkTotals(*(a + b for a, b in zip(self, other, strict=True)))
 
+    def at_least(self, other):
+        """Return the larger of both, count by count."""
+        return WorkTotals(*map(max, self, other))
+
     def minus(self, other):
         """Return the difference, nowhere negative."""
         return WorkTotals(*(max(0, a - b) for a, b in zip(self, other, strict=True)))
@@ -195,6 +199,10 @@
             )
             for work in digest.work
         }
+        if before is not None:
+            # A relayed digest may be older than one that came directly.
+            for service, each in before.totals.items():
+                totals[service] = totals.get(service, each).at_least(each)
         self.peers[digest.incarnation] = _PeerWork(now, totals)
         if before is not None and now - before.received_at <= MAX_REPORT_GAP:
             for service, each in totals.items():
