Size the fleet where the platform has the duty

FleetSizer and the counts in digests are added to the tree only where the settings name the duty fleet_size. The holder and the client of duties come with their own part: ForwardTree.duty_hold and duty_calls are None until they are set, and nothing is ordered without them.

Measured: wagtailfront/programs/tests/test_forward_tree.py and fleet_size/tests/test_switch.py pass.

--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -7,7 +7,8 @@
 from wagtailfront.admission.control import AdmissionControl
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
-from wagtailfront.fleet_size.work_counts import OwnWork
+from wagtailfront.fleet_size.fleet_sizer import FleetSizer
+from wagtailfront.fleet_size.work_counts import FleetWork, OwnWork
 from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.cache_inquiry import CacheInquiry
@@ -150,6 +151,12 @@
         self.contact = StoreContact()
         self.watchers = {}
         self.digest_parts = []
+        # DutyHold and DutyCalls; None where no calls of duties can be made.
+        self.duty_hold = self.duty_calls = None
+        self.work = FleetWork(own=OwnWork(), data_centre=settings.data_centre)
+        self.sizes_fleet = "fleet_size" in settings.platform.duties
+        if self.sizes_fleet:
+            self.digest_parts.append(self.work)
         self.confirmation = None
         self.forwarder = Forwarder(context=self._make_context())
         context = self.forwarder.context
@@ -227,7 +234,7 @@
             admission=AdmissionControl(count_instances=lambda: load.instances),
             log=self.log,
             metrics=self.metrics,
-            work=OwnWork(),
+            work=self.work.own,
             clock=time.monotonic,
             rng=rng,
         )
@@ -255,6 +262,8 @@
             "stages": self._make_stage_manager,
             "status": self._make_status_server,
         }
+        if self.sizes_fleet and self.duty_calls is not None:
+            factories["fleet_size"] = self._make_fleet_sizer
         if self.settings.metrics is not None:
             factories["metrics"] = self._make_metrics_server
         return Supervisor(
@@ -355,6 +364,25 @@
             log=self.log,
         )
 
+    def _make_fleet_sizer(self):
+        context = self.forwarder.context
+        return FleetSizer(
+            is_enabled=self.sizes_fleet,
+            find_services=self._find_services,
+            directory=self.directory,
+            notices=context.notices,
+            health=context.health,
+            work=self.work,
+            hold=self.duty_hold,
+            calls=self.duty_calls,
+            log=self.log,
+            metrics=self.metrics,
+        )
+
+    def _find_services(self):
+        config = self.forwarder.config
+        return {} if config is None else config.services
+
     def _make_status_server(self):
         return StatusServer(bind=self.settings.status, pages={READY_PATH: self.ready})
 
