Merge the size of the fleet

Cause: usage and the size of the fleet have one holder. Change: each duty has its own part in the holder, which is released once no duty wants it.

--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -35,6 +35,7 @@
     admission: Any
     log: Any
     metrics: Any
+    work: Any
     clock: Any
     rng: Any
     record_run: Any = lambda workspace, *, age: None
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -65,6 +65,10 @@
     (Gauge, "leaving_endpoints", "Registered endpoints that said they leave.", ()),
     (Gauge, "paused_endpoints", "Endpoints that asked for a pause.", ()),
     (Counter, "endpoint_notices_total", "Notices of endpoints.", ("notice",)),
+    (Counter, "engine_orders_total", "Answers to orders for engines.", ("outcome",)),
+    (Gauge, "engines_serving", "Engines that are there and stay.", ("service",)),
+    (Gauge, "engines_needed", "Engines that the demand takes.", ("service",)),
+    (Gauge, "engines_cost", "Price of the engines per second.", ("service",)),
     (Gauge, "config_version", "Applied configuration version.", ()),
     (
         Gauge,
--- a/wagtailfront/programs/forward_duties.py
+++ b/wagtailfront/programs/forward_duties.py
@@ -4,6 +4,7 @@
 
 from wagtailfront.duties.holder import DutyHolder, duty_waits
 from wagtailfront.duties.isolation import Isolation
+from wagtailfront.duties.shared_hold import SharedHold
 from wagtailfront.duties.true_time import TrueTime
 from wagtailfront.duties.usage_counts import UsageCounts
 from wagtailfront.duties.usage_reporter import UsageReporter
@@ -47,6 +48,7 @@
         self.platform = tree.settings.platform
         self.load = tree.forwarder.context.load
         self.hold = None
+        self.wanting = set()
         self.started = boot_clock()
         self.isolation = Isolation()
         self.true_time = TrueTime(
@@ -103,12 +105,17 @@
             may_hold=self._may_hold,
             log=self.tree.log,
         )
-        self.hold.want(True)
         return self.hold
 
+    def share_hold(self, duty):
+        """Return the part of a duty in the holder of all duties."""
+        return SharedHold(hold=self.hold, wanting=self.wanting, duty=duty)
+
     def _make_reporter(self):
+        hold = self.share_hold("usage")
+        hold.want(True)
         return UsageReporter(
-            hold=self.hold,
+            hold=hold,
             calls=self.calls,
             store=StoreUsage(client=self.tree.store, log=self.tree.log),
             counts=self.counts,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -8,6 +8,8 @@
 from wagtailfront.admission.control import AdmissionControl
 from wagtailfront.decisions.crash_evidence import CrashEvidence
 from wagtailfront.decisions.crashing_parts import CrashingParts
+from wagtailfront.fleet_size.fleet_sizer import FleetSizer
+from wagtailfront.fleet_size.work_counts import FleetWork, OwnWork
 from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.cache_inquiry import CacheInquiry
@@ -164,6 +166,10 @@
         self.intake = IntakeMemory(shares=divide_memory(memory))
         self.watchers = {}
         self.digest_parts = []
+        self.work = FleetWork(own=OwnWork(), data_centre=settings.data_centre)
+        self.sizes_fleet = "fleet_size" in settings.platform.duties
+        if self.sizes_fleet:
+            self.digest_parts.append(self.work)
         self.confirmation = None
         self.duties = None
         self.versions = StoreVersions(tables=("routing", "registry"))
@@ -279,6 +285,7 @@
             admission=AdmissionControl(count_instances=lambda: load.instances),
             log=self.log,
             metrics=self.metrics,
+            work=self.work.own,
             clock=time.monotonic,
             rng=rng,
             record_run=self._record_run,
@@ -313,6 +320,8 @@
         }
         if self.duties is not None:
             factories.update(self.duties.children())
+        if self.sizes_fleet and self.duties is not None:
+            factories["fleet_size"] = self._make_fleet_sizer
         if self.settings.metrics is not None:
             factories["metrics"] = self._make_metrics_server
         return Supervisor(
@@ -413,6 +422,25 @@
             log=self.log,
         )
 
+    def _make_fleet_sizer(self):
+        context = self.forwarder.context
+        return FleetSizer(
+            is_enabled=self.sizes_fleet,
+            find_services=self._find_services,
+            directory=self.directory,
+            notices=context.notices,
+            health=context.health,
+            work=self.work,
+            hold=self.duties.share_hold("fleet_size"),
+            calls=self.duties.calls,
+            log=self.log,
+            metrics=self.metrics,
+        )
+
+    def _find_services(self):
+        config = self.forwarder.config
+        return {} if config is None else config.services
+
     def _make_status_server(self):
         return StatusServer(
             bind=self.settings.status,
