--- a/wagtailfront/duties/shared_hold.py
+++ b/wagtailfront/duties/shared_hold.py
@@ -18,13 +18,13 @@
 
     Examples
     --------
+    >>> import functools
     >>> class Holder:
     ...     def want(self, wanted):
     ...         print(wanted)
     >>> wanting, holder = set(), Holder()
-    >>> parts = [
-    ...     SharedHold(hold=holder, wanting=wanting, duty=duty) for duty in "ab"
-    ... ]
+    >>> part_of = functools.partial(SharedHold, hold=holder, wanting=wanting)
+    >>> parts = [part_of(duty=duty) for duty in "ab"]
     >>> for part in parts:
     ...     part.want(True)
     True
