Place requests by the memory that is free at engines

Requests were placed without regard to the memory of engines, which preempt requests or crash when it runs out.

Each instance counts what its requests take at each engine: the prompt in blocks of 16 tokens and the 95% quantile of the output by the learned length. Shared parts of prompts have keys in the digests and count once over all instances. Part of the free memory is left for what peers may have placed since their last report. Where no engine has room, a request waits for it in the order of all instances, or is refused with the forecast.

EndpointPending gets the trailing field shared and PlacementDigest the trailing field waiting.

--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -133,6 +133,10 @@
             0.0, min(caller.patience - caller.waited, caller.left - answer - ROUND_TRIP)
         )
 
+    def latest_start(self):
+        """Return until when the request may wait for its first event."""
+        return min(self.received + self.patience, self.deadline)
+
     def answer_timeout(self):
         """Return the seconds after which a call without an answer is unusual.
 
--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -118,6 +118,7 @@
 
     def launch(self, options):
         """Send the request with `options`, a SendOptions."""
+        self.task.dispatcher.room.begin(self)
         self.health.outstanding += 1
         self.health.add_pending(self.priority, self.uncached_tokens)
         payload = self._encode(options)
@@ -137,6 +138,7 @@
                     self.record_arrival()
                 self.exchange.cancel()
             self.health.outstanding -= 1
+            self.task.dispatcher.room.end(self)
             self.memory.release()
             self.clear_pending()
 
@@ -289,6 +291,8 @@
                 self.record, expected=self.expected, took=took, now=now
             )
         self.clear_pending()
+        if self.task.dispatcher.kv_source is not None:
+            self.task.dispatcher.room.take()
         self.context.health.record_success(self.record, now=now)
 
     def launch(self, options):
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -39,6 +39,7 @@
     route : Route
     fields : RequestFields
     admission : RequestAdmission
+    room : RequestRoom
     software_version : str, optional
         Version that began the stream, if it has begun.
 
@@ -51,13 +52,22 @@
     """
 
     def __init__(
-        self, *, context, service, route, fields, admission, software_version=None
+        self,
+        *,
+        context,
+        service,
+        route,
+        fields,
+        admission,
+        room,
+        software_version=None,
     ):
         self.context = context
         self.service = service
         self.route = route
         self.fields = fields
         self.admission = admission
+        self.room = room
         self.software_version = software_version
         self.priority = route.priority
 
@@ -86,7 +96,15 @@
             # Engines that only prefill are no others to those that decode.
             decoding = [r for r in waits if r.stage in DECODE_STAGES]
             chosen += self._usable(decoding, without)
-        return [self._view(record, waits[record]) for record in chosen]
+        ahead = self._waiting_by_engine(len(chosen))
+        return [self._view(record, waits[record], ahead) for record in chosen]
+
+    def _waiting_by_engine(self, engines):
+        """Return the tokens of waiting requests before this one, by engine."""
+        if not self.room.capacity:
+            return 0.0
+        latest_start = self.admission.latest_start()
+        return self.room.tokens_before(self.priority, latest_start) / max(1, engines)
 
     def _usable(self, records, without):
         others = [r for r in records if r.incarnation not in without]
@@ -100,7 +118,7 @@
         version = self.software_version
         return version is None or bool(version) and record.software_version == version
 
-    def _view(self, record, wait):
+    def _view(self, record, wait, ahead):
         now, load = self.context.clock(), self.context.load
         incarnation, urgency = record.incarnation, self.priority
         outstanding = load.outstanding(incarnation, now=now)
@@ -121,6 +139,7 @@
             blocking_tokens=load.blocking_tokens(incarnation, MOST_URGENT, now=now),
             is_remote=is_remote,
             wait=wait,
+            **self.room.view_fields(record, ahead=ahead, now=now),
         )
 
     def _staying(self):
--- a/wagtailfront/forwarding/fleet_load.py
+++ b/wagtailfront/forwarding/fleet_load.py
@@ -11,6 +11,8 @@
     PlacedPrompt,
     PlacementDigest,
 )
+from wagtailfront.room.fleet_use import FleetUse
+from wagtailfront.room.request_size import Held
 
 __all__ = ["FleetLoad", "ProxyOffer"]
 
@@ -64,6 +66,8 @@
     instances : int
         Instances of the fleet, this one included, and for a while also those
         that are not heard of any more; 0 until the fleet is known.
+    use : FleetUse
+        KV cache that the requests of all instances take.
 
     Notes
     -----
@@ -92,6 +96,7 @@
         self.peers = {}
         self.outstanding_totals = Counter()
         self.pending_totals = {}
+        self.use = FleetUse()
         self.expiry_due = 0.0
         self.sent = {}
         self.prompts = []
@@ -132,14 +137,14 @@
                     for priority, tokens in state.pending.items()
                     if tokens > 0
                 ),
+                *self.use.report(endpoint),
             )
             for endpoint, state in self.health.states.items()
         }
         loads = tuple(
             load
             for endpoint, load in present.items()
-            if (full and (load.outstanding or load.pending))
-            or self.sent.get(endpoint) != load
+            if (full and _has_any(load)) or self.sent.get(endpoint) != load
         )
         self.sent = present
         prompts, self.prompts = tuple(self.prompts), []
@@ -156,6 +161,8 @@
         peer = self.peers.get(digest.incarnation)
         if peer is None:
             peer = self.peers[digest.incarnation] = _Peer()
+        if digest.loads and peer.received_at:
+            self.use.record_gap(now - peer.received_at, now=now)
         peer.address = digest.address or peer.address
         peer.received_at = now
         if digest.proxy is not None:
@@ -168,15 +175,25 @@
         if digest.is_whole and peer.loads:
             # The peer has no load on endpoints that its digest does not list.
             for endpoint in peer.loads.keys() - reported.keys():
-                self._add(peer.loads.pop(endpoint), -1)
+                self._remove(peer.loads.pop(endpoint))
         for endpoint, load in reported.items():
             before = peer.loads.get(endpoint)
             if before == load:
                 continue
-            if before is not None:
-                self._add(before, -1)
             peer.loads[endpoint] = load
-            self._add(load, 1)
+            self._replace(before, load, now)
+
+    def _replace(self, before, load, now):
+        """Count the load that a peer reports instead of one before, if any."""
+        if before is not None:
+            self._add(before, -1)
+        self._add(load, 1)
+        held = _held(before) if before is not None else Held()
+        self.use.replace_report(load.endpoint, held, _held(load), now=now)
+
+    def _remove(self, load):
+        self._add(load, -1)
+        self.use.remove_report(load.endpoint, _held(load))
 
     def _add(self, load, sign):
         self.outstanding_totals[load.endpoint] += sign * load.outstanding
@@ -204,7 +221,7 @@
         ]
         for incarnation in silent:
             for load in self.peers.pop(incarnation).loads.values():
-                self._add(load, -1)
+                self._remove(load)
 
     def proxy_offers(self, *, now):
         """Return the ProxyOffer of each peer in touch that takes requests."""
@@ -254,3 +271,11 @@
             self.health.state(endpoint).pending.items(),
             self.pending_totals.get(endpoint, {}).items(),
         )
+
+
+def _held(load):
+    return Held(load.committed, load.shared)
+
+
+def _has_any(load):
+    return load.outstanding or load.pending or load.committed or load.shared
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -31,6 +31,7 @@
     load: Any
     streams: Any
     admission: Any
+    room: Any
     log: Any
     metrics: Any
     clock: Any
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -191,6 +191,7 @@
         self.drop_attempt()
         self.silence.release("the request has ended")
         self.dispatcher.admission.record_end()
+        self.dispatcher.room.close()
         self.context.metrics.count(
             "forwarded_total", service=self.service.name, outcome=outcome
         )
--- a/wagtailfront/forwarding/interfaces.py
+++ b/wagtailfront/forwarding/interfaces.py
@@ -50,6 +50,8 @@
         Id of the caller's attempt that got the first event of that stream.
     caller : str
         Names the caller, the same in all its requests; empty if unknown.
+    workspace : str or None
+        Name of the workspace that it belongs to; None if it has none.
     """
 
     request_id: str
@@ -62,6 +64,7 @@
     last_event_id: int | None = None
     resumes: str | None = None
     caller: str = ""
+    workspace: str | None = None
 
     @property
     def shared_parts(self):
--- a/wagtailfront/forwarding/placement.py
+++ b/wagtailfront/forwarding/placement.py
@@ -1,8 +1,11 @@
 """Choice of the endpoints that prefill a prompt and decode its output."""
 
+import math
 from collections import defaultdict
 from typing import NamedTuple
 
+from wagtailfront.room.forecast import with_room
+
 __all__ = [
     "HANDOVER_SECONDS",
     "PREFILL",
@@ -57,6 +60,12 @@
     wait : float
         Seconds until its rate limit and its pause let this instance send a
         request.
+    committed_tokens : int
+        KV cache that requests take there.
+    free_tokens : float
+        KV cache that this instance may use there; infinite if unknown.
+    needed_tokens : int
+        KV cache that the request would add there.
     """
 
     record: object
@@ -68,6 +77,17 @@
     blocking_tokens: int = 0
     is_remote: bool = False
     wait: float = 0.0
+    committed_tokens: int = 0
+    free_tokens: float = math.inf
+    needed_tokens: int = 0
+
+    @property
+    def has_room(self):
+        """Return whether the request fits into the engine's memory.
+
+        Only the engine itself can tell whether it would fit into an empty one.
+        """
+        return self.needed_tokens <= self.free_tokens or not self.committed_tokens
 
 
 class Plan(NamedTuple):
@@ -90,6 +110,8 @@
         Engine time in seconds that the prompt itself takes.
     engines : int
         Engines that were compared for the prefill.
+    has_room : bool
+        Whether an engine has room for the request.
     """
 
     prefill: object
@@ -100,6 +122,7 @@
     work: float = 0.0
     engines: int = 1
     is_measured: bool = True
+    has_room: bool = True
 
 
 def choose_least_loaded(views, *, rng):
@@ -239,9 +262,12 @@
     Plan or None
         None if no endpoint can decode the output.
     """
-    decode_views = [view for view in views if view.record.stage != PREFILL]
-    if not decode_views:
+    all_decode_views = [view for view in views if view.record.stage != PREFILL]
+    if not all_decode_views:
         return None
+    decode_views = with_room(all_decode_views)
+    has_room = bool(decode_views)
+    decode_views = decode_views or all_decode_views
     most_cached = max(view.cached_tokens for view in views)
 
     def cost(view):
@@ -255,7 +281,7 @@
         versions = {view.record.software_version for view in decode_views} - {""}
         prefill_views = [
             view
-            for view in views
+            for view in with_room(views)
             if view.record.stage == PREFILL and view.record.software_version in versions
         ]
         candidates = prefill_views + decode_views
@@ -290,4 +316,5 @@
         work=work,
         engines=engines,
         is_measured=best.is_measured,
+        has_room=has_room,
     )
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -9,6 +9,8 @@
     EndpointChoice,
 )
 from wagtailfront.forwarding.request_sender import RequestSender
+from wagtailfront.room.forecast import with_room
+from wagtailfront.room.request_room import DECODE, RequestRoom
 
 __all__ = ["GATEWAY_TIMEOUT", "MAX_SENDS", "POISON_RETRY_AFTER", "RequestDispatch"]
 
@@ -33,6 +35,7 @@
     kv_source : str or None
         Where the next endpoint fetches the KV cache of the prompt.
     admission : RequestAdmission
+    room : RequestRoom
     """
 
     def __init__(self, *, task, software_version=None):
@@ -47,12 +50,19 @@
             deadline=task.deadline,
             clock=task.context.clock,
         )
+        self.room = RequestRoom(
+            control=task.context.room,
+            service=task.service,
+            kind=task.route.name,
+            fields=task.fields,
+        )
         self.choice = EndpointChoice(
             context=task.context,
             service=task.service,
             route=task.route,
             fields=task.fields,
             admission=self.admission,
+            room=self.room,
             software_version=software_version,
         )
         self.sender = RequestSender(task=task)
@@ -162,16 +172,23 @@
     def _dispatch_model(self, views):
         task = self.task
         may_split = task.stream.last_event_id is None and not task.runs
+        self.room.release(DECODE)
         plan = self.choice.plan(views, may_split=may_split)
         if plan is None:
             task.give_up(*self.choice.refuse(stages=DECODE_STAGES))
             return
+        if not plan.has_room:
+            self._wait_for_room(views, plan)
+            return
         if plan.prefill and not task.reserve(task.credit.cost(is_split=True)):
             plan = self.choice.plan(views, may_split=False)
         self.plan = plan
         first_engine = plan.prefill or plan.decode
-        if not task.stream.is_started and not self._admit(plan, first_engine):
+        is_admitted = task.stream.is_started or self.room.has_waited
+        if not is_admitted and not self._admit(plan, first_engine):
             return
+        if plan.prefill is not None:
+            self.room.hold(DECODE, plan.decode)
         self.choice.record_cached_prompt(first_engine)
         attempt_type = RunAttempt if plan.prefill is None else PrefillAttempt
         self._send(
@@ -181,6 +198,40 @@
             expected=plan.expected,
         )
 
+    def _wait_for_room(self, views, plan=None):
+        """Wait until an engine has room, if its caller waits so long."""
+        task, room = self.task, self.room
+        wait = room.seconds_until_room(views)
+        inputs = {
+            "wait": round(wait, 3),
+            "free": max(round(view.free_tokens) for view in views),
+            "needed": min(view.needed_tokens for view in views),
+            "waiting": task.context.room.waiting.count(),
+        }
+        is_first = plan is not None and not room.has_waited
+        if is_first and not task.stream.is_started:
+            first = plan.prefill or plan.decode
+            if not self._admit(plan, first, room_wait=wait):
+                return
+        expected = plan.expected if plan is not None and plan.is_measured else 0.0
+        if wait + expected >= self.admission.max_wait():
+            task.log.decision("no_room", "refused", **inputs)
+            task.context.metrics.count("room_total", outcome="refused")
+            task.give_up("no engine has room", self.admission.time_to_return(wait))
+            return
+        if not room.has_waited:
+            task.log.decision("no_room", "waits", **inputs)
+            task.context.metrics.count("room_total", outcome="waited")
+        room.wait(
+            lambda: task.run(self._dispatch_with_room),
+            rank=self.choice.priority,
+            latest_start=self.admission.latest_start() - expected,
+        )
+
+    def _dispatch_with_room(self):
+        if not self.task.is_done:
+            self.dispatch_again()
+
     def _dispatch_decode(self):
         """Run the request at an engine that decodes."""
         task = self.task
@@ -196,14 +247,21 @@
             views = fitting or views
         if not views or task.sends >= MAX_SENDS:
             task.give_up(*self.choice.refuse(stages=DECODE_STAGES))
+        elif with_room(views):
+            record = self.choice.least_loaded(with_room(views)).record
+            self._send(RunAttempt, record)
         else:
-            self._send(RunAttempt, self.choice.least_loaded(views).record)
+            self._wait_for_room(views)
 
-    def _admit(self, plan, first_engine):
-        """Return whether the request is admitted; refuse it otherwise."""
+    def _admit(self, plan, first_engine, room_wait=0.0):
+        """Return whether the request is admitted; refuse it otherwise.
+
+        `room_wait` is how long it waits for room, in seconds.
+        """
         task = self.task
         # Nothing is refused by a nominal time.
         expected = plan.wait + (plan.expected if plan.is_measured else 0.0)
+        expected += room_wait
         admission = self.admission.admit(
             expected, prefill=plan.work, engines=plan.engines
         )
--- a/wagtailfront/forwarding/routes.py
+++ b/wagtailfront/forwarding/routes.py
@@ -146,6 +146,9 @@
         Requests that an engine processes concurrently; 0 if not known.
     scaling : Scaling or None
         None if its engines are not ordered.
+    handle_lifetime : float
+        Seconds for which an engine holds a prefilled prompt that no other one
+        fetches; 0 if not known.
     """
 
     name: str
@@ -156,6 +159,7 @@
     transfer_seconds_per_token: float = 0.0
     engine_slots: int = 0
     scaling: Scaling | None = None
+    handle_lifetime: float = 0.0
 
 
 class CallerLimits(NamedTuple):
--- a/wagtailfront/forwarding/stream_relay.py
+++ b/wagtailfront/forwarding/stream_relay.py
@@ -43,6 +43,7 @@
         )
         if self.task.fields.last_event_id is None:
             self.task.dispatcher.admission.record_complete()
+        self.task.dispatcher.room.record_output(self.last_event_id)
         self.task.reply.finish()
         self.task.end("answered")
 
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -36,6 +36,7 @@
 from wagtailfront.freshness.confirmations import Confirmations
 from wagtailfront.observe.metrics import Metrics
 from wagtailfront.platform.headers import PlatformDialect
+from wagtailfront.room.room_control import RoomControl
 
 REQUEST_ID = "r1"
 REPEAT_SHARE, REPEAT_WINDOW = 0.2, 10.0
@@ -336,6 +337,7 @@
             load=load,
             streams=StreamMemory(),
             admission=AdmissionControl(),
+            room=RoomControl(load=load, timers=self.timers, clock=self.timers.clock),
             log=self.log,
             metrics=Metrics(),
             clock=self.timers.clock,
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -29,6 +29,7 @@
     "StreamReport",
     "WindowUsage",
     "ServiceWork",
+    "WaitingTokens",
     "PlacementDigest",
     "RelayedReports",
     "Leaving",
@@ -178,12 +179,18 @@
     committed : int
         Tokens of KV cache that its requests there take until they end; 0 from
         a sender that does not count them.
+    shared : tuple of (int, int)
+        Key and tokens of each part of prompts in use there that other requests
+        may use too; `committed` does not contain them.
     """
 
     endpoint: Text
     outstanding: Number
     pending: Annotated[tuple[tuple[Number, Number], ...], msgspec.Meta(max_length=16)]
     committed: Number = 0
+    shared: Annotated[
+        tuple[tuple[Number, Number], ...], msgspec.Meta(max_length=64)
+    ] = ()
 
 
 class PlacedPrompt(msgspec.Struct, frozen=True, array_like=True):
@@ -292,6 +299,20 @@
     refused: Number
 
 
+class WaitingTokens(msgspec.Struct, frozen=True, array_like=True):
+    """KV cache in tokens for which requests wait at the sender, by level.
+
+    Attributes
+    ----------
+    service : str
+    levels : tuple of (int, int)
+        Place in the order of requests, lower first, each with its tokens.
+    """
+
+    service: Text
+    levels: Annotated[tuple[tuple[Number, Number], ...], msgspec.Meta(max_length=32)]
+
+
 class PlacementDigest(MessageBase):
     """Endpoints whose load by the sender changed, and prompts it placed.
 
@@ -311,7 +332,8 @@
     sender, by table, in `clock_era`, and `clock_offset_ms` the sender's time
     of day less the store's clock. `usage` holds windows that changed, and
     `usage_sums` those whose sums over all instances have been reported.
-    `work` is by service, in `data_centre`.
+    `work` is by service, in `data_centre`. `waiting` is of requests that no
+    engine has room for, in every digest while there are any.
     """
 
     incarnation: Text
@@ -336,6 +358,7 @@
     usage: Annotated[tuple[WindowUsage, ...], msgspec.Meta(max_length=64)] = ()
     usage_sums: Annotated[tuple[WindowUsage, ...], msgspec.Meta(max_length=64)] = ()
     work: Annotated[tuple[ServiceWork, ...], msgspec.Meta(max_length=64)] = ()
+    waiting: Annotated[tuple[WaitingTokens, ...], msgspec.Meta(max_length=64)] = ()
 
 
 class StreamReport(MessageBase):
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -25,6 +25,7 @@
     (Counter, "store_requests_total", "Requests to a store.", ("store", "result")),
     (Counter, "forwarded_total", "Ended forwarded requests.", ("service", "outcome")),
     (Counter, "sends_total", "Requests sent to endpoints.", ("service", "kind")),
+    (Counter, "room_total", "Requests that no engine had room for.", ("outcome",)),
     (
         Counter,
         "resumptions_refused_total",
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -124,6 +124,7 @@
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
     slots: Number = 0
+    handle_ttl_s: float = 0.0
 
 
 class _Scaling(_Wire, kw_only=True):
@@ -335,6 +336,7 @@
         transfer_seconds_per_token=_read_transfer_time(wire.engine),
         engine_slots=wire.engine.slots if wire.engine else 0,
         scaling=_read_scaling(wire.scaling),
+        handle_lifetime=wire.engine.handle_ttl_s if wire.engine else 0.0,
     )
 
 
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -54,6 +54,7 @@
 )
 from wagtailfront.platform.store_membership import StoreMembership
 from wagtailfront.platform.store_table import StoreTable
+from wagtailfront.room.room_control import RoomControl
 from wagtailfront.transport.http_client import HttpPool
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
 from wagtailfront.transport.timers import Timers
@@ -152,6 +153,7 @@
         self.confirmation = None
         self.forwarder = Forwarder(context=self._make_context())
         context = self.forwarder.context
+        self.digest_parts.append(context.room.waiting)
         self.engines = EngineClient(
             pool=self.store_pool,
             instance=settings.instance,
@@ -224,6 +226,7 @@
             load=load,
             streams=StreamMemory(),
             admission=AdmissionControl(count_instances=lambda: load.instances),
+            room=RoomControl(load=load, timers=self.timers, clock=time.monotonic),
             log=self.log,
             metrics=self.metrics,
             clock=time.monotonic,
@@ -440,6 +443,7 @@
             self.pool.drop_idle(record)
         for record in change.gone:
             self.forwarder.context.health.forget(record)
+            self.forwarder.context.load.use.forget(record.incarnation)
             self.forwarder.context.rate_limits.forget(record)
             self.forwarder.context.notices.forget(record)
             self.forwarder.context.prefix_caches.forget(record)
