--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -127,6 +127,7 @@
 
     def launch(self, options):
         """Send the request with `options`, a SendOptions."""
+        self.task.dispatcher.room.begin(self)
         self.health.outstanding += 1
         self.health.add_pending(self.priority, self.uncached_tokens)
         self.context.work.start_attempt(
@@ -157,6 +158,7 @@
                     started=self.started,
                     now=self.context.clock(),
                 )
+            self.task.dispatcher.room.end(self)
             self.memory.release()
             if not self.is_prefill:  # whose answer is read after the drop
                 self.buffer = bytearray()
@@ -311,6 +313,8 @@
                 self.record, expected=self.expected, took=took, now=now
             )
         self.clear_pending()
+        if self.task.dispatcher.kv_source is not None:
+            self.task.dispatcher.room.take()
         self.context.health.record_success(self.record, now=now)
 
     def launch(self, options):
--- a/wagtailfront/forwarding/forward_context.py
+++ b/wagtailfront/forwarding/forward_context.py
@@ -33,6 +33,7 @@
     load: Any
     streams: Any
     admission: Any
+    room: Any
     log: Any
     metrics: Any
     work: Any
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -198,6 +198,7 @@
         self.request = self.request._replace(body=b"")
         self.silence.release("the request has ended")
         self.dispatcher.admission.record_end()
+        self.dispatcher.room.close()
         self.context.metrics.count(
             "forwarded_total", service=self.service.name, outcome=outcome
         )
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -61,6 +61,7 @@
 from wagtailfront.platform.store_membership import StoreMembership
 from wagtailfront.platform.store_table import StoreTable
 from wagtailfront.programs.forward_duties import make_duties
+from wagtailfront.room.room_control import RoomControl
 from wagtailfront.transport.http_client import HttpPool
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
 from wagtailfront.transport.timers import Timers
@@ -176,6 +177,7 @@
         self.config_age = self._make_config_age()
         self.forwarder = self._make_forwarder()
         context = self.forwarder.context
+        self.digest_parts.append(context.room.waiting)
         self.engines = EngineClient(
             pool=self.store_pool,
             instance=settings.instance,
@@ -283,6 +285,7 @@
             load=load,
             streams=StreamMemory(),
             admission=AdmissionControl(count_instances=lambda: load.instances),
+            room=RoomControl(load=load, timers=self.timers, clock=time.monotonic),
             log=self.log,
             metrics=self.metrics,
             work=self.work.own,
@@ -535,6 +538,7 @@
             self.pool.drop_idle(record)
         for record in change.gone:
             self.forwarder.context.health.forget(record)
+            self.forwarder.context.load.use.forget(record.incarnation)
             self.forwarder.context.rate_limits.forget(record)
             self.forwarder.context.notices.forget(record)
             self.forwarder.context.prefix_caches.forget(record)
