--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -25,7 +25,6 @@
 
 __all__ = [
     "StoreRows",
-    "read_clock",
     "read_rows",
     "read_registry",
     "read_instance_address",
@@ -76,12 +75,6 @@
     has_more: bool = False
 
 
-class _StoreClock(_Wire):
-    """Any response; `now_ms` is the store's clock."""
-
-    now_ms: Number | None = None
-
-
 class _Registration(_Wire, kw_only=True):
     """Registration of an engine or of an endpoint of a plain service.
 
@@ -170,15 +163,6 @@
     tenants: list[_Tenant] | None = None
 
 
-def read_clock(body):
-    """Return the store's clock in a response in milliseconds, or None."""
-    try:
-        return decode_json(body or b"{}", _StoreClock).now_ms
-    except ProtocolError as error:
-        logger.warning("[store] clock not read: %.160s", error)
-        return None
-
-
 def read_rows(body):
     """Decode the store's response to a read.
 
--- a/wagtailfront/platform/store_client.py
+++ b/wagtailfront/platform/store_client.py
@@ -2,7 +2,6 @@
 
 import base64
 import logging
-import re
 from urllib.parse import quote
 
 import msgspec
@@ -13,15 +12,14 @@
     RoutingRead,
     StorePosition,
 )
-from wagtailfront.platform.calls import call, describe_failure
+from wagtailfront.platform.calls import call
 from wagtailfront.platform.rows import (
     StoreRows,
-    read_clock,
     read_registry,
     read_routing,
-    read_rows,
 )
 from wagtailfront.platform.skipped_rows import SkippedRows
+from wagtailfront.platform.store_answers import read_clock, read_era, read_page
 
 __all__ = ["StoreClient", "StoreRegistry", "StoreRouting"]
 
@@ -32,8 +30,6 @@
 # Seconds without a byte of an answer that has begun. How long the whole one
 # takes depends on the size of the table and on the instance's link.
 STALL_TIMEOUT = 1.0
-ERA = "Store-Era"  # rises each time the store comes back from an older copy
-ERA_NUMBER = re.compile("[0-9]{1,15}")
 OK = 200
 GONE = 410  # the store no longer has the history after the cursor
 TOO_MANY = 429  # from here on the store has not handled the call
@@ -163,7 +159,7 @@
 
         def on_headers(status, headers):
             nonlocal is_outdated
-            era = _read_era(headers)
+            era = read_era(headers)
             is_outdated = era is not None and era < self.era
             if era is not None and era > self.era:
                 self.era = era
@@ -217,7 +213,7 @@
         era = self.era if pages else None
 
         def on_response(status, body):
-            page, reason = _read_page(status, body)
+            page, reason = read_page(status, body)
             if page is None:
                 reply(None, reason)
                 return
@@ -261,7 +257,7 @@
                 reason = f"the changes after {cursor} exceed {max_bytes} bytes"
                 reply(None, reason, True)
             else:
-                reply(*_read_page(status, body), False)
+                reply(*read_page(status, body), False)
 
         wait_ms = int(wait * MS_PER_SECOND)
         exchange = self.get(
@@ -273,25 +269,6 @@
         return _Watch(client=self, exchange=exchange)
 
 
-def _read_era(headers):
-    """Return the store's era in the headers of an answer, or None."""
-    value = headers.get(ERA)
-    if value is not None and not ERA_NUMBER.fullmatch(value):
-        logger.warning("[store] unreadable era %.40r", value)
-        return None
-    return None if value is None else int(value)
-
-
-def _read_page(status, body):
-    """Return the StoreRows of a response, or None, and the reason."""
-    if status != 200:
-        return None, describe_failure(status, body)
-    try:
-        return read_rows(body), ""
-    except ValueError as error:
-        return None, str(error)
-
-
 def _latest_version(rows):
     return max((row.ver for row in rows), default=0)
 
--- a/wagtailfront/platform/tests/test_usage_store.py
+++ b/wagtailfront/platform/tests/test_usage_store.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wagtailfront.forwarding.tests.builders import LogLines
-from wagtailfront.platform.rows import read_clock
+from wagtailfront.platform.store_answers import read_clock
 from wagtailfront.platform.store_client import StoreClient
 from wagtailfront.platform.tests.store_pool import StorePool
 from wagtailfront.platform.usage_store import StoreUsage
