--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -25,8 +25,8 @@
 
 __all__ = [
     "StoreRows",
+    "read_seconds",
     "read_rows",
-    "read_store_time",
     "read_registry",
     "read_instance_address",
     "read_routing",
@@ -85,11 +85,7 @@
     @property
     def store_time(self):
         """Return the store's clock in seconds, or None if it is not given."""
-        return _read_seconds(self.now_ms)
-
-
-class _Clock(_Wire, kw_only=True):
-    now_ms: Any = None
+        return read_seconds(self.now_ms)
 
 
 class _Registration(_Wire, kw_only=True):
@@ -181,16 +177,8 @@
     tenants: list[_Tenant] | None = None
 
 
-def read_store_time(body):
-    """Return the store's clock in seconds in any of its answers, or None."""
-    try:
-        return _read_seconds(decode_json(body, _Clock).now_ms)
-    except ProtocolError as error:
-        logger.warning("[store] no clock in an answer: %s", error)
-        return None
-
-
-def _read_seconds(milliseconds):
+def read_seconds(milliseconds):
+    """Return a time of the store's in seconds, or None if it is unreadable."""
     is_number = isinstance(milliseconds, int | float)
     if not is_number or not 0 <= milliseconds <= MAX_NUMBER:
         return None
