Replace engines wherever it saves a tenth, and reduce faster

Engines are now replaced if the division costs a tenth less, and reductions take half of a place every 3 s. The prefill rate is a median over 30 decisions, so bounds on the slowness no longer fit one model only.

--- a/wagtailfront/fleet_size/decision.py
+++ b/wagtailfront/fleet_size/decision.py
@@ -23,11 +23,8 @@
 MAX_HOLD_SECONDS = 64.0
 TURN_SECONDS = 30.0
 CALM_SECONDS = 240.0  # without such a turn, until the hold is shortened again
-REDUCTION_INTERVAL = 4.0  # seconds between two reductions of a service
-REDUCTION_SHARE = 1 / 3  # of the engines of a place, at most, in one reduction
-# Part of a place's engines, and number, by which the division may differ from
-# the best one while there are enough in all.
-MAX_DEVIATION, MIN_DEVIATION = 0.3, 2
+REDUCTION_INTERVAL = 3.0  # seconds between two reductions of a service
+REDUCTION_SHARE = 1 / 2  # of the engines of a place, at most, in one reduction
 MIN_COST = 1e-9
 MIN_SAVING = 0.1  # of the cost, for which enough engines are replaced by others
 CHECK_SLACK = 1.5  # seconds; decisions are about a second apart
@@ -192,10 +189,9 @@
     saving = 1.0 - cost(target, situation.scaling) / max(
         cost(expected, situation.scaling), MIN_COST
     )
+    is_worth_it = saving >= MIN_SAVING
     orders = {}
     for place in sorted(missing, key=lambda p: (-missing[p], p)):
-        is_far = missing[place] >= max(MIN_DEVIATION, MAX_DEVIATION * target[place])
-        is_worth_it = is_far and saving >= MIN_SAVING
         if missing[place] <= 0 or has_enough(expected, need) and not is_worth_it:
             continue
         room = situation.scaling.maximum - _others_at(place, expected)
--- a/wagtailfront/fleet_size/need.py
+++ b/wagtailfront/fleet_size/need.py
@@ -10,8 +10,8 @@
 
 __all__ = ["EngineAbility", "Need", "Utilisation", "find_need", "measure_ability"]
 
-# Bounds of the slowness that is believed: under overload it contains waiting.
-MIN_SLOWNESS, MAX_SLOWNESS = 0.25, 4.0
+# Bounds of the slowness that is believed.
+MIN_SLOWNESS, MAX_SLOWNESS = 1 / 16, 16.0
 
 
 class EngineAbility(NamedTuple):
--- a/wagtailfront/fleet_size/service_sizer.py
+++ b/wagtailfront/fleet_size/service_sizer.py
@@ -1,6 +1,6 @@
 """Demand, orders and decisions of one service."""
 
-from collections import Counter
+from collections import Counter, deque
 
 from wagtailfront.fleet_size.allocation import Place, cost
 from wagtailfront.fleet_size.decision import Memory, decide
@@ -14,6 +14,9 @@
 
 # Seconds from a change of demand until it is measured, beside the boot.
 MEASURING_DELAY = 1.5
+# Decisions over which the median prefill rate of an engine is taken: during a
+# burst the observed time of prefills contains waiting.
+RATES = 30
 
 
 class ServiceSizer:
@@ -47,6 +50,7 @@
         """Forget the orders of an earlier time as the holder."""
         self.book = OrderBook(boot=self.service.scaling.boot)
         self.memory = Memory()
+        self.rates = deque(maxlen=RATES)
         self.latest = None
 
     def update(self, service):
@@ -85,7 +89,7 @@
         situation = Situation(
             now,
             outlook,
-            measure_ability(staying, self.service, slowness),
+            self._measure_ability(staying, slowness),
             scaling,
             supplies,
         )
@@ -94,6 +98,11 @@
         for place, count in decision.orders.items():
             self._place(place, count, situation, decision)
 
+    def _measure_ability(self, staying, slowness):
+        ability = measure_ability(staying, self.service, slowness)
+        self.rates.append(ability.prefill)
+        return ability._replace(prefill=sorted(self.rates)[len(self.rates) // 2])
+
     def _supplies(self, records, staying, now):
         reclaimed = {
             Place(r.data_centre, True) for r in records if r.is_spot and r.is_leaving
--- a/wagtailfront/fleet_size/tests/test_decision.py
+++ b/wagtailfront/fleet_size/tests/test_decision.py
@@ -5,9 +5,10 @@
 from wagtailfront.fleet_size.allocation import Place, allocate, has_enough
 from wagtailfront.fleet_size.decision import Memory, decide
 from wagtailfront.fleet_size.demand import Demand, Outlook
-from wagtailfront.fleet_size.need import EngineAbility, Need
+from wagtailfront.fleet_size.need import EngineAbility, Need, measure_ability
 from wagtailfront.fleet_size.situation import Situation, Supply
 from wagtailfront.fleet_size.tests.fluid_fleet import make_service
+from wagtailfront.forwarding.tests.builders import make_record
 
 ABLE = EngineAbility(50_000.0, 64.0, 400_000.0)
 PLACES = [Place(name, kind) for name in "abc" for kind in (False, True)]
@@ -69,6 +70,20 @@
         counts = [left[place] for place in PLACES]
 
 
+def test_ability_follows_the_stages_and_the_slowness_of_engines():
+    """Guards against engines that are counted for what they cannot do."""
+    service = make_service()
+    stages = ("prefill", "prefill", "decode", "decode")
+    records = [
+        make_record(f"e{number}", stage=stage, slots=64)
+        for number, stage in enumerate(stages)
+    ]
+    ability = measure_ability(records, service, lambda record: 2.0)
+    assert ability == (37_500.0, 32.0, 439_456 / 2)
+    unknown = measure_ability([], service, lambda record: None)
+    assert unknown == (50_000.0, 64.0, 439_456)
+
+
 def test_refusals_beside_enough_engines_raise_the_need():
     """Guards against a fleet whose engines do less than was measured."""
     situation = make_situation([6, 6, 6, 6, 6, 6], refused=0.05)
