--- a/wagtailfront/workspaces/tests/test_key_play.py
+++ b/wagtailfront/workspaces/tests/test_key_play.py
@@ -4,10 +4,12 @@
 import logging
 import signal
 import time
+from types import SimpleNamespace
 
 import pytest
 
 from wagtailfront.forwarding import proxied_attempt
+from wagtailfront.forwarding.tests.builders import LogLines, make_record, make_route
 from wagtailfront.forwarding.tests.socket_instance import wait_for
 from wagtailfront.membership import peer_bus
 from wagtailfront.platform.settings_file import PlatformSettings
@@ -17,8 +19,20 @@
     tenants,
     workspaces_of,
 )
-from wagtailfront.programs.tests.forward_site import ForwardSite, free_port, read_answer
-from wagtailfront.workspaces.tests.builders import KEY, OTHER_KEY, read_headers
+from wagtailfront.programs.forward_tree import MAX_START_WAIT, ForwardTree
+from wagtailfront.programs.tests.forward_site import (
+    ForwardSite,
+    free_port,
+    make_settings,
+    read_answer,
+)
+from wagtailfront.workspaces.tests.builders import (
+    KEY,
+    OTHER_KEY,
+    WORKSPACES,
+    make_config,
+    read_headers,
+)
 
 STRICT = PlatformSettings(config_apply=2.0, revoke_within=4.0)
 REFUSED_FROM = 3.6  # seconds
@@ -125,3 +139,21 @@
     for data in shown:
         assert KEY.encode() not in data and OTHER_KEY.encode() not in data
     assert b'keyed_refusals_total{reason="old_configuration"}' in b"".join(shown)
+
+
+@pytest.mark.parametrize("workspaces", [WORKSPACES, None])
+def test_an_instance_is_ready_when_it_can_check_keys(workspaces):
+    """Guards against keyed requests in the first seconds of an instance."""
+    names = ("store", "callers", "status", "peers", "metrics")
+    addresses = dict.fromkeys(names, ("127.0.0.1", 1))
+    settings = make_settings(**addresses)._replace(platform=STRICT)
+    tree = ForwardTree(settings=settings, log=LogLines())
+    tree.server = SimpleNamespace(is_draining=False)
+    tree.directory.replace([make_record()], now=0.0)
+    tree.forwarder.apply_config(make_config(make_route(), workspaces=workspaces))
+    assert tree.ready()[0] == (200 if workspaces is None else 503)
+    tree.config_age.newest_at = tree.config_age.clock()
+    assert tree.ready()[0] == 200
+    tree.config_age.newest_at = float("-inf")
+    tree.started_at -= MAX_START_WAIT
+    assert tree.ready()[0] == 200
