--- a/wagtailfront/platform/tests/test_store_time.py
+++ b/wagtailfront/platform/tests/test_store_time.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from wagtailfront.platform.rows import read_rows, read_store_time
+from wagtailfront.platform.rows import read_rows
+from wagtailfront.platform.store_answers import read_store_time
 from wagtailfront.platform.store_client import StoreClient, StoreRouting
 from wagtailfront.platform.tests.builders import make_row
 from wagtailfront.platform.tests.store_pool import StorePool
