--- a/wagtailfront/intake/tests/test_intake_memory.py
+++ b/wagtailfront/intake/tests/test_intake_memory.py
@@ -111,6 +111,14 @@
     assert shares.bulk > 4 * MEGABYTE
 
 
+def test_without_a_limit_many_of_the_largest_bodies_are_held():
+    """Guards deployments whose settings have no limit of memory."""
+    shares = divide_memory(32_000 * MEGABYTE)
+    memory = make_memory(callers=shares.callers, bulk=shares.bulk)
+    size = 4 * 1024 * 1024 * 9 // 8  # of a body that arrives
+    assert [hold(memory, size) for _caller in range(54)]
+
+
 def test_a_machine_that_does_not_say_its_memory(tmp_path):
     """Guards a start where /proc/meminfo is missing or of another form."""
     path = tmp_path / "meminfo"
--- a/wagtailfront/programs/forward.py
+++ b/wagtailfront/programs/forward.py
@@ -86,8 +86,8 @@
         Memory that the process may take; `limits.memory-mb` in the file
         `settings` goes first. By default that of the machine, but no more
         than 1024 MB. Of it 35% of what exceeds 48 MB is for callers' requests
-        and unread answers. With 1024 MB these are 342 MB, or 61 bodies of
-        the default limit of 4 MiB at once.
+        and unread answers. With 1024 MB these are 342 MB, or 54 bodies of
+        the default limit of 4 MiB that arrive at once.
     """
     # These imports take most of the time of a start; main() is called first.
     from wagtailfront.intake.allocator import return_large_blocks
