Size a fleet by what its engines were seen to prefill, and reduce it by quarters

Change: the rate is that of the fast quarter of the latest long prefills; all engines together lose at most a quarter within one hold; more room is kept.

--- a/wagtailfront/fleet_size/decision.py
+++ b/wagtailfront/fleet_size/decision.py
@@ -25,6 +25,10 @@
 CALM_SECONDS = 240.0  # without such a turn, until the hold is shortened again
 REDUCTION_INTERVAL = 3.0  # seconds between two reductions of a service
 REDUCTION_SHARE = 1 / 2  # of the engines of a place, at most, in one reduction
+# Part of the engines by which all of them together may be reduced within one
+# hold: what fewer engines can do is only known once fewer serve, as those that
+# leave take their caches along.
+EPOCH_REDUCTION = 1 / 4
 MIN_COST = 1e-9
 MIN_SAVING = 0.1  # of the cost, for which enough engines are replaced by others
 CHECK_SLACK = 1.5  # seconds; decisions are about a second apart
@@ -48,6 +52,9 @@
     pressure : float
         Factor on the need, learned from refusals.
     pressure_at : float
+    epoch_engines : int
+        Engines that served when the present hold began.
+    epoch_at : float
     """
 
     targets: tuple = ()
@@ -56,6 +63,8 @@
     hold: float = HOLD_SECONDS
     pressure: float = 1.0
     pressure_at: float = -math.inf
+    epoch_engines: int = 0
+    epoch_at: float = -math.inf
 
     @property
     def peak_seconds(self):
@@ -107,6 +116,9 @@
         is_cheap=is_cheap,
         pressure=memory.pressure,
     )
+    memory = _begin_epoch(situation, memory)
+    fewest = (1.0 - EPOCH_REDUCTION) * memory.epoch_engines
+    need = need._replace(total=max(need.total, fewest))
     target = _allocate(situation, need)
     margin = CHEAP_MARGIN if is_cheap else DEAR_MARGIN
     enough = _allocate(situation, need.times(margin))
@@ -125,6 +137,14 @@
     return Decision(orders, need, target, memory)
 
 
+def _begin_epoch(situation, memory):
+    """Return the Memory with the engines that served when the hold began."""
+    if situation.now - memory.epoch_at < memory.hold:
+        return memory
+    serving = sum(each.serving for each in situation.supplies.values())
+    return memory._replace(epoch_engines=serving, epoch_at=situation.now)
+
+
 def _allocate(situation, need):
     return allocate(
         need,
--- a/wagtailfront/fleet_size/fleet_sizer.py
+++ b/wagtailfront/fleet_size/fleet_sizer.py
@@ -5,6 +5,7 @@
 from circuits import BaseComponent, Event, handler
 
 from wagtailfront.duties.interfaces import EngineOrder
+from wagtailfront.fleet_size.need import nominal_rate
 from wagtailfront.fleet_size.service_sizer import ServiceSizer
 from wagtailfront.transport.ticker import Ticker
 
@@ -157,7 +158,16 @@
         ]
 
     def _slowness(self, now):
-        return lambda record: self.health.slowness(record, now=now)
+        """Return a function of an engine's slowness, by its fast prefills."""
+        rates = self.work.own.prefill_rates
+
+        def slowness(record):
+            rate = rates.rate(record.service, record.stage)
+            if rate is None:
+                return self.health.slowness(record, now=now)
+            return nominal_rate(record.stage) / rate
+
+        return slowness
 
     def _send(self, sizer):
         """Send orders that are new or got no answer."""
--- a/wagtailfront/fleet_size/need.py
+++ b/wagtailfront/fleet_size/need.py
@@ -8,7 +8,14 @@
     PREFILL_RATE,
 )
 
-__all__ = ["EngineAbility", "Need", "Utilisation", "find_need", "measure_ability"]
+__all__ = [
+    "EngineAbility",
+    "Need",
+    "Utilisation",
+    "find_need",
+    "measure_ability",
+    "nominal_rate",
+]
 
 # Bounds of the slowness that is believed.
 MIN_SLOWNESS, MAX_SLOWNESS = 1 / 16, 16.0
@@ -44,14 +51,14 @@
 # to the limit of an engine, sooner than a new engine can serve.
 # Prefill waits most, and parts of prompts that are used again take about half
 # of the memory.
-AMPLE = Utilisation(prefill=0.5, slots=0.55, memory=0.45)
+AMPLE = Utilisation(prefill=0.3, slots=0.4, memory=0.35)
 # The same where room for bursts costs the whole price of an engine.
-TIGHT = Utilisation(prefill=0.75, slots=0.78, memory=0.65)
+TIGHT = Utilisation(prefill=0.45, slots=0.6, memory=0.55)
 # Use at the highest rate of the last minutes, where engines are cheap and
 # where they are not: a queue that a burst leaves for some seconds costs less
 # then than engines that wait for the next burst.
-PEAK = Utilisation(prefill=0.9, slots=0.92, memory=0.85)
-TIGHT_PEAK = Utilisation(prefill=1.1, slots=0.95, memory=0.9)
+PEAK = Utilisation(prefill=0.6, slots=0.75, memory=0.7)
+TIGHT_PEAK = Utilisation(prefill=0.8, slots=0.85, memory=0.8)
 # Typical use after the loss of all engines that may be reclaimed of one data
 # centre; waves reach 1.27 times as much.
 AFTER_LOSS = Utilisation(prefill=0.72, slots=0.75, memory=0.65)
@@ -114,8 +121,13 @@
     )
 
 
+def nominal_rate(stage):
+    """Return the prompt tokens per second at a slowness of 1."""
+    return PREFILL_RATE if stage == PREFILL else DECODE_ENGINE_PREFILL_RATE
+
+
 def _prefill_rate(record, slowness):
-    rate = PREFILL_RATE if record.stage == PREFILL else DECODE_ENGINE_PREFILL_RATE
+    rate = nominal_rate(record.stage)
     return rate / min(MAX_SLOWNESS, max(MIN_SLOWNESS, slowness or 1.0))
 
 
--- a/wagtailfront/fleet_size/work_counts.py
+++ b/wagtailfront/fleet_size/work_counts.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from typing import NamedTuple
 
+from wagtailfront.fleet_size.prefill_rates import PrefillRates
 from wagtailfront.membership.messages import MAX_TEXT, ServiceWork
 
 __all__ = ["FleetWork", "OwnWork", "WorkTotals"]
@@ -82,6 +83,10 @@
     Streams in progress count with the time that they took so far, so that the
     number of streams is known before long ones end.
 
+    Attributes
+    ----------
+    prefill_rates : PrefillRates
+
     Examples
     --------
     >>> work = OwnWork()
@@ -96,6 +101,7 @@
 
     def __init__(self):
         self.by_service = defaultdict(_ServiceCounts)
+        self.prefill_rates = PrefillRates()
 
     def record_request(self, service, *, tokens):
         """Count a request; `tokens` of KV cache are reserved for it."""
--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -164,6 +164,15 @@
                 self.buffer = bytearray()
             self.clear_pending()
 
+    def record_prefill_rate(self, took):
+        """Record the seconds in which the engine prefilled the prompt."""
+        self.context.work.prefill_rates.record(
+            self.record.service,
+            self.record.stage,
+            tokens=self.uncached_tokens,
+            seconds=took,
+        )
+
     def clear_pending(self):
         """Subtract the prompt from the endpoint's pending tokens."""
         self.health.add_pending(self.priority, -self.uncached_tokens)
@@ -275,6 +284,8 @@
 
     def on_end(self):
         self.record_arrival()
+        if self.status == OK:
+            self.record_prefill_rate(self.context.clock() - self.started)
         self.task.handle_prefill(self)
 
 
@@ -312,6 +323,7 @@
             self.context.health.record_prefill_time(
                 self.record, expected=self.expected, took=took, now=now
             )
+            self.record_prefill_rate(took)
         self.clear_pending()
         if self.task.dispatcher.kv_source is not None:
             self.task.dispatcher.room.take()
--- a/wagtailfront/programs/tests/test_duties.py
+++ b/wagtailfront/programs/tests/test_duties.py
@@ -48,7 +48,9 @@
         wait_for(lambda: tree.contact.own_age(now=0.0) is not None)
         tree.forwarder.context.record_run("w", age=0.0)
         assert tree.duties is None
-        assert tree.digest_parts == []
+        assert not {"duties", "fleet_size"} & {
+            type(part).__module__.split(".")[1] for part in tree.digest_parts
+        }
         assert tree.store.on_clock is None
         assert not {"duty_calls", "duty_holder", "usage"} & set(root.live)
         tables = {table for table, _key in site.store.rows.rows}
