Let workspaces with more than their share give way, and order waits fairly

While requests wait or are refused, a workspace that had more than an equal share of the engines' time at all instances comes after others of its rank for room, bears half of the usual queue and keeps no place when it is refused. Instances tell each other the engine time of workspaces meanwhile.

The wait for room is no part of the measured error of forecasts any more: this error refused nearly all requests for seconds. A newcomer assumes that other instances let as many requests wait as its own does; one instance filled the queue otherwise.

--- a/wagtailfront/admission/control.py
+++ b/wagtailfront/admission/control.py
@@ -9,6 +9,7 @@
 from wagtailfront.admission.forecast_error import HALF_LIFE, ForecastError
 from wagtailfront.admission.recent_ratio import RecentRatio
 from wagtailfront.admission.returning_callers import Place, ReturningCallers
+from wagtailfront.room.workspace_share import WorkspaceShares
 
 __all__ = ["AdmissionControl", "Work"]
 
@@ -29,6 +30,9 @@
         Engine time in seconds that its own prompt takes.
     engines : int
         Engines that share the work of the service.
+    gives_way : bool
+        Whether it comes after others of its rank, so that no place is kept
+        for it when it is refused.
     """
 
     service: str
@@ -37,6 +41,7 @@
     output_tokens: int = 0
     prefill: float = 0.0
     engines: int = 1
+    gives_way: bool = False
 
 
 class AdmissionControl:
@@ -75,6 +80,7 @@
         self.returning = {}
         self.shares = defaultdict(FairShare)
         self.arriving = {}
+        self.workspaces = WorkspaceShares()
 
     def set_routes(self, routes):
         """Adopt the ranks of requests from the routes of a configuration."""
@@ -118,7 +124,7 @@
         )
         if admission.is_admitted:
             arriving.record(work.priority, work.prefill, now=now)
-        elif admission.retry_after is not None:
+        elif admission.retry_after is not None and not work.gives_way:
             returns_at = now + admission.retry_after
             place = Place(work.priority, latest_start, work.prefill, returns_at)
             returning.keep(place)
--- a/wagtailfront/admission/fair_share.py
+++ b/wagtailfront/admission/fair_share.py
@@ -46,12 +46,20 @@
         for ratio in (self.total, self.by_rank[rank]):
             ratio.numerator = max(0.0, ratio.numerator - 1.0)
 
-    def missing(self, rank, *, now):
-        """Return which share of a rank's refused requests is to be raised."""
+    def missing(self, rank, *, now, min_share=MIN_RELATIVE_SHARE):
+        """Return which share of a rank's refused requests is to be raised.
+
+        Parameters
+        ----------
+        rank : hashable
+        now : float
+        min_share : float, optional
+            Share to be admitted at the least, relative to that of all.
+        """
         if rank not in self.by_rank:
             return 0.0
         admitted = self.by_rank[rank].value(now=now)
-        missing = MIN_RELATIVE_SHARE * self.total.value(now=now) - admitted
+        missing = min_share * self.total.value(now=now) - admitted
         return missing / (1.0 - admitted) if missing > 0.0 else 0.0
 
     def highest_rank(self):
--- a/wagtailfront/admission/request_admission.py
+++ b/wagtailfront/admission/request_admission.py
@@ -2,7 +2,7 @@
 
 import math
 
-from wagtailfront.admission.admission import MAX_RETRY_SHARE, CallerTime
+from wagtailfront.admission.admission import MAX_RETRY_SHARE, CallerTime, admit
 from wagtailfront.admission.control import Work
 from wagtailfront.admission.urgency import engine_level
 
@@ -11,6 +11,9 @@
 UNKNOWN_TIME = 0.25  # seconds until an endpoint is free, if nothing is measured
 # Seconds for which any endpoint may stall before its calls are repeated.
 MIN_ANSWER_TIMEOUT = 0.25
+# Share of the queue that others bear, for requests that give way. The others
+# then find a queue that they bear, while engines do not run out of work.
+YIELDING_SHARE = 0.5
 ROUND_TRIP = 0.02  # seconds to an endpoint and back, with an instance's own time
 
 
@@ -28,6 +31,10 @@
         if it waits for a complete response.
     output_tokens : int
         Tokens that the request may generate.
+    workspace : str, optional
+        Whose request it is; requests without one never give way.
+    rng : random.Random, optional
+        Needed with a workspace.
     received, deadline : float
         When it arrived, and when its caller stops waiting.
     clock : callable
@@ -38,6 +45,9 @@
         Its rank, or a higher one so that its rank is not starved.
     work : Work or None
         Work that was admitted, while its first event is waited for.
+    gives_way : bool
+        Whether it comes after others of its rank, as its workspace has had
+        more than its share of the engines' time.
     """
 
     def __init__(
@@ -51,6 +61,8 @@
         clock,
         patience=math.inf,
         output_tokens=0,
+        workspace=None,
+        rng=None,
     ):
         self.control = control
         self.service = service
@@ -63,6 +75,11 @@
         self.deadline = deadline
         self.clock = clock
         self.work = None
+        self.workspace = workspace
+        self.is_counted = False
+        self.gives_way = workspace is not None and control.workspaces.gives_way(
+            service, workspace, now=clock(), rng=rng
+        )
         self.rounds = 0.0
         self.first_event_at = None
 
@@ -94,8 +111,11 @@
             output_tokens=self.output_tokens,
             prefill=prefill,
             engines=engines,
+            gives_way=self.gives_way,
         )
-        admission = self.control.admit(work, self.caller_time(now), now=now)
+        caller = self._bearable(self.caller_time(now))
+        admission = self.control.admit(work, caller, now=now)
+        self._record_share(admission.is_admitted, work, now)
         is_raised = self.priority != self.rank
         if not is_raised:
             self.share.record(self.rank, admission.is_admitted, now=now)
@@ -108,6 +128,61 @@
         # The rank may not be raised any more when the caller returns.
         return admission._replace(retry_after=None) if is_raised else admission
 
+    def admit_to_wait(self, first_event, wait, *, prefill=0.0):
+        """Return whether the request may wait for room, as an Admission.
+
+        The wait is no part of the forecast whose error is measured: that is
+        of the engine, for requests that find room at once too.
+
+        Parameters
+        ----------
+        first_event : float
+            Forecast seconds from its send until its first event.
+        wait : float
+            Forecast seconds until it is sent.
+        prefill : float, optional
+            As of `admit`.
+        """
+        now = self.clock()
+        work = Work(self.service, self.priority, first_event, self.output_tokens)
+        expected = self.control.expect(work, now=now)
+        expected = expected._replace(first_event=expected.first_event + wait)
+        caller = self._bearable(self.caller_time(now))
+        admission = admit(expected=expected, caller=caller)
+        work = work._replace(prefill=prefill)
+        self._record_share(admission.is_admitted, work, now, waits=True)
+        if not admission.is_admitted and self.priority == self.rank:
+            self.share.record(self.rank, False, now=now)
+        return admission._replace(expected=expected)
+
+    def _bearable(self, caller):
+        """Return the CallerTime that a queue may take up."""
+        if not self.gives_way:
+            return caller
+        if self.patience < math.inf:
+            return caller._replace(patience=YIELDING_SHARE * caller.patience)
+        return caller._replace(left=YIELDING_SHARE * caller.left)
+
+    def _record_share(self, is_admitted, work, now, waits=False):
+        if self.workspace is not None and not self.is_counted:
+            # Counted before it waits: requests that arrive meanwhile are not
+            # to be taken for the first of their workspace.
+            self.is_counted = is_admitted
+            output = self.control.expect(work, now=now).output
+            self.control.workspaces.record(
+                self.service,
+                self.workspace,
+                is_admitted,
+                work=work.prefill + output,
+                waits=waits,
+                now=now,
+            )
+
+    @property
+    def order(self):
+        """Return the place of its rank, and in it of those that give way."""
+        return 2 * self.priority + self.gives_way
+
     def admit_call(self, *, outstanding, slots, wait):
         """Return the Admission of a call to a plain service.
 
--- a/wagtailfront/admission/tests/prompt_load.py
+++ b/wagtailfront/admission/tests/prompt_load.py
@@ -68,6 +68,8 @@
         Share of these that were served.
     tokens, vain_tokens, shared_tokens : int
         Tokens prefilled: all, for callers that left, and of shared parts.
+    served_by_workspace : dict of str to float
+        Of the callers that came in the burst.
     """
 
     served: float
@@ -79,6 +81,7 @@
     tokens: int
     vain_tokens: int
     shared_tokens: int
+    served_by_workspace: dict
 
 
 @dataclass(eq=False)
@@ -89,6 +92,7 @@
     parts: tuple
     deadline: float
     priority: int
+    workspace: Any = None
     is_back: bool = False
     is_served: bool = False
     leaves_at: float = math.inf
@@ -124,7 +128,10 @@
 class _Simulation:
     """State of one simulation; see `simulate`."""
 
-    def __init__(self, *, records, load, seconds, choose, is_limited, seed, kinds):
+    def __init__(
+        self, *, records, load, seconds, choose, is_limited, seed, kinds, workspaces
+    ):
+        self.workspaces = workspaces
         self.rng = random.Random(seed)
         self.numbers = itertools.count()
         self.now = 0.0
@@ -161,7 +168,14 @@
             shared_part, own_part = make_parts(subject, kind.shared_tokens, 0)
             own_part = own_part._replace(part_id=own, tokens=kind.own_tokens)
             time = kind.time * self.rng.uniform(*TIME_AT_FIRST)
-            caller = Caller(kind, (shared_part, own_part), at + time, kind.priority)
+            workspace = None
+            if self.workspaces and begin == CALM_SECONDS:
+                workspace = self.rng.choices(
+                    list(self.workspaces), list(self.workspaces.values())
+                )[0]
+            caller = Caller(
+                kind, (shared_part, own_part), at + time, kind.priority, workspace
+            )
             self.callers.append(caller)
             self._at(at, self._ask, caller)
             at += self.rng.expovariate(rate)
@@ -187,6 +201,8 @@
                 received=self.now,
                 deadline=caller.deadline,
                 clock=lambda: self.now,
+                workspace=caller.workspace,
+                rng=self.rng,
             )
         self._admit(caller)
 
@@ -300,6 +316,10 @@
             tokens=self.counts["tokens"],
             vain_tokens=self.counts["vain"],
             shared_tokens=self.counts["shared"],
+            served_by_workspace={
+                name: _share([c.is_served for c in self.callers if c.workspace == name])
+                for name in self.workspaces or ()
+            },
         )
 
 
@@ -316,6 +336,7 @@
     is_limited=True,
     seed=1,
     kinds=KINDS,
+    workspaces=None,
 ):
     """Simulate a burst of prompts between two calm phases.
 
@@ -333,6 +354,8 @@
         Whether requests may be refused.
     seed : int, optional
     kinds : sequence of Kind, optional
+    workspaces : dict of str to float, optional
+        Workspaces of the callers in the burst, by their share of them.
 
     Returns
     -------
@@ -346,6 +369,7 @@
         is_limited=is_limited,
         seed=seed,
         kinds=kinds,
+        workspaces=workspaces,
     )
     simulation.run()
     return simulation.outcome()
--- a/wagtailfront/forwarding/endpoint_choice.py
+++ b/wagtailfront/forwarding/endpoint_choice.py
@@ -104,7 +104,9 @@
         if not self.room.capacity:
             return 0.0
         latest_start = self.admission.latest_start()
-        return self.room.tokens_before(self.priority, latest_start) / max(1, engines)
+        return self.room.tokens_before(self.admission.order, latest_start) / max(
+            1, engines
+        )
 
     def _usable(self, records, without):
         others = [r for r in records if r.incarnation not in without]
--- a/wagtailfront/forwarding/fleet_load.py
+++ b/wagtailfront/forwarding/fleet_load.py
@@ -223,6 +223,10 @@
             for load in self.peers.pop(incarnation).loads.values():
                 self._remove(load)
 
+    def count_busy(self):
+        """Return the number of instances with requests, this one included."""
+        return 1 + sum(bool(peer.loads) for peer in self.peers.values())
+
     def proxy_offers(self, *, now):
         """Return the ProxyOffer of each peer in touch that takes requests."""
         self._expire(now)
--- a/wagtailfront/forwarding/request_dispatch.py
+++ b/wagtailfront/forwarding/request_dispatch.py
@@ -46,6 +46,8 @@
             rank=task.route.priority,
             patience=task.route.max_first_event_wait,
             output_tokens=task.fields.max_output_tokens,
+            workspace=task.fields.workspace,
+            rng=task.context.rng,
             received=task.received,
             deadline=task.deadline,
             clock=task.context.clock,
@@ -184,8 +186,7 @@
             plan = self.choice.plan(views, may_split=False)
         self.plan = plan
         first_engine = plan.prefill or plan.decode
-        is_admitted = task.stream.is_started or self.room.has_waited
-        if not is_admitted and not self._admit(plan, first_engine):
+        if not task.stream.is_started and not self._admit(plan, first_engine):
             return
         if plan.prefill is not None:
             self.room.hold(DECODE, plan.decode)
@@ -201,7 +202,10 @@
     def _wait_for_room(self, views, plan=None):
         """Wait until an engine has room, if its caller waits so long."""
         task, room = self.task, self.room
-        wait = room.seconds_until_room(views)
+        latest_start = self.admission.latest_start()
+        wait = room.seconds_until_room(
+            views, rank=self.admission.order, latest_start=latest_start
+        )
         inputs = {
             "wait": round(wait, 3),
             "free": max(round(view.free_tokens) for view in views),
@@ -224,8 +228,8 @@
             task.context.metrics.count("room_total", outcome="waited")
         room.wait(
             lambda: task.run(self._dispatch_with_room),
-            rank=self.choice.priority,
-            latest_start=self.admission.latest_start() - expected,
+            rank=self.admission.order,
+            latest_start=latest_start - expected,
         )
 
     def _dispatch_with_room(self):
@@ -253,18 +257,24 @@
         else:
             self._wait_for_room(views)
 
-    def _admit(self, plan, first_engine, room_wait=0.0):
+    def _admit(self, plan, first_engine, room_wait=None):
         """Return whether the request is admitted; refuse it otherwise.
 
-        `room_wait` is how long it waits for room, in seconds.
+        `room_wait` is how long it waits for room, in seconds; None if it is
+        sent at once.
         """
         task = self.task
         # Nothing is refused by a nominal time.
         expected = plan.wait + (plan.expected if plan.is_measured else 0.0)
-        expected += room_wait
-        admission = self.admission.admit(
-            expected, prefill=plan.work, engines=plan.engines
-        )
+        if room_wait is not None:
+            admission = self.admission.admit_to_wait(
+                expected, room_wait, prefill=plan.work
+            )
+            expected += room_wait
+        else:
+            admission = self.admission.admit(
+                expected, prefill=plan.work, engines=plan.engines
+            )
         if not admission.is_admitted and self.admission.raise_rank(task.context.rng):
             self.choice.priority = self.admission.priority
             task.log.decision("rank_raised", "its rank is starved")
--- a/wagtailfront/membership/messages.py
+++ b/wagtailfront/membership/messages.py
@@ -30,6 +30,7 @@
     "WindowUsage",
     "ServiceWork",
     "WaitingTokens",
+    "WorkspaceWork",
     "PlacementDigest",
     "RelayedReports",
     "Leaving",
@@ -313,6 +314,20 @@
     levels: Annotated[tuple[tuple[Number, Number], ...], msgspec.Meta(max_length=32)]
 
 
+class WorkspaceWork(msgspec.Struct, frozen=True, array_like=True):
+    """Engine time in milliseconds that the sender's requests took lately.
+
+    Attributes
+    ----------
+    service : str
+    work_ms : tuple of (str, int)
+        The workspaces that had most, each with its engine time.
+    """
+
+    service: Text
+    work_ms: Annotated[tuple[tuple[Text, Number], ...], msgspec.Meta(max_length=32)]
+
+
 class PlacementDigest(MessageBase):
     """Endpoints whose load by the sender changed, and prompts it placed.
 
@@ -333,7 +348,8 @@
     of day less the store's clock. `usage` holds windows that changed, and
     `usage_sums` those whose sums over all instances have been reported.
     `work` is by service, in `data_centre`. `waiting` is of requests that no
-    engine has room for, in every digest while there are any.
+    engine has room for, in every digest while there are any, and
+    `workspace_work` by service, in whole digests while requests are refused.
     """
 
     incarnation: Text
@@ -359,6 +375,9 @@
     usage_sums: Annotated[tuple[WindowUsage, ...], msgspec.Meta(max_length=64)] = ()
     work: Annotated[tuple[ServiceWork, ...], msgspec.Meta(max_length=64)] = ()
     waiting: Annotated[tuple[WaitingTokens, ...], msgspec.Meta(max_length=64)] = ()
+    workspace_work: Annotated[
+        tuple[WorkspaceWork, ...], msgspec.Meta(max_length=64)
+    ] = ()
 
 
 class StreamReport(MessageBase):
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -153,7 +153,7 @@
         self.confirmation = None
         self.forwarder = Forwarder(context=self._make_context())
         context = self.forwarder.context
-        self.digest_parts.append(context.room.waiting)
+        self.digest_parts += (context.room.waiting, context.admission.workspaces)
         self.engines = EngineClient(
             pool=self.store_pool,
             instance=settings.instance,
--- a/wagtailfront/room/forecast.py
+++ b/wagtailfront/room/forecast.py
@@ -10,7 +10,7 @@
     return [view for view in views if view.has_room]
 
 
-def seconds_until_room(views, *, hold_seconds):
+def seconds_until_room(views, *, hold_seconds, waiting=0.0):
     """Return the seconds until the first of some engines has room.
 
     Memory is released at the rate at which requests end: by Little's law, what
@@ -22,6 +22,8 @@
     hold_seconds : float or None
         Mean seconds for which requests take memory; None if not measured, so
         that no time can be told and 0.0 is returned.
+    waiting : float, optional
+        Tokens by engine for which requests wait that the views do not contain.
 
     Examples
     --------
@@ -36,7 +38,7 @@
     return min(
         (
             hold_seconds
-            * max(0.0, view.needed_tokens - view.free_tokens)
+            * max(0.0, view.needed_tokens + waiting - view.free_tokens)
             / max(1, view.committed_tokens)
             for view in views
         ),
--- a/wagtailfront/room/request_room.py
+++ b/wagtailfront/room/request_room.py
@@ -141,11 +141,25 @@
             workspace = self.fields.workspace or ""
             self.control.lengths.observe(workspace, self.kind, tokens)
 
-    def seconds_until_room(self, views):
-        """Return the forecast seconds until one of the engines has room."""
+    def seconds_until_room(self, views, *, rank, latest_start):
+        """Return the forecast seconds until one of the engines has room.
+
+        Until it waits itself, other instances are assumed to let as many
+        requests wait as this one. The instance whose forecasts are shortest
+        would otherwise fill the queue, and the others refuse all requests.
+        """
         views = [view for view in views if view.record.stage != PREFILL]
-        hold_seconds = self.control.hold_seconds(self.service.name)
-        return seconds_until_room(views, hold_seconds=hold_seconds)
+        extra = 0.0
+        if not self.has_waited:
+            order = {"rank": rank, "latest_start": latest_start}
+            own = self.control.waiting.own_before(self.service.name, **order)
+            fair = self.control.load.count_busy() * own
+            extra = max(0.0, fair - self.tokens_before(rank, latest_start))
+        return seconds_until_room(
+            views,
+            hold_seconds=self.control.hold_seconds(self.service.name),
+            waiting=extra / max(1, len(views)),
+        )
 
     def wait(self, step, *, rank, latest_start):
         """Wait for room in the order of all requests; `step` tries again."""
--- a/wagtailfront/room/room_control.py
+++ b/wagtailfront/room/room_control.py
@@ -26,6 +26,7 @@
     """
 
     def __init__(self, *, load, timers, clock):
+        self.load = load
         self.use = load.use
         self.timers = timers
         self.clock = clock
--- a/wagtailfront/room/tests/memory_load.py
+++ b/wagtailfront/room/tests/memory_load.py
@@ -81,8 +81,8 @@
     included, which is before it would preempt one that runs.
     """
 
-    def __init__(self, record, timers, rng):
-        self.record, self.timers, self.rng = record, timers, rng
+    def __init__(self, record, timers):
+        self.record, self.timers = record, timers
         self.numbers = itertools.count()
         self.queue = []
         self.held = EngineUse()
@@ -168,7 +168,8 @@
     def send(self, record, payload, *, sink, avoid=()):
         exchange = _Exchange(self, record, payload, sink)
         fields = sink.task.fields
-        exchange.prompt_tokens = fields.prompt_tokens
+        # The instance's estimate of the engine's cache is taken as exact.
+        exchange.prompt_tokens = sink.uncached_tokens
         prompt = (fields.prompt_tokens, fields.parts)
         output = self.outputs[fields.request_id]
         engine = self.engines[record.incarnation]
@@ -193,7 +194,14 @@
 
 
 class Simulation:
-    """Instances in front of engines; see `simulate`."""
+    """Instances in front of engines; see `simulate`.
+
+    Parameters
+    ----------
+    seed : int
+    capacity : int, optional
+        Memory of an engine that instances know of; 0 if unknown.
+    """
 
     def __init__(self, *, seed, capacity=CAPACITY):
         self.rng = random.Random(seed)
@@ -202,9 +210,7 @@
         records = [
             make_record(f"e{i}", stage="decode", slots=SLOTS) for i in range(ENGINES)
         ]
-        pool.engines = {
-            r.incarnation: Engine(r, self.timers, self.rng) for r in records
-        }
+        pool.engines = {r.incarnation: Engine(r, self.timers) for r in records}
         self.pool, self.results = pool, []
         self.scenes = [self._make_scene(records, i, capacity) for i in range(INSTANCES)]
         self.numbers = itertools.count()
@@ -231,7 +237,10 @@
     def _report(self, scene):
         context = scene.context
         digest = context.load.make_digest(full=True)
-        fields = context.room.waiting.fields(now=self.timers.now, full=True)
+        parts = (context.room.waiting, context.admission.workspaces)
+        fields = {}
+        for part in parts:
+            fields |= part.fields(now=self.timers.now, full=True)
         digest = type(digest)(
             **{n: getattr(digest, n) for n in digest.__struct_fields__} | fields
         )
@@ -239,6 +248,7 @@
             if other is not scene:
                 other.context.load.merge(digest, now=self.timers.now)
                 other.context.room.waiting.merge(digest, now=self.timers.now)
+                other.context.admission.workspaces.merge(digest, now=self.timers.now)
         self.timers.after(REPORT_SECONDS, lambda: self._report(scene))
 
     def arrive(self, kind, workspace=None):
@@ -256,7 +266,7 @@
             STREAMING, name=kind.name, priority=kind.priority, timeout=12.0
         )
         scene = self.rng.choice(self.scenes)
-        _task, reply = scene.start(
+        task, reply = scene.start(
             route,
             request_id=request_id,
             prompt_tokens=kind.shared_tokens + kind.own_tokens,
@@ -265,6 +275,9 @@
             workspace=workspace,
         )
         self.results.append((kind.name, workspace, reply))
+        # A caller leaves without a first event.
+        patience = route.max_first_event_wait
+        self.timers.after(patience, lambda: reply.status or task.cancel())
 
     def run(self, rates, seconds):
         """Let requests arrive at some rates for some seconds.
--- a/wagtailfront/room/waiting_requests.py
+++ b/wagtailfront/room/waiting_requests.py
@@ -99,8 +99,9 @@
         and then by incarnation, so that no two instances both come first.
         """
         now = self.clock()
-        order = (rank, latest_start, -1 if number is None else number)
-        own = sum(e.tokens for e in self.own.get(service, ()) if e[:3] < order)
+        own = self.own_before(
+            service, rank=rank, latest_start=latest_start, number=number
+        )
         level = (waiting_level(rank, latest_start - now), self.incarnation)
         return own + sum(
             tokens
@@ -110,6 +111,11 @@
             if (each, incarnation) < level
         )
 
+    def own_before(self, service, *, rank, latest_start, number=None):
+        """Return the tokens of requests of this instance that come first."""
+        order = (rank, latest_start, -1 if number is None else number)
+        return sum(e.tokens for e in self.own.get(service, ()) if e[:3] < order)
+
     def poll(self):
         """Try those that come first, and those that can wait no longer."""
         self.is_polling = False
