--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -177,7 +177,7 @@
         self.config_age = self._make_config_age()
         self.forwarder = self._make_forwarder()
         context = self.forwarder.context
-        self.digest_parts.append(context.room.waiting)
+        self.digest_parts += (context.room.waiting, context.admission.workspaces)
         self.engines = EngineClient(
             pool=self.store_pool,
             instance=settings.instance,
