--- a/wagtailfront/fleet_size/decision.py
+++ b/wagtailfront/fleet_size/decision.py
@@ -117,8 +117,7 @@
         pressure=memory.pressure,
     )
     memory = _begin_epoch(situation, memory)
-    fewest = (1.0 - EPOCH_REDUCTION) * memory.epoch_engines
-    need = need._replace(total=max(need.total, fewest))
+    need = need._replace(total=_bounded(need.total, situation, memory))
     target = _allocate(situation, need)
     margin = CHEAP_MARGIN if is_cheap else DEAR_MARGIN
     enough = _allocate(situation, need.times(margin))
@@ -145,6 +144,19 @@
     return memory._replace(epoch_engines=serving, epoch_at=situation.now)
 
 
+def _bounded(total, situation, memory):
+    """Return the engines needed, within what is known of the present ones.
+
+    The first requests find empty caches, and show neither how fast engines
+    are nor what callers bring.
+    """
+    outlook = situation.outlook
+    is_early = outlook.measured < MIN_MEASURED
+    if is_early and outlook.refused_share <= MAX_REFUSED_SHARE:
+        total = min(total, memory.epoch_engines)
+    return max(total, (1.0 - EPOCH_REDUCTION) * memory.epoch_engines)
+
+
 def _allocate(situation, need):
     return allocate(
         need,
--- a/wagtailfront/fleet_size/need.py
+++ b/wagtailfront/fleet_size/need.py
@@ -51,14 +51,14 @@
 # to the limit of an engine, sooner than a new engine can serve.
 # Prefill waits most, and parts of prompts that are used again take about half
 # of the memory.
-AMPLE = Utilisation(prefill=0.3, slots=0.4, memory=0.35)
+AMPLE = Utilisation(prefill=0.5, slots=0.55, memory=0.45)
 # The same where room for bursts costs the whole price of an engine.
-TIGHT = Utilisation(prefill=0.45, slots=0.6, memory=0.55)
+TIGHT = Utilisation(prefill=0.75, slots=0.78, memory=0.65)
 # Use at the highest rate of the last minutes, where engines are cheap and
 # where they are not: a queue that a burst leaves for some seconds costs less
 # then than engines that wait for the next burst.
-PEAK = Utilisation(prefill=0.6, slots=0.75, memory=0.7)
-TIGHT_PEAK = Utilisation(prefill=0.8, slots=0.85, memory=0.8)
+PEAK = Utilisation(prefill=0.9, slots=0.92, memory=0.85)
+TIGHT_PEAK = Utilisation(prefill=1.1, slots=0.95, memory=0.9)
 # Typical use after the loss of all engines that may be reclaimed of one data
 # centre; waves reach 1.27 times as much.
 AFTER_LOSS = Utilisation(prefill=0.72, slots=0.75, memory=0.65)
@@ -150,7 +150,7 @@
     >>> outlook = Outlook(typical, peak, typical, {"a": 1.0}, 0.0, 60.0)
     >>> engine = EngineAbility(50_000.0, 64.0, 400_000.0)
     >>> [round(each, 2) for each in find_need(outlook, engine, is_cheap=True)]
-    [6.67, 2.78, 2.0]
+    [4.0, 2.78, 2.0]
     """
     typical = outlook.typical
     steady = _engines(typical, ability, AMPLE if is_cheap else TIGHT)
