Count engines that served a demand without refusals as enough for it

Cause: the measured prefill rate of falaj's twin asks for 14 engines and more where 11 serve, so that engines that may be reclaimed came beside the others and not in place of them. Change: what served the highest demand of the last minutes without refusals bounds the need, scaled with later demand; stand-in pools of the room tests take a body.

--- a/wagtailfront/fleet_size/decision.py
+++ b/wagtailfront/fleet_size/decision.py
@@ -55,6 +55,8 @@
     epoch_engines : int
         Engines that served when the present hold began.
     epoch_at : float
+    proven : tuple of (int, Demand) or None
+        Engines that served a highest demand without refusals.
     """
 
     targets: tuple = ()
@@ -65,6 +67,7 @@
     pressure_at: float = -math.inf
     epoch_engines: int = 0
     epoch_at: float = -math.inf
+    proven: tuple | None = None
 
     @property
     def peak_seconds(self):
@@ -138,21 +141,44 @@
 
 def _begin_epoch(situation, memory):
     """Return the Memory with the engines that served when the hold began."""
+    outlook = situation.outlook
+    if outlook.refused_share > MAX_REFUSED_SHARE:
+        memory = memory._replace(proven=None)
     if situation.now - memory.epoch_at < memory.hold:
         return memory
     serving = sum(each.serving for each in situation.supplies.values())
+    is_proven = (
+        memory.epoch_engines
+        and outlook.measured >= MIN_MEASURED
+        and outlook.refused_share <= MAX_REFUSED_SHARE
+    )
+    if is_proven:
+        engines = min(serving, memory.epoch_engines)
+        memory = memory._replace(proven=(engines, outlook.peak))
+        serving = engines
     return memory._replace(epoch_engines=serving, epoch_at=situation.now)
 
 
 def _bounded(total, situation, memory):
     """Return the engines needed, within what is known of the present ones.
 
-    The first requests find empty caches, and show neither how fast engines
-    are nor what callers bring.
+    Engines that have served a demand without refusals are enough for it,
+    whatever their measured ability. The first requests find empty caches, and
+    show neither how fast engines are nor what callers bring.
     """
     outlook = situation.outlook
-    is_early = outlook.measured < MIN_MEASURED
-    if is_early and outlook.refused_share <= MAX_REFUSED_SHARE:
+    if memory.proven is not None:
+        engines, demand = memory.proven
+        growth = max(
+            (
+                now / then
+                for now, then in zip(outlook.peak, demand, strict=True)
+                if then
+            ),
+            default=1.0,
+        )
+        total = min(total, engines * max(1.0, growth))
+    elif outlook.measured < MIN_MEASURED and outlook.refused_share <= MAX_REFUSED_SHARE:
         total = min(total, memory.epoch_engines)
     return max(total, (1.0 - EPOCH_REDUCTION) * memory.epoch_engines)
 
--- a/wagtailfront/room/tests/memory_load.py
+++ b/wagtailfront/room/tests/memory_load.py
@@ -165,7 +165,7 @@
         self.timers, self.rng = timers, rng
         self.engines, self.outputs = {}, {}
 
-    def send(self, record, payload, *, sink, avoid=()):
+    def send(self, record, payload, *, sink, avoid=(), body=b""):
         exchange = _Exchange(self, record, payload, sink)
         fields = sink.task.fields
         # The instance's estimate of the engine's cache is taken as exact.
