--- a/wagtailfront/fleet_size/decision.py
+++ b/wagtailfront/fleet_size/decision.py
@@ -8,19 +8,20 @@
 
 __all__ = ["Decision", "Memory", "decide"]
 
-# Seconds of demand to measure before the first engine is ordered away.
-MIN_MEASURED = 8.0
+# Seconds of demand to measure before the first engine is ordered away or
+# replaced. After 8 s, callers of short days lost more than the engines cost.
+MIN_MEASURED = 24.0
 # Seconds for which fewer engines must have been enough; doubled after each
 # reduction that was taken back within `TURN_SECONDS`.
-HOLD_SECONDS = 8.0
+HOLD_SECONDS = 24.0
 # The same for engines that may be reclaimed, as a multiple: keeping them costs
 # little, and bursts return.
 SPOT_HOLD = 4.0
-PEAK_HOLDS = 11.25  # holds for which the highest demand is remembered
+PEAK_HOLDS = 3.75  # holds for which the highest demand is remembered
 # Factor on the need in reductions, so that the noise of the measured demand
 # does not take them back; smaller where room costs the whole price.
 CHEAP_MARGIN, DEAR_MARGIN = 1.1, 1.03
-MAX_HOLD_SECONDS = 64.0
+MAX_HOLD_SECONDS = 192.0
 TURN_SECONDS = 30.0
 CALM_SECONDS = 240.0  # without such a turn, until the hold is shortened again
 REDUCTION_INTERVAL = 3.0  # seconds between two reductions of a service
@@ -247,7 +248,7 @@
     saving = 1.0 - cost(target, situation.scaling) / max(
         cost(expected, situation.scaling), MIN_COST
     )
-    is_worth_it = saving >= MIN_SAVING
+    is_worth_it = saving >= MIN_SAVING and situation.outlook.measured >= MIN_MEASURED
     orders = {}
     for place in sorted(missing, key=lambda p: (-missing[p], p)):
         if missing[place] <= 0 or has_enough(expected, need) and not is_worth_it:
