Drop the reports of past starts of peers

Cause: what a peer reported of its workspaces was kept under each of its starts. Change: reports older than their lifetime go when the next one comes.

--- a/wagtailfront/room/workspace_share.py
+++ b/wagtailfront/room/workspace_share.py
@@ -124,6 +124,12 @@
     def merge(self, digest, *, now):
         """Take what a peer admitted of each workspace."""
         if digest.workspace_work:
+            # Incarnations of past starts must not accumulate.
+            self.peers = {
+                incarnation: report
+                for incarnation, report in self.peers.items()
+                if now - report[0] <= PEER_LIFETIME
+            }
             report = {each.service: each.work_ms for each in digest.workspace_work}
             self.peers[digest.incarnation] = (now, report)
 
