--- a/wagtailfront/platform/calls.py
+++ b/wagtailfront/platform/calls.py
@@ -2,7 +2,7 @@
 
 from wagtailfront.transport.http_client import WholeResponse
 
-__all__ = ["call", "describe_failure"]
+__all__ = ["call", "describe_failure", "make_write_handler"]
 
 
 class _BoundedResponse(WholeResponse):
@@ -61,3 +61,26 @@
 def describe_failure(status, body):
     """Return why a call failed, from the arguments of its `reply`."""
     return f"status {status}" if status else str(body)
+
+
+def make_write_handler(reply, log, kind, **inputs):
+    """Return the handler of a write's response, which logs a failure.
+
+    Parameters
+    ----------
+    reply : callable
+        Gets whether the write took effect.
+    log : DecisionLog
+    kind : str
+        Of the line in the log.
+    **inputs
+        Further fields of that line.
+    """
+
+    def on_response(status, body):
+        if status != 200:
+            reason = describe_failure(status, body)
+            log.decision(kind, outcome="not written", **inputs, reason=reason)
+        reply(status == 200)
+
+    return on_response
--- a/wagtailfront/platform/part_store.py
+++ b/wagtailfront/platform/part_store.py
@@ -1,6 +1,6 @@
 """Table of prompt parts that are refused."""
 
-from wagtailfront.platform.calls import describe_failure
+from wagtailfront.platform.calls import make_write_handler
 
 __all__ = ["StoreRefusedParts"]
 
@@ -41,12 +41,4 @@
         self.client.remove(PART_TABLE, part, self._make_handler(part, reply))
 
     def _make_handler(self, part, reply):
-        def on_response(status, body):
-            if status != 200:
-                reason = describe_failure(status, body)
-                self.log.decision(
-                    "refused_parts", outcome="not written", part=part, reason=reason
-                )
-            reply(status == 200)
-
-        return on_response
+        return make_write_handler(reply, self.log, "refused_parts", part=part)
--- a/wagtailfront/platform/usage_store.py
+++ b/wagtailfront/platform/usage_store.py
@@ -6,7 +6,7 @@
 
 from wagtailfront.decoding import decode_json
 from wagtailfront.exception import ProtocolError
-from wagtailfront.platform.calls import describe_failure
+from wagtailfront.platform.calls import make_write_handler
 
 __all__ = ["StoreUsage"]
 
@@ -51,22 +51,11 @@
 
     def write(self, window, counts, removed, reply):
         """Write a sum on condition that there is none for the window."""
-
-        def on_response(status, body):
-            if status != 200:
-                self.log.decision(
-                    "usage_sums",
-                    outcome="not written",
-                    window=window,
-                    reason=describe_failure(status, body),
-                )
-            reply(status == 200)
-
         self.client.put(
             USAGE_TABLE,
             str(window),
             msgspec.json.encode(counts),
-            on_response,
+            make_write_handler(reply, self.log, "usage_sums", window=window),
             expected_ver=NO_ROW,
             removed=[str(each) for each in removed],
         )
