--- a/wagtailfront/callers/caller_server.py
+++ b/wagtailfront/callers/caller_server.py
@@ -10,7 +10,7 @@
 from wagtailfront.callers.reply import Reply
 from wagtailfront.callers.service_call import PREFIX, parse_service_call
 from wagtailfront.callers.workspace_access import find_workspace
-from wagtailfront.transport.http_server import HttpServer
+from wagtailfront.serving.http_server import HttpServer
 
 __all__ = ["CallerServer"]
 
@@ -28,11 +28,24 @@
         Maps paths to callables that return status, content type and body.
         Only the health checks under /health/ are served; other pages are
         for operators.
+    memory : IntakeMemory, optional
+    metrics : Metrics, optional
+        As of an HttpServer.
     """
 
     channel = "callers"
 
-    def __init__(self, *, bind, dispatcher, context=None, limits=None, pages=None):
+    def __init__(
+        self,
+        *,
+        bind,
+        dispatcher,
+        context=None,
+        limits=None,
+        pages=None,
+        memory=None,
+        metrics=None,
+    ):
         super().__init__()
         self.pages = {
             path: page
@@ -41,7 +54,12 @@
         }
         self.dispatcher = dispatcher
         self.server = HttpServer(
-            bind=bind, channel=self.channel, context=context, limits=limits
+            bind=bind,
+            channel=self.channel,
+            context=context,
+            limits=limits,
+            memory=memory,
+            metrics=metrics,
         ).register(self)
         self.started = int(time.time())
 
--- a/wagtailfront/callers/tests/test_end_to_end.py
+++ b/wagtailfront/callers/tests/test_end_to_end.py
@@ -128,20 +128,22 @@
 
 
 def test_pipelined_request_gets_no_wrong_answer(system):
-    """Guards against a pipelined request that gets the first one's answer."""
+    """Guards against a pipelined request that gets another one's answer."""
     instance, _engines, service = system
     connection = http.client.HTTPConnection("127.0.0.1", instance.port, timeout=20)
     connection.connect()
     head = "POST /services/member-ledger/slots HTTP/1.1\r\nHost: x\r\n"
     requests = [f"{head}Content-Length: 1\r\n\r\n{number}" for number in range(3)]
+    requests[-1] = requests[-1].replace("Host: x", "Host: x\r\nConnection: close")
     connection.sock.sendall("".join(requests).encode())
     received = b""
     while data := connection.sock.recv(65536):
         received += data
     connection.close()
-    assert received.count(b"HTTP/1.1 200") == 1
-    assert b'"body":"0"' in received
-    assert service.effects == {"0": 1}
+    assert received.count(b"HTTP/1.1 200") == 3
+    places = [received.index(b'"body":"%d"' % number) for number in range(3)]
+    assert places == sorted(places)
+    assert service.effects == {"0": 1, "1": 1, "2": 1}
 
 
 def test_late_lookup_is_hedged_and_bookings_are_not():
--- a/wagtailfront/forwarding/attempt.py
+++ b/wagtailfront/forwarding/attempt.py
@@ -3,7 +3,7 @@
 import functools
 
 from wagtailfront.forwarding.event_splitter import EventSplitter
-from wagtailfront.forwarding.framing import (
+from wagtailfront.transport.framing import (
     HOP_BY_HOP,
     encode_head,
     find_header,
--- a/wagtailfront/forwarding/endpoint_pool.py
+++ b/wagtailfront/forwarding/endpoint_pool.py
@@ -10,18 +10,18 @@
 from circuits.core.utils import findcmp
 
 from wagtailfront.forwarding.exchange import Exchange
-from wagtailfront.forwarding.framing import (
-    ResponseData,
-    ResponseHead,
-    ResponseReader,
-    find_header,
-)
 from wagtailfront.forwarding.reach_observer import NoObserver
 from wagtailfront.transport.client_socket import (
     IN_PROGRESS,
     new_client_socket,
     socket_error,
 )
+from wagtailfront.transport.framing import (
+    ResponseData,
+    ResponseHead,
+    ResponseReader,
+    find_header,
+)
 from wagtailfront.transport.ticker import Ticker
 
 __all__ = ["EndpointPool", "max_idle_connections"]
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -5,7 +5,6 @@
 
 from wagtailfront.decisions.crash_evidence import Decision, request_fingerprint
 from wagtailfront.forwarding.endpoint_choice import DECODE_STAGES
-from wagtailfront.forwarding.late_timers import call_after_reads
 from wagtailfront.forwarding.proxied_attempt import ProxyDispatch
 from wagtailfront.forwarding.proxy_headers import origin_headers, unreached_headers
 from wagtailfront.forwarding.request_dispatch import (
@@ -24,6 +23,7 @@
 from wagtailfront.forwarding.send_credit import SendCredit
 from wagtailfront.forwarding.silence_watch import SilenceWatch
 from wagtailfront.forwarding.stream_relay import StreamRelay
+from wagtailfront.transport.late_timers import call_after_reads
 
 __all__ = [
     "DEADLINE_GRACE",
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -6,7 +6,6 @@
 from collections import defaultdict
 
 from wagtailfront.forwarding.attempt_budget import AttemptBudget
-from wagtailfront.forwarding.caller_limits import LimitsInForce
 from wagtailfront.forwarding.forward_task import (
     DEADLINE_GRACE,
     OTHER_INSTANCE_RETRY_AFTER,
@@ -25,6 +24,7 @@
     refusal,
 )
 from wagtailfront.forwarding.routes import RouteTable, choose_service
+from wagtailfront.serving.caller_limits import LimitsInForce
 from wagtailfront.workspaces.key_check import KeyCheck, KeyedRequest, KeyRefusal
 
 __all__ = ["Forwarder", "AttemptBudgets", "PrefixCachesByService"]
@@ -290,5 +290,24 @@
             headers += unreached_headers()
         reply.answer(status, headers, body)
 
+    def refusal(self, status, retry_after=None):
+        """Return headers and body of an answer of the server itself."""
+        return self.context.dialect.refusal_headers(retry_after), b""
+
+    def request_id(self, request):
+        """Return the id of a request, or None if it is unreadable."""
+        try:
+            return self.context.dialect.read_request(request.headers).request_id
+        except ValueError:
+            return None
+
+    def log_fields(self, now):
+        """Return version and age of the configuration in force."""
+        config, applied_at = self.config, self.config_applied_at
+        return {
+            "config": None if config is None else config.version,
+            "config_age": None if applied_at is None else round(now - applied_at, 3),
+        }
+
     def _on_done(self, task):
         self.tasks.discard(task)
--- a/wagtailfront/forwarding/health_check.py
+++ b/wagtailfront/forwarding/health_check.py
@@ -1,6 +1,6 @@
 """Question to an endpoint whether it answers at all."""
 
-from wagtailfront.forwarding.framing import encode_head
+from wagtailfront.transport.framing import encode_head
 
 __all__ = ["ask_health"]
 
--- a/wagtailfront/forwarding/proxied_attempt.py
+++ b/wagtailfront/forwarding/proxied_attempt.py
@@ -2,13 +2,13 @@
 
 from wagtailfront.forwarding.attempt import RunAttempt, end_to_end_headers
 from wagtailfront.forwarding.endpoint_health import EndpointState
-from wagtailfront.forwarding.framing import encode_head, find_header, join_small
 from wagtailfront.forwarding.proxy_headers import (
     ProxyInstructions,
     instruction_headers,
     read_answer,
     without_proxy_headers,
 )
+from wagtailfront.transport.framing import encode_head, find_header, join_small
 
 __all__ = ["ProxiedAttempt", "ProxyDispatch"]
 
--- a/wagtailfront/forwarding/proxy_headers.py
+++ b/wagtailfront/forwarding/proxy_headers.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 from urllib.parse import quote, unquote
 
-from wagtailfront.forwarding.framing import find_header
+from wagtailfront.transport.framing import find_header
 
 __all__ = [
     "ProxyAnswer",
--- a/wagtailfront/forwarding/proxy_server.py
+++ b/wagtailfront/forwarding/proxy_server.py
@@ -1,7 +1,7 @@
 """Server for requests that peers cannot send to endpoints themselves."""
 
-from wagtailfront.forwarding.caller_server import ForwardServer
 from wagtailfront.forwarding.proxy_headers import read_instructions
+from wagtailfront.serving.connection_server import ConnectionServer
 
 __all__ = ["PeerRequests", "ProxyServer"]
 
@@ -27,14 +27,9 @@
         self.forwarder = forwarder
         self.context = forwarder.context
         self.limits = _PeerLimits(limits=forwarder.limits)
-
-    @property
-    def config(self):
-        return self.forwarder.config
-
-    @property
-    def config_applied_at(self):
-        return self.forwarder.config_applied_at
+        self.refusal = forwarder.refusal
+        self.request_id = forwarder.request_id
+        self.log_fields = forwarder.log_fields
 
     def accept(self, request, reply):
         """Start a peer's request; return its task, or None."""
@@ -49,19 +44,19 @@
         return self.forwarder.accept(request, reply, instructions)
 
 
-class ProxyServer(ForwardServer):
+class ProxyServer(ConnectionServer):
     """Accepts requests of peers that reach no endpoint of a service.
 
     Parameters
     ----------
     forwarder : Forwarder
     **options
-        As of a ForwardServer.
+        As of a ConnectionServer.
     """
 
     def __init__(self, *, forwarder, channel="proxy_server", **options):
         super().__init__(
-            forwarder=PeerRequests(forwarder=forwarder), channel=channel, **options
+            application=PeerRequests(forwarder=forwarder), channel=channel, **options
         )
 
     def _keeps_half_closed(self, sock):
--- a/wagtailfront/forwarding/routes.py
+++ b/wagtailfront/forwarding/routes.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from wagtailfront.serving.caller_limits import CallerLimits
 from wagtailfront.workspaces.keys import KeyedWorkspace
 
 __all__ = [
@@ -13,7 +14,6 @@
     "Route",
     "Scaling",
     "Service",
-    "CallerLimits",
     "RoutingConfig",
     "RouteTable",
     "choose_service",
@@ -162,15 +162,6 @@
     handle_lifetime: float = 0.0
 
 
-class CallerLimits(NamedTuple):
-    """Limits on callers' requests in bytes, and timeouts in seconds."""
-
-    max_head: int = 16384
-    max_body: int = 4 * 1024 * 1024
-    head_timeout: float = 3.0
-    idle_timeout: float = 15.0
-
-
 class RoutingConfig(NamedTuple):
     """One version of the routes, services, limits and workspaces.
 
--- a/wagtailfront/forwarding/shutdown.py
+++ b/wagtailfront/forwarding/shutdown.py
@@ -22,7 +22,7 @@
 
     Parameters
     ----------
-    servers : list of ForwardServer
+    servers : list of ConnectionServer
     forwarder : Forwarder
     timers : Timers
     grace : float
--- a/wagtailfront/forwarding/silence_watch.py
+++ b/wagtailfront/forwarding/silence_watch.py
@@ -1,8 +1,8 @@
 """Detection of endpoints that send no response for a while."""
 
-from wagtailfront.forwarding.late_timers import call_after_reads
 from wagtailfront.forwarding.placement import DECODE_ENGINE_PREFILL_RATE
 from wagtailfront.forwarding.routes import RequestKind
+from wagtailfront.transport.late_timers import call_after_reads
 
 __all__ = ["SilenceWatch"]
 
--- a/wagtailfront/forwarding/status_server.py
+++ b/wagtailfront/forwarding/status_server.py
@@ -2,9 +2,8 @@
 
 from typing import Any, NamedTuple
 
-from wagtailfront.forwarding.caller_limits import LimitsInForce
-from wagtailfront.forwarding.caller_server import ForwardServer
-from wagtailfront.forwarding.routes import CallerLimits
+from wagtailfront.serving.caller_limits import CallerLimits, LimitsInForce
+from wagtailfront.serving.connection_server import ConnectionServer
 
 __all__ = ["StatusServer"]
 
@@ -24,9 +23,7 @@
 
 
 class _Pages:
-    """Answers requests of pages in place of a Forwarder."""
-
-    config = config_applied_at = None
+    """Answers requests of pages; an Application."""
 
     def __init__(self, *, pages, context):
         self.pages = dict(pages)
@@ -44,8 +41,19 @@
             status, content_type, body = page()
         reply.answer(status, [(b"Content-Type", content_type.encode())], body)
 
+    def refusal(self, status, retry_after=None):
+        """Return headers and body of an answer of the server itself."""
+        return self.context.dialect.refusal_headers(retry_after), b""
+
+    def request_id(self, request):
+        """Return None, as requests of pages have no id."""
+
+    def log_fields(self, now):
+        """Return nothing, as pages follow from no configuration."""
+        return {}
+
 
-class StatusServer(ForwardServer):
+class StatusServer(ConnectionServer):
     """HTTP server of pages that are rendered on each GET.
 
     Parameters
@@ -55,14 +63,17 @@
         Maps a path to a function that returns status, content type and
         body.
     context : ForwardContext
+    memory : IntakeMemory
+        Shared by all ports of an instance.
     channel : str, optional
     """
 
-    def __init__(self, *, bind, pages, context, channel="status"):
+    def __init__(self, *, bind, pages, context, memory, channel="status"):
         fields = [getattr(context, name) for name in _PageContext._fields]
         super().__init__(
             bind=bind,
-            forwarder=_Pages(pages=pages, context=_PageContext(*fields)),
+            application=_Pages(pages=pages, context=_PageContext(*fields)),
             max_connections=MAX_CONNECTIONS,
+            memory=memory,
             channel=channel,
         )
--- a/wagtailfront/forwarding/tests/builders.py
+++ b/wagtailfront/forwarding/tests/builders.py
@@ -27,7 +27,6 @@
 from wagtailfront.forwarding.interfaces import PromptPart, RequestFields
 from wagtailfront.forwarding.peer_proxies import PeerProxies
 from wagtailfront.forwarding.rate_limits import RateLimits
-from wagtailfront.forwarding.request_reader import Request
 from wagtailfront.forwarding.routes import (
     RequestKind,
     Route,
@@ -38,6 +37,7 @@
 from wagtailfront.observe.metrics import Metrics
 from wagtailfront.platform.headers import PlatformDialect
 from wagtailfront.room.room_control import RoomControl
+from wagtailfront.serving.request_reader import Request
 
 REQUEST_ID = "r1"
 REPEAT_SHARE, REPEAT_WINDOW = 0.2, 10.0
--- a/wagtailfront/forwarding/tests/drawn_requests.py
+++ b/wagtailfront/forwarding/tests/drawn_requests.py
@@ -5,7 +5,7 @@
 
 from hypothesis import strategies as st
 
-from wagtailfront.forwarding.framing import LAST_CHUNK, encode_chunk, encode_head
+from wagtailfront.transport.framing import LAST_CHUNK, encode_chunk, encode_head
 
 __all__ = ["DrawnRequest", "conversations", "requests"]
 
--- a/wagtailfront/forwarding/tests/proxied_pair.py
+++ b/wagtailfront/forwarding/tests/proxied_pair.py
@@ -2,8 +2,7 @@
 
 from wagtailfront.forwarding.forwarder import Forwarder
 from wagtailfront.forwarding.proxy_server import PeerRequests
-from wagtailfront.forwarding.request_reader import RequestReader
-from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
+from wagtailfront.forwarding.routes import RoutingConfig
 from wagtailfront.forwarding.tests.builders import (
     FakeReply,
     Scene,
@@ -13,6 +12,8 @@
 )
 from wagtailfront.membership.messages import PlacementDigest
 from wagtailfront.platform.tests.wire import caller_headers
+from wagtailfront.serving.caller_limits import CallerLimits
+from wagtailfront.serving.request_reader import RequestReader
 
 __all__ = ["ProxiedPair"]
 
--- a/wagtailfront/forwarding/tests/socket_instance.py
+++ b/wagtailfront/forwarding/tests/socket_instance.py
@@ -5,10 +5,9 @@
 import time
 
 from wagtailfront.callers.tests.builders import running
-from wagtailfront.forwarding.caller_server import ForwardServer
 from wagtailfront.forwarding.endpoint_pool import EndpointPool
 from wagtailfront.forwarding.forwarder import Forwarder
-from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
+from wagtailfront.forwarding.routes import RoutingConfig
 from wagtailfront.forwarding.tests.builders import (
     SAFE,
     Scene,
@@ -18,6 +17,8 @@
 )
 from wagtailfront.forwarding.tests.scripted_endpoint import ScriptedEndpoint
 from wagtailfront.platform.tests.wire import signed_response as answer
+from wagtailfront.serving.caller_limits import CallerLimits
+from wagtailfront.serving.connection_server import ConnectionServer
 from wagtailfront.transport.timers import Timers
 
 TIMEOUT = 10.0  # seconds
@@ -53,8 +54,8 @@
         )
         self.forwarder = Forwarder(context=context)
         self.forwarder.apply_config(make_config(make_route(SAFE, timeout=3.0)))
-        self.server = ForwardServer(
-            bind=("127.0.0.1", 0), forwarder=self.forwarder, max_connections=50
+        self.server = ConnectionServer(
+            bind=("127.0.0.1", 0), application=self.forwarder, max_connections=50
         )
 
     @property
--- a/wagtailfront/forwarding/tests/test_caller_limits.py
+++ b/wagtailfront/forwarding/tests/test_caller_limits.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from wagtailfront.forwarding.routes import CallerLimits
 from wagtailfront.forwarding.tests.builders import make_route
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
@@ -14,6 +13,7 @@
     start_instances,
     wait_for,
 )
+from wagtailfront.serving.caller_limits import CallerLimits
 
 WIDE = CallerLimits(max_body=1000, max_head=2000, head_timeout=5.0, idle_timeout=5.0)
 NARROW = CallerLimits(max_body=10, max_head=100, head_timeout=0.1, idle_timeout=0.1)
--- a/wagtailfront/forwarding/tests/test_cut_answers.py
+++ b/wagtailfront/forwarding/tests/test_cut_answers.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from wagtailfront.forwarding.framing import ResponseEnd, ResponseReader
 from wagtailfront.forwarding.tests.builders import (
     SAFE,
     STREAMING,
@@ -23,6 +22,7 @@
     signed_head,
     signed_response,
 )
+from wagtailfront.transport.framing import ResponseEnd, ResponseReader
 
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in (1, 2, 3)]
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
--- a/wagtailfront/forwarding/tests/test_endless_answers.py
+++ b/wagtailfront/forwarding/tests/test_endless_answers.py
@@ -7,7 +7,6 @@
 from wagtailfront.forwarding import event_splitter
 from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.event_splitter import EventSplitter
-from wagtailfront.forwarding.framing import ResponseReader
 from wagtailfront.forwarding.tests.builders import (
     STREAMING,
     UNSAFE,
@@ -16,6 +15,7 @@
     make_route,
 )
 from wagtailfront.platform.tests.wire import EVENT_STREAM, SIGNED
+from wagtailfront.transport.framing import ResponseReader
 
 MIB = 1024 * 1024
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/wagtailfront/forwarding/tests/test_endpoint_resets.py
+++ b/wagtailfront/forwarding/tests/test_endpoint_resets.py
@@ -8,7 +8,6 @@
 import pytest
 
 from wagtailfront.forwarding.endpoint_pool import CONNECT_TIMEOUT
-from wagtailfront.forwarding.framing import LAST_CHUNK
 from wagtailfront.forwarding.tests.builders import SAFE, STREAMING, make_route
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
@@ -20,6 +19,7 @@
     wait_for,
 )
 from wagtailfront.platform.tests.wire import signed_head, signed_response
+from wagtailfront.transport.framing import LAST_CHUNK
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: %b\r\nContent-Length: %d\r\n\r\n"
 EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
--- a/wagtailfront/forwarding/tests/test_faulty_answers.py
+++ b/wagtailfront/forwarding/tests/test_faulty_answers.py
@@ -5,7 +5,6 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wagtailfront.forwarding.caller_reply import Reply
 from wagtailfront.forwarding.tests.builders import (
     STREAMING,
     UNSAFE,
@@ -23,6 +22,7 @@
     SIGNED,
     UNSIGNED,
 )
+from wagtailfront.serving.reply import Reply
 
 ENGINES = [make_record(f"d{number}", stage="decode") for number in range(4)]
 EVENT = b"id: %d\ndata: x\n\n"
--- a/wagtailfront/forwarding/tests/test_followers.py
+++ b/wagtailfront/forwarding/tests/test_followers.py
@@ -15,7 +15,7 @@
     StorePosition,
 )
 from wagtailfront.forwarding.registry_follower import RegistryFollower
-from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
+from wagtailfront.forwarding.routes import RoutingConfig
 from wagtailfront.forwarding.store_contact import StoreContact
 from wagtailfront.forwarding.store_versions import StoreVersions
 from wagtailfront.forwarding.store_watcher import StoreWatcher
@@ -31,6 +31,7 @@
     make_service,
 )
 from wagtailfront.platform.tests.wire import DEADLINE
+from wagtailfront.serving.caller_limits import CallerLimits
 
 ERA = 3
 
--- a/wagtailfront/forwarding/tests/test_framing.py
+++ b/wagtailfront/forwarding/tests/test_framing.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from wagtailfront.forwarding.framing import (
+from wagtailfront.serving.request_reader import RequestReader
+from wagtailfront.transport.framing import (
     ResponseData,
     ResponseEnd,
     ResponseHead,
     ResponseReader,
 )
-from wagtailfront.forwarding.request_reader import RequestReader
 from wagtailfront.transport.http_responses import MAX_FRAMING
 
 CHUNKED = b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/wagtailfront/forwarding/tests/test_half_closed_callers.py
+++ b/wagtailfront/forwarding/tests/test_half_closed_callers.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from wagtailfront.forwarding.half_closed_callers import PATIENCE, HalfClosedCallers
 from wagtailfront.forwarding.tests import endpoint_stream
 from wagtailfront.forwarding.tests.builders import (
     UNSAFE,
@@ -32,6 +31,7 @@
     wait_for,
 )
 from wagtailfront.platform.tests.wire import EVENT_STREAM, signed_response
+from wagtailfront.serving.half_closed_callers import PATIENCE, HalfClosedCallers
 from wagtailfront.transport.http_listener import CLOSED_BY_PEER
 
 SOON = 0.05  # seconds; less than an answer may take
--- a/wagtailfront/forwarding/tests/test_paused_endpoints.py
+++ b/wagtailfront/forwarding/tests/test_paused_endpoints.py
@@ -10,7 +10,7 @@
 
 from wagtailfront.forwarding.endpoint_pauses import MAX_PAUSE, EndpointPauses
 from wagtailfront.forwarding.forwarder import Forwarder
-from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
+from wagtailfront.forwarding.routes import RoutingConfig
 from wagtailfront.forwarding.tests.builders import (
     SAFE,
     STREAMING,
@@ -30,6 +30,7 @@
     SIGNED,
     retry_after_header,
 )
+from wagtailfront.serving.caller_limits import CallerLimits
 
 # A caller that waits for up to 3 s, and one that does not.
 PATIENT = make_route(target_latency=3.0, timeout=20.0)
--- a/wagtailfront/forwarding/tests/test_peer_proxies.py
+++ b/wagtailfront/forwarding/tests/test_peer_proxies.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from wagtailfront.forwarding.framing import find_header
 from wagtailfront.forwarding.proxy_headers import PREFIX
 from wagtailfront.forwarding.tests.builders import (
     SAFE,
@@ -24,6 +23,7 @@
     resumed_event,
     retry_after_header,
 )
+from wagtailfront.transport.framing import find_header
 
 RESUMABLE = make_route(STREAMING, is_resumable=True)
 EVENT = b"id: %d\ndata: x\n\n"
--- a/wagtailfront/forwarding/tests/test_shutdown.py
+++ b/wagtailfront/forwarding/tests/test_shutdown.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wagtailfront.forwarding.forwarder import Forwarder
-from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
+from wagtailfront.forwarding.routes import RoutingConfig
 from wagtailfront.forwarding.shutdown import BALANCER_DELAY, STOP_MARGIN, Shutdown
 from wagtailfront.forwarding.tests.builders import (
     UNSAFE,
@@ -17,6 +17,7 @@
     make_service,
 )
 from wagtailfront.platform.tests.wire import DEADLINE, NOT_RUN_UNNAMED
+from wagtailfront.serving.caller_limits import CallerLimits
 
 GRACE = 8.0
 
--- a/wagtailfront/forwarding/tests/test_sockets.py
+++ b/wagtailfront/forwarding/tests/test_sockets.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from wagtailfront.forwarding.framing import LAST_CHUNK
 from wagtailfront.forwarding.tests.builders import STREAMING, make_route
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
@@ -25,6 +24,7 @@
     refusal_response,
     signed_response as answer,
 )
+from wagtailfront.transport.framing import LAST_CHUNK
 
 ENDLESS_BYTES = 200 * 1024 * 1024
 
--- a/wagtailfront/forwarding/tests/test_upgrade_offers.py
+++ b/wagtailfront/forwarding/tests/test_upgrade_offers.py
@@ -5,8 +5,6 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wagtailfront.forwarding.framing import CONTINUE
-from wagtailfront.forwarding.request_reader import RequestReader
 from wagtailfront.forwarding.tests.builders import (
     UNSAFE,
     Scene,
@@ -22,6 +20,8 @@
     start_instances,
 )
 from wagtailfront.platform.tests.wire import SIGNED
+from wagtailfront.serving.request_reader import RequestReader
+from wagtailfront.transport.framing import CONTINUE
 
 OFFER = (
     b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
--- a/wagtailfront/forwarding/tests/test_version_sockets.py
+++ b/wagtailfront/forwarding/tests/test_version_sockets.py
@@ -6,7 +6,6 @@
 import pytest
 
 from wagtailfront.callers.tests.builders import running
-from wagtailfront.forwarding.framing import LAST_CHUNK, encode_head
 from wagtailfront.forwarding.tests.builders import STREAMING, make_record, make_route
 from wagtailfront.forwarding.tests.scripted_endpoint import ScriptedEndpoint
 from wagtailfront.forwarding.tests.socket_instance import (
@@ -19,6 +18,7 @@
     event_stream_headers,
     resumed_event,
 )
+from wagtailfront.transport.framing import LAST_CHUNK, encode_head
 
 RESUMABLE = make_route(STREAMING, is_resumable=True, timeout=3.0)
 
--- a/wagtailfront/forwarding/tests/versioned_fleet.py
+++ b/wagtailfront/forwarding/tests/versioned_fleet.py
@@ -3,7 +3,7 @@
 import re
 
 from wagtailfront.forwarding.forwarder import Forwarder
-from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
+from wagtailfront.forwarding.routes import RoutingConfig
 from wagtailfront.forwarding.tests.builders import (
     STREAMING,
     FakeExchange,
@@ -22,6 +22,7 @@
     refusal_headers,
     resumed_event,
 )
+from wagtailfront.serving.caller_limits import CallerLimits
 
 STEP = 0.08  # seconds
 STORE_DELAY = 0.01  # seconds
--- a/wagtailfront/operators/operator_server.py
+++ b/wagtailfront/operators/operator_server.py
@@ -27,7 +27,7 @@
 )
 from wagtailfront.operators.operator_tokens import read_tokens, token_digest
 from wagtailfront.outcome import Verdict
-from wagtailfront.transport.http_server import HttpServer, ServerLimits
+from wagtailfront.serving.http_server import HttpServer, ServerLimits
 from wagtailfront.transport.ticker import Ticker
 
 __all__ = [
@@ -114,6 +114,9 @@
         Health checks and metrics by path, served to GET without a token;
         each returns status, content type and body.
     context : ssl.SSLContext, optional
+    memory : IntakeMemory, optional
+    metrics : Metrics, optional
+        As of an HttpServer.
     channel : str
     clock : callable
         Returns monotonic seconds.
@@ -131,6 +134,8 @@
         read_burns=list,
         pages=None,
         context=None,
+        memory=None,
+        metrics=None,
         channel=channel,
         clock=time.monotonic,
     ):
@@ -151,6 +156,8 @@
             channel=channel,
             context=context,
             limits=ServerLimits(max_body=MAX_BODY, max_connections=200),
+            memory=memory,
+            metrics=metrics,
         ).register(self)
 
     @property
--- a/wagtailfront/platform/headers.py
+++ b/wagtailfront/platform/headers.py
@@ -8,13 +8,13 @@
 
 from wagtailfront.decoding import decode_json
 from wagtailfront.exception import ProtocolError
-from wagtailfront.forwarding.framing import find_header
 from wagtailfront.forwarding.interfaces import (
     PromptPart,
     RequestFields,
     ResponseFields,
 )
 from wagtailfront.platform.notices import read_notice
+from wagtailfront.transport.framing import find_header
 from wagtailfront.workspaces.keys import CONFLICTING_KEYS, key_digest
 
 __all__ = [
--- a/wagtailfront/platform/rows.py
+++ b/wagtailfront/platform/rows.py
@@ -13,7 +13,6 @@
 from wagtailfront.exception import ProtocolError
 from wagtailfront.forwarding.endpoint_directory import EndpointRecord
 from wagtailfront.forwarding.routes import (
-    CallerLimits,
     RequestKind,
     Route,
     RoutingConfig,
@@ -21,6 +20,7 @@
     Service,
     ServiceShare,
 )
+from wagtailfront.serving.caller_limits import CallerLimits
 from wagtailfront.workspaces.keys import KeyedWorkspace, key_digest
 
 __all__ = [
--- a/wagtailfront/programs/entry.py
+++ b/wagtailfront/programs/entry.py
@@ -7,11 +7,12 @@
 from circuits import BaseComponent
 
 from wagtailfront.exception import SettingsError
+from wagtailfront.intake.allocator import return_large_blocks
 from wagtailfront.membership.bus_keys import read_keys
 from wagtailfront.observe.log import start_logging
 from wagtailfront.operators.operator_server import read_tokens
 from wagtailfront.programs.entry_tree import EntrySettings, EntryTree
-from wagtailfront.programs.settings import Address, Name, Seconds, run
+from wagtailfront.programs.settings import Address, Name, Seconds, Size, run
 from wagtailfront.transport.supervisor import make_root
 from wagtailfront.transport.tls import ServerKeys, TlsReloader
 
@@ -35,6 +36,7 @@
     serve_unconfirmed_for: Seconds = 0.0,
     drain_grace: Seconds = 1.0,
     drain_timeout: Seconds = 30.0,
+    memory: Size | None = None,
     log_level: Literal["debug", "info", "warning", "error"] = "info",
     log_format: Literal["text", "json"] = "text",
 ):
@@ -75,12 +77,17 @@
         Seconds between reporting not ready and closing the listening sockets.
     drain_timeout : Seconds
         Seconds from SIGTERM until open requests are aborted.
+    memory : Size
+        Memory that the process may take; by default that of the machine, but
+        no more than 1024 MB. Of it 35% of what exceeds 48 MB is for callers'
+        and operators' requests and unread answers.
     log_level : str
         Least severe level that is logged.
     log_format : str
         Format of the log lines.
     """
     start_logging(level=log_level, form=log_format)
+    return_large_blocks()
     keys = _read_tls(tls_certificate, tls_key)
     settings = EntrySettings(
         instance=instance,
@@ -98,6 +105,7 @@
         serve_unconfirmed_for=serve_unconfirmed_for,
         drain_grace=drain_grace,
         drain_timeout=drain_timeout,
+        memory=memory,
     )
     root = make_root(BaseComponent())
     if keys is not None:
--- a/wagtailfront/programs/entry_tree.py
+++ b/wagtailfront/programs/entry_tree.py
@@ -19,6 +19,8 @@
 from wagtailfront.endpoints.engine_port import EnginePort
 from wagtailfront.endpoints.load_reporter import LoadReporter
 from wagtailfront.identifiers import new_id
+from wagtailfront.intake.intake_memory import IntakeMemory
+from wagtailfront.intake.shares import divide_memory, machine_memory
 from wagtailfront.membership.heartbeats import Heartbeats, member_broadcast
 from wagtailfront.membership.member_list_poller import MemberListPoller
 from wagtailfront.membership.peer_bus import PeerBus
@@ -46,7 +48,13 @@
 
 
 class EntrySettings(NamedTuple):
-    """Settings of one entry instance; addresses are (host, port)."""
+    """Settings of one entry instance; addresses are (host, port).
+
+    Attributes
+    ----------
+    memory : int or None
+        Bytes that the process may take; by default those of the machine.
+    """
 
     instance: str
     data_centre: str
@@ -63,6 +71,7 @@
     serve_unconfirmed_for: float = 0.0
     drain_grace: float = 1.0
     drain_timeout: float = 30.0
+    memory: int | None = None
 
 
 def boot_clock():
@@ -109,6 +118,8 @@
             freshness=freshness,
         )
         self.metrics = Metrics()
+        memory = settings.memory or machine_memory()
+        self.intake = IntakeMemory(shares=divide_memory(memory))
         self.scheduler = PolicyScheduler(
             instance=settings.instance, data_centre=settings.data_centre
         )
@@ -120,6 +131,7 @@
             may_dispatch=self.may_dispatch,
             read_config=lambda: self.replica.config,
             components=self.components,
+            intake=self.intake,
         )
 
     def may_dispatch(self, now=None):
@@ -292,6 +304,8 @@
             dispatcher=self.proxy("dispatcher"),
             context=self.settings.caller_context,
             pages=self.health.pages(),
+            memory=self.intake,
+            metrics=self.metrics,
         )
 
     def _make_operators(self):
@@ -303,6 +317,8 @@
             read_burns=self.read_burns,
             pages=self.health.pages(),
             context=self.settings.operator_context,
+            memory=self.intake,
+            metrics=self.metrics,
         )
 
     def _propose(self, **proposal):
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -13,7 +13,6 @@
 from wagtailfront.forwarding.begun_streams import StreamMemory
 from wagtailfront.forwarding.body_memory import BodyMemory
 from wagtailfront.forwarding.cache_inquiry import CacheInquiry
-from wagtailfront.forwarding.caller_server import ForwardServer
 from wagtailfront.forwarding.endpoint_directory import EndpointDirectory
 from wagtailfront.forwarding.endpoint_health import EndpointHealth
 from wagtailfront.forwarding.endpoint_notices import EndpointNotices
@@ -62,6 +61,7 @@
 from wagtailfront.platform.store_table import StoreTable
 from wagtailfront.programs.forward_duties import make_duties
 from wagtailfront.room.room_control import RoomControl
+from wagtailfront.serving.connection_server import ConnectionServer
 from wagtailfront.transport.http_client import HttpPool
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
 from wagtailfront.transport.timers import Timers
@@ -449,6 +449,7 @@
             bind=self.settings.status,
             pages={READY_PATH: self.ready},
             context=self.forwarder.context,
+            memory=self.intake,
         )
 
     def _make_metrics_server(self):
@@ -456,13 +457,14 @@
             bind=self.settings.metrics,
             pages={METRICS_PATH: self.render_metrics},
             context=self.forwarder.context,
+            memory=self.intake,
             channel="metrics",
         )
 
     def _make_callers(self):
-        self.server = ForwardServer(
+        self.server = ConnectionServer(
             bind=self.settings.callers,
-            forwarder=self.forwarder,
+            application=self.forwarder,
             max_connections=max(
                 1, self.settings.max_descriptors - RESERVED_DESCRIPTORS
             ),
--- a/wagtailfront/programs/health.py
+++ b/wagtailfront/programs/health.py
@@ -17,13 +17,15 @@
         Returns the applied configuration.
     components : mapping of str to component
         The instance's current components by name.
+    intake : IntakeMemory
     """
 
-    def __init__(self, *, metrics, may_dispatch, read_config, components):
+    def __init__(self, *, metrics, may_dispatch, read_config, components, intake):
         self.metrics = metrics
         self.may_dispatch = may_dispatch
         self.read_config = read_config
         self.components = components
+        self.intake = intake
         self.leaving = False
 
     def pages(self):
@@ -58,6 +60,7 @@
         """Return the metrics page."""
         self.metrics.set("config_version", self.read_config().version)
         self.metrics.set("config_confirmed", int(self.may_dispatch()))
+        self.metrics.set("intake_bytes", self.intake.total)
         self._set_component_metrics()
         return 200, "text/plain; version=0.0.4", self.metrics.render()
 
--- a/wagtailfront/programs/tests/caller_crowd.py
+++ b/wagtailfront/programs/tests/caller_crowd.py
@@ -2,13 +2,26 @@
 
 import contextlib
 import itertools
+import selectors
 import socket
 import threading
 from typing import Any, NamedTuple
 
 from wagtailfront.platform.tests.wire import signed_response
 
-__all__ = ["CROWDS", "Crowd", "CrowdRun", "answer_late", "answer_long"]
+__all__ = [
+    "CROWDS",
+    "ChunkFlood",
+    "Crowd",
+    "CrowdRun",
+    "answer_late",
+    "answer_long",
+    "body_in_pieces",
+    "large_chunks",
+    "length_head",
+    "open_connections",
+    "whole_body",
+]
 
 MEGABYTE = 1024 * 1024
 PIECE = b"x" * 65536
@@ -16,7 +29,7 @@
 SEND_TIMEOUT = 5.0  # seconds for one piece, until a caller gives up sending
 JOIN_TIMEOUT = 120.0  # seconds; ends a test whose callers never stop
 WORK_SECONDS = 0.3  # of an endpoint for one request
-HEAD = b"%b /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: c%d\r\n"
+HEAD = b"%b /services/orders/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: c%d\r\n"
 NUMBERS = itertools.count()
 SHORT = 100  # bytes that those who stop short leave out
 WHOLE_EACH = 10  # one of so many sends its whole request
@@ -195,6 +208,12 @@
             for caller in enumerate(self.sockets)
         ]
 
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_error):
+        self.close()
+
     def _connect(self, address):
         sock = socket.socket()
         # Answers that are not read must not vanish in a large buffer here.
@@ -227,3 +246,61 @@
     def close(self):
         for sock in self.sockets:
             sock.close()
+
+
+def open_connections(address, count, first=b""):
+    """Return connections to an address, each with a few bytes sent on it."""
+    connections = []
+    for _caller in range(count):
+        sock = socket.create_connection(address, timeout=JOIN_TIMEOUT)
+        with contextlib.suppress(OSError):  # it may be closed on arrival
+            sock.sendall(first)
+        connections.append(sock)
+    return connections
+
+
+class ChunkFlood:
+    """Connections that send chunks of one byte for as long as they are read.
+
+    Parameters
+    ----------
+    address : (str, int)
+    callers : int
+
+    Attributes
+    ----------
+    has_ended : bool
+        Whether none of the connections sends any more.
+    """
+
+    def __init__(self, *, address, callers):
+        self.connections = open_connections(address, callers, chunked_head())
+        self.has_ended = self.is_closing = False
+        self.thread = threading.Thread(target=self._send, daemon=True)
+
+    def __enter__(self):
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_error):
+        self.is_closing = True
+        self.thread.join(JOIN_TIMEOUT)
+        for sock in self.connections:
+            sock.close()
+
+    def _send(self):
+        chunks = b"1\r\nx\r\n" * (len(PIECE) // 6)
+        rests = dict.fromkeys(self.connections, b"")
+        with selectors.DefaultSelector() as selector:
+            for sock in self.connections:
+                sock.setblocking(False)
+                selector.register(sock, selectors.EVENT_WRITE)
+            while rests and not self.is_closing:
+                for key, _events in selector.select(timeout=SEND_TIMEOUT):
+                    sock, rest = key.fileobj, rests[key.fileobj] or chunks
+                    try:
+                        rests[sock] = rest[sock.send(rest) :]
+                    except OSError:
+                        selector.unregister(sock)
+                        del rests[sock]
+        self.has_ended = True
--- a/wagtailfront/programs/tests/conftest.py
+++ b/wagtailfront/programs/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures for tests of real processes."""
 
 import os
+import resource
 import subprocess
 import sys
 import urllib.request
@@ -13,10 +14,13 @@
 
 @pytest.fixture
 def process():
-    """Return a function that starts the program at a site, with options."""
+    """Return a function that starts the program at a site, with options.
+
+    `data_limit` is the process's RLIMIT_DATA in bytes.
+    """
     started = []
 
-    def start(site, **options):
+    def start(site, *, data_limit=resource.RLIM_INFINITY, **options):
         environ = {
             f"WAGTAILFRONT_{name.upper()}": f"127.0.0.1:{port}"
             for name, port in site.ports.items()
@@ -33,6 +37,9 @@
             [sys.executable, "-m", "wagtailfront.programs.forward"],
             env=os.environ | environ,
             stdout=subprocess.DEVNULL,
+            preexec_fn=lambda: resource.setrlimit(
+                resource.RLIMIT_DATA, (data_limit, resource.RLIM_INFINITY)
+            ),
         )
         started.append(child)
         wait_for(lambda: is_ready(site))
--- a/wagtailfront/programs/tests/test_callers_memory.py
+++ b/wagtailfront/programs/tests/test_callers_memory.py
@@ -4,63 +4,57 @@
 much as a processor handles and keeps hundreds of megabytes in its crowd.
 """
 
-import fcntl
-import pathlib
 import signal
-import tempfile
 import time
 
 import pytest
 
-from wagtailfront.programs.tests.caller_crowd import CROWDS, CrowdRun
+from wagtailfront.programs.tests.caller_crowd import (
+    CROWDS,
+    CrowdRun,
+)
 from wagtailfront.programs.tests.forward_site import (
     REQUEST,
     ForwardSite,
     free_port,
     read_answer,
 )
+from wagtailfront.programs.tests.process_bounds import (
+    MEGABYTE,
+    alone,
+    open_descriptors,
+    peak_memory,
+)
 
-LOCK = pathlib.Path(tempfile.gettempdir()) / "wagtailfront-callers-memory.lock"
-MEGABYTE = 1_000_000
-KIB = 1024
 MAX_DESCRIPTORS = 250  # open; the crowd, as many to endpoints, and its own
+DATA_HEADROOM = 100 * MEGABYTE  # that a limit of the process leaves
+USABLE_SHARE = 0.75  # of the headroom, until allocations may fail
 FROZEN_SECONDS = 2.0  # less than a caller waits for a piece to be taken
 UNREAD_SECONDS = 1.0  # until answers that are not read have piled up
 
 
 @pytest.fixture(autouse=True)
-def alone():
-    """Wait until no other test of this module runs."""
-    with LOCK.open("w") as file:
-        fcntl.flock(file, fcntl.LOCK_EX)
+def one_at_a_time():
+    """Keep tests with crowds apart."""
+    with alone():
         yield
 
 
-def peak_memory(pid):
-    """Return the largest resident size of a process in bytes."""
-    lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
-    (line,) = (line for line in lines if line.startswith("VmHWM:"))
-    return int(line.split()[1]) * KIB
-
-
-def open_descriptors(pid):
-    """Return the number of descriptors that a process has open."""
-    return len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir()))
-
-
 @pytest.fixture
 def start(process, tmp_path):
     """Return a function that starts an instance for a crowd."""
     sites = []
 
-    def begin(crowd):
+    def begin(crowd, **options):
         site = ForwardSite([crowd.endpoint])
         sites.append(site)
         site.ports["proxy"] = free_port()
         site.change(limits=crowd.limits)
-        settings = tmp_path / "settings"
-        settings.write_text(f"limits.memory-mb={crowd.memory_mb}\n")
-        return site, process(site, settings=str(settings))
+        if crowd.memory_mb is not None:
+            settings = tmp_path / "settings"
+            settings.write_text(f"limits.memory-mb={crowd.memory_mb}\n")
+            options["settings"] = str(settings)
+        return site, process(site, **options)
 
     yield begin
     for site in sites:
@@ -94,16 +88,21 @@
     run.close()
 
 
+def check_ordinary_request(site, child):
+    """Check that an instance lives and serves another caller."""
+    with site.connect() as connection:
+        connection.sendall(REQUEST % b"ordinary")
+        answer = read_answer(connection)
+    assert child.poll() is None
+    assert answer == (b"HTTP/1.1 200 OK", b"ok")
+
+
 def check_bounds(name, site, child):
     """Check what an instance takes, and that it serves another caller."""
     crowd = CROWDS[name]
     descriptors = open_descriptors(child.pid)
-    with site.connect() as connection:
-        connection.sendall(REQUEST % b"ordinary")
-        answer = read_answer(connection)
+    check_ordinary_request(site, child)
     peak = peak_memory(child.pid)
     print(f"{name}: peak {peak / MEGABYTE:.1f} MB, {descriptors} descriptors")
-    assert child.poll() is None
-    assert answer == (b"HTTP/1.1 200 OK", b"ok")
     assert descriptors < MAX_DESCRIPTORS
     assert peak < crowd.memory_mb * MEGABYTE
--- /dev/null
+++ b/wagtailfront/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Servers that read requests and write their responses."""
--- a/wagtailfront/forwarding/caller_limits.py
+++ b/wagtailfront/serving/caller_limits.py
@@ -1,20 +1,39 @@
 """Limits of callers that hold around a change of the configuration."""
 
-from wagtailfront.forwarding.routes import CallerLimits
+import math
+from typing import NamedTuple
 
-__all__ = ["LimitsInForce", "widest"]
+__all__ = ["CallerLimits", "LimitsInForce", "widest"]
 
 # Seconds after a change until all callers keep to the new limits.
 CHANGE_SECONDS = 10.0
 
 
+class CallerLimits(NamedTuple):
+    """Limits on callers' requests in bytes, and timeouts in seconds.
+
+    Attributes
+    ----------
+    head_timeout : float
+        Without a byte of a request that has begun.
+    request_timeout : float
+        From the first byte of a request to its last.
+    """
+
+    max_head: int = 16384
+    max_body: int = 4 * 1024 * 1024
+    head_timeout: float = 3.0
+    idle_timeout: float = 15.0
+    request_timeout: float = math.inf
+
+
 def widest(first, second):
     """Return the CallerLimits that permit all that either of two permits.
 
     Examples
     --------
-    >>> widest(CallerLimits(1, 2, 3.0, 4.0), CallerLimits(2, 1, 3.0, 5.0))
-    CallerLimits(max_head=2, max_body=2, head_timeout=3.0, idle_timeout=5.0)
+    >>> widest(CallerLimits(1, 2, 3.0, 4.0), CallerLimits(2, 1, 3.0, 5.0))[:4]
+    (2, 2, 3.0, 5.0)
     """
     if first is second:
         return first
--- a/wagtailfront/forwarding/caller_connection.py
+++ b/wagtailfront/serving/connection.py
@@ -3,8 +3,8 @@
 from collections import deque
 from typing import NamedTuple
 
-from wagtailfront.forwarding.caller_limits import widest
-from wagtailfront.forwarding.request_reader import Request, RequestReader
+from wagtailfront.serving.caller_limits import widest
+from wagtailfront.serving.request_reader import Request, RequestReader
 
 __all__ = ["CallerConnection", "ReceivedRequest"]
 
@@ -34,6 +34,8 @@
         Why this instance closes the connection.
     is_part_refused : bool
         Whether a request of which the rest may follow has been refused.
+    begun_at : float or None
+        Time of the first byte of a request that is not complete.
     has_ended_sending : bool
         Whether the caller sends no more, but may read its answers.
     written_at : float
@@ -54,6 +56,7 @@
         self.close_reason = None
         self.is_part_refused = False
         self.has_ended_sending = False
+        self.begun_at = None
         self.last_activity = self.written_at = now
         self.queued, self.queued_at = 0, now
 
@@ -74,9 +77,13 @@
 
     def receive(self, data, *, now):
         """Return the requests that `data` completes."""
+        requests = self.reader.feed(data)
+        if self.reader.is_between_requests:
+            self.begun_at = None
+        elif requests or self.begun_at is None:
+            self.begun_at = now
         return [
-            ReceivedRequest(request, now, request.held_bytes)
-            for request in self.reader.feed(data)
+            ReceivedRequest(request, now, request.held_bytes) for request in requests
         ]
 
     @property
--- a/wagtailfront/forwarding/caller_server.py
+++ b/wagtailfront/serving/connection_server.py
@@ -1,4 +1,4 @@
-"""Server for callers' HTTP connections."""
+"""Server of HTTP connections, for each port that takes requests."""
 
 import itertools
 import logging
@@ -6,30 +6,31 @@
 
 from circuits import BaseComponent, Event, handler
 
-from wagtailfront.forwarding.caller_connection import CallerConnection
-from wagtailfront.forwarding.caller_limits import widest
-from wagtailfront.forwarding.caller_reply import Reply
-from wagtailfront.forwarding.framing import (
-    CONTINUE,
-    encode_head,
-    status_line,
-)
-from wagtailfront.forwarding.half_closed_callers import HalfClosedCallers
-from wagtailfront.forwarding.unanswered_log import UnansweredLog
 from wagtailfront.intake.connection_intake import IntakeGate
 from wagtailfront.intake.giving_way import SMALL_BYTES
 from wagtailfront.intake.intake_memory import IntakeMemory
 from wagtailfront.intake.shares import divide_memory, machine_memory
+from wagtailfront.serving.caller_limits import widest
+from wagtailfront.serving.connection import CallerConnection
+from wagtailfront.serving.half_closed_callers import HalfClosedCallers
+from wagtailfront.serving.reply import Reply
+from wagtailfront.serving.unanswered_log import UnansweredLog
+from wagtailfront.transport.framing import (
+    CONTINUE,
+    encode_head,
+    status_line,
+)
 from wagtailfront.transport.http_listener import CLOSED_HERE, SLOW_PEER, HttpListener
 from wagtailfront.transport.server_limits import ServerLimits
 from wagtailfront.transport.ticker import Ticker
 
-__all__ = ["ForwardServer"]
+__all__ = ["ConnectionServer"]
 
 logger = logging.getLogger(__name__)
 
 SWEEP_INTERVAL = 0.5  # seconds between checks for slow and idle callers
 BAD_GATEWAY = 502  # does not say whether the request has run
+REQUEST_TIMEOUT = 408
 # Seconds in which a caller reads the refusal of a request that it still sends.
 LINGER_SECONDS = 1.0
 MAX_UNREAD_SECONDS = 30.0  # for which a caller may read nothing of an answer
@@ -44,17 +45,20 @@
     """Close connections that are idle or send too slowly."""
 
 
-class ForwardServer(BaseComponent):
-    """Accepts callers' connections and passes requests to the forwarder.
+class ConnectionServer(BaseComponent):
+    """Accepts connections and passes their requests to an application.
 
     Parameters
     ----------
     bind : (str, int)
         Address and port.
-    forwarder : Forwarder
+    application : Application
     max_connections : int
     memory : IntakeMemory, optional
         Shared by all ports of an instance; by default that of the machine.
+    channel : str, optional
+    context : ssl.SSLContext, optional
+        Serves TLS when given.
     clock : callable, optional
     """
 
@@ -62,29 +66,30 @@
         self,
         *,
         bind,
-        forwarder,
+        application,
         max_connections,
         memory=None,
-        channel="forward_server",
+        channel="connection_server",
+        context=None,
         clock=time.monotonic,
     ):
         super().__init__(channel=channel)
-        self.forwarder = forwarder
+        self.application = application
         self.clock = clock
         self.connections = {}
-        self.unanswered = UnansweredLog(forwarder=forwarder, clock=clock)
+        self.unanswered = UnansweredLog(application=application, clock=clock)
         self.is_draining = False
         self.http = self  # HttpListener passes received bytes to `parent.http`
         limits = ServerLimits(max_connections=max_connections)
         self.listener = HttpListener(
             bind,
             channel=channel,
-            context=None,
+            context=context,
             limits=limits,
             keeps_half_closed=self._keeps_half_closed,
         ).register(self)
         self.half_closed = HalfClosedCallers(
-            listener=self.listener, timers=forwarder.context.timers, clock=clock
+            listener=self.listener, timers=application.context.timers, clock=clock
         )
         self.listener.on_flushed = self._on_flushed
         self.listener.on_queued = self._on_queued
@@ -93,7 +98,7 @@
             listener=self.listener,
             refuse=self._refuse,
             close_slow=lambda each: self.listener.reset(each.sock, SLOW_PEER),
-            context=forwarder.context,
+            context=application.context,
             clock=clock,
         )
         Ticker(interval=SWEEP_INTERVAL, make_event=sweep, target=channel).register(self)
@@ -101,12 +106,8 @@
     def receive(self, sock, data):
         """Parse bytes received from a caller."""
         now = self.clock()
-        limits = self.forwarder.limits.at(now)
-        connection = self.connections.get(sock)
-        if connection is None:
-            connection = CallerConnection(sock=sock, limits=limits, now=now)
-            connection.intake = self.intake.open(connection)
-            self.connections[sock] = connection
+        limits = self.application.limits.at(now)
+        connection = self.connections.get(sock) or self._open(sock)
         connection.last_activity = now
         if connection.is_closing:
             self._drop(connection, data)
@@ -116,6 +117,21 @@
         if connection.intake.update():
             self._serve_next(connection)
 
+    @handler("connect")
+    def _on_connect(self, sock, *_address):
+        # Its bytes, or its end, may have been read already.
+        if sock in self.listener.clients and sock not in self.connections:
+            self._open(sock)
+
+    def _open(self, sock):
+        """Return the state of a new connection."""
+        now = self.clock()
+        limits = self.application.limits.at(now)
+        connection = CallerConnection(sock=sock, limits=limits, now=now)
+        connection.intake = self.intake.open(connection)
+        self.connections[sock] = connection
+        return connection
+
     def _keeps_half_closed(self, sock):
         """Return whether to keep a connection whose caller sends no more."""
         connection = self.connections.get(sock)
@@ -177,7 +193,7 @@
     def _serve(self, connection, request):
         reply = Reply(server=self, connection=connection, request=request)
         try:
-            task = self.forwarder.accept(request, reply)
+            task = self.application.accept(request, reply)
         except Exception:
             # A fault in one request must not stop the whole server.
             logger.exception("[callers] Failed to start a request.")
@@ -195,19 +211,21 @@
         if connection.waiting:
             connection.take_next()
             connection.current = None  # the refusal is its answer
-        headers = self.forwarder.context.dialect.refusal_headers(retry_after)
-        self._answer_failure(connection, status, headers)
+        self._answer_failure(connection, status, retry_after)
         connection.reader.give_up(status, "no memory")
         self._record_unanswered(connection)
 
-    def _answer_failure(self, connection, status, headers=()):
-        headers = [*headers, (b"Content-Length", b"0"), (b"Connection", b"close")]
-        self.listener.write(connection.sock, encode_head(status_line(status), headers))
+    def _answer_failure(self, connection, status, retry_after=None):
+        headers, body = self.application.refusal(status, retry_after)
+        length = (b"Content-Length", b"%d" % len(body))
+        headers = [*headers, length, (b"Connection", b"close")]
+        head = encode_head(status_line(status), headers)
+        self.listener.write(connection.sock, head + body)
         connection.is_part_refused = not connection.reader.is_between_requests
         self._start_closing(connection, AFTER_REFUSAL)
         # Closing with unread bytes would reset it, answer included.
         self.listener.end_writing(connection.sock)
-        self.forwarder.context.timers.after(
+        self.application.context.timers.after(
             LINGER_SECONDS, lambda: self._close(connection, AFTER_REFUSAL)
         )
 
@@ -222,7 +240,7 @@
         connection.last_activity = self.clock()
         if keep_alive:
             # Deferred: the task that has just answered is still ending.
-            self.forwarder.context.timers.after(
+            self.application.context.timers.after(
                 0.0, lambda: self._serve_next(connection)
             )
         else:
@@ -287,7 +305,10 @@
                 if connection.reader.is_between_requests:
                     self._close(connection, IDLE)
                 else:
-                    self._answer_failure(connection, 408)
+                    self._answer_failure(connection, REQUEST_TIMEOUT)
+            elif self._is_too_long(connection):
+                self._answer_failure(connection, REQUEST_TIMEOUT)
+        self.listener.abort_late_handshakes()
 
     def _is_overdue(self, connection):
         """Return whether a connection has been without bytes for too long."""
@@ -297,11 +318,18 @@
         if self._is_reading_answer(connection):
             connection.last_activity = now
             return False
-        limits = widest(self.forwarder.limits.at(now), connection.limits)
+        limits = widest(self.application.limits.at(now), connection.limits)
         is_idle = connection.reader.is_between_requests
         limit = limits.idle_timeout if is_idle else limits.head_timeout
         return now - connection.last_activity > limit
 
+    def _is_too_long(self, connection):
+        """Return whether a caller has sent at one request for too long."""
+        if connection.begun_at is None or connection.is_closing:
+            return False
+        limits = widest(self.application.limits.at(self.clock()), connection.limits)
+        return self.clock() - connection.begun_at > limits.request_timeout
+
     def _is_stalled(self, connection):
         """Return whether a caller has read nothing of its answer for long."""
         now, queued = self.clock(), self.listener.queued.get(connection.sock, 0)
--- a/wagtailfront/forwarding/half_closed_callers.py
+++ b/wagtailfront/serving/half_closed_callers.py
@@ -1,7 +1,7 @@
 """Callers that ended their sending side before their answer was complete."""
 
-from wagtailfront.forwarding.late_timers import call_after_reads
 from wagtailfront.transport.http_listener import CLOSED_BY_PEER, RESET_BY_PEER
+from wagtailfront.transport.late_timers import call_after_reads
 
 __all__ = ["HalfClosedCallers"]
 
--- a/wagtailfront/forwarding/caller_reply.py
+++ b/wagtailfront/serving/reply.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from wagtailfront.forwarding.framing import (
+from wagtailfront.transport.framing import (
     LAST_CHUNK,
     encode_chunk,
     encode_head,
--- a/wagtailfront/forwarding/request_reader.py
+++ b/wagtailfront/serving/request_reader.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from wagtailfront.forwarding.framing import (
+from wagtailfront.transport.framing import (
     FramingError,
     MessageHead,
     encode_head,
--- a/wagtailfront/transport/tests/test_http_server.py
+++ b/wagtailfront/serving/tests/test_http_server.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP server and client with invalid and slow peers."""
 
 import contextlib
+import itertools
+import select
 import socket
 import threading
 import time
@@ -10,9 +12,9 @@
 from hypothesis import given, settings, strategies as st
 
 from wagtailfront.callers.tests.builders import running
+from wagtailfront.serving.http_server import HttpServer, ServerLimits
 from wagtailfront.transport import http_exchange
 from wagtailfront.transport.http_client import HttpPool, WholeResponse
-from wagtailfront.transport.http_server import HttpServer, ServerLimits
 
 LIMITS = ServerLimits(max_head=2000, max_body=4000, head_timeout=0.1, idle_timeout=0.1)
 DIALOGUE_TIMEOUT = 10.0  # seconds
@@ -26,6 +28,7 @@
     def __init__(self):
         super().__init__()
         self.requests = 0
+        self.headers = {}
         self.server = HttpServer(
             bind=("127.0.0.1", 0), channel=self.channel, limits=LIMITS
         ).register(self)
@@ -33,6 +36,7 @@
     @handler("request")
     def _on_request(self, req, res):
         self.requests += 1
+        self.headers = req.headers
         res.body = req.body.read() or b"empty"
         return res
 
@@ -67,7 +71,16 @@
     [
         (b"nonsense\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\n\r\n", 400),
-        (b"GET / HTTP/1.1\r\nHost: a\r\nX: a\\r\\nY: b\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: a\rY: b\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: a\x01b\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: a\x7fb\r\n\r\n", 400),
+        (b"GET http://[ HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: a:b\r\n\r\n", 400),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+            b"0\r\n\r\n",
+            501,
+        ),
         (b"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400),
         (
             b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
@@ -116,19 +129,48 @@
     send_and_read(echo, b"".join(garbage))
     assert send_and_read(echo, VALID_LAST_REQUEST).endswith(b"ok")
     limit = time.monotonic() + DIALOGUE_TIMEOUT
-    http = echo.server.http
-    while (http.incoming or http._clients) and time.monotonic() < limit:
+    server, exchanges = echo.server.server, echo.server.application.exchanges
+    while (server.connections or exchanges) and time.monotonic() < limit:
         time.sleep(0.001)
-    assert not http.incoming
-    assert not http._clients
+    assert not server.connections
+    assert not exchanges
+    assert not server.intake.memory.holders
+
+
+def test_escapes_in_a_header_stay_as_they_are(echo):
+    """Guards against a line break that is decoded from a header's value."""
+    escaped = VALID_LAST_REQUEST.replace(b"Host: a", b"Host: a\r\nX: a\\r\\nY: b")
+    assert send_and_read(echo, escaped).endswith(b"ok")
+    assert echo.headers["X"] == "a\\r\\nY: b"
+    assert "Y" not in echo.headers
 
 
 def test_slow_sender_is_closed(echo):
     """Guards against connections held open by a request that never ends."""
+    before = echo.requests
+    assert send_and_read(echo, VALID_REQUEST[:20]).startswith(b"HTTP/1.1 408 ")
+    assert echo.requests == before
+
+
+def test_a_sender_of_single_bytes_is_closed(echo):
+    """Guards against a request that goes on slowly and never ends."""
     address = ("127.0.0.1", echo.server.port)
     with socket.create_connection(address, timeout=DIALOGUE_TIMEOUT) as connection:
-        connection.sendall(VALID_REQUEST[:20])
-        assert connection.recv(10) == b""
+        with contextlib.suppress(OSError):
+            for byte in itertools.chain(VALID_REQUEST[:20], itertools.repeat(65)):
+                connection.sendall(bytes([byte]))
+                time.sleep(LIMITS.head_timeout / 4)
+                if select.select([connection], [], [], 0)[0]:
+                    break
+        assert connection.recv(100).startswith(b"HTTP/1.1 408 ")
+
+
+def test_pipelined_requests_are_answered_in_order(echo):
+    """Guards against an answer for the wrong request, or none."""
+    first = VALID_REQUEST.replace(b"ok", b"1.")
+    answers = send_and_read(echo, first + VALID_LAST_REQUEST)
+    assert answers.count(b"HTTP/1.1 200 OK") == 2
+    assert answers.index(b"1.") < answers.index(b"ok")
 
 
 def fetch(port, *, context=None, **options):
@@ -233,3 +275,36 @@
     with slow_server(parts=50, gap=0.1) as port:
         status, reason, _sent = fetch(port, timeout=0.5, stall_timeout=0.5)
     assert (status, reason.split(" with")[0]) == (None, "timed out")
+
+
+class Stalling(BaseComponent):
+    """Answers each request, and blocks its event loop for /stall."""
+
+    channel = "stalling"
+
+    def __init__(self):
+        super().__init__()
+        self.server = HttpServer(
+            bind=("127.0.0.1", 0), channel=self.channel, limits=LIMITS
+        ).register(self)
+
+    @handler("request")
+    def _on_request(self, req, res):
+        if req.path == "/stall":
+            time.sleep(10 * LIMITS.idle_timeout)
+        res.body = b"ok"
+        return res
+
+
+def test_what_arrives_during_a_stall_is_answered():
+    """Guards a request against a close as idle before it is read."""
+    component = Stalling()
+    with running(component):
+        address = ("127.0.0.1", component.server.port)
+        with socket.create_connection(address, timeout=DIALOGUE_TIMEOUT) as waiting:
+            time.sleep(0.75 * LIMITS.idle_timeout)  # a check sees it as idle
+            with socket.create_connection(address) as stalling:
+                stalling.sendall(b"GET /stall HTTP/1.1\r\nHost: a\r\n\r\n")
+                time.sleep(2 * LIMITS.idle_timeout)
+                waiting.sendall(VALID_REQUEST)
+                assert waiting.recv(100).startswith(b"HTTP/1.1 200 ")
--- a/wagtailfront/forwarding/unanswered_log.py
+++ b/wagtailfront/serving/unanswered_log.py
@@ -8,14 +8,14 @@
 
     Parameters
     ----------
-    forwarder : Forwarder
+    application : Application
     clock : callable
         Returns monotonic seconds.
     """
 
-    def __init__(self, *, forwarder, clock):
-        self.forwarder = forwarder
-        self.context = forwarder.context
+    def __init__(self, *, application, clock):
+        self.application = application
+        self.context = application.context
         self.clock = clock
 
     def record(self, received, *, reason, state):
@@ -30,24 +30,16 @@
             How far the request had come, from a closed set.
         """
         now = self.clock()
-        config, applied_at = self.forwarder.config, self.forwarder.config_applied_at
         self.context.metrics.count("unanswered_requests_total", reason=reason)
         self.context.log.decision(
             "unanswered",
-            request=self._request_id(received.request),
+            request=self.application.request_id(received.request),
             outcome=reason,
             state=state,
             age=round(now - received.read_at, 4),
-            config=None if config is None else config.version,
-            config_age=None if applied_at is None else round(now - applied_at, 3),
+            **self.application.log_fields(now),
         )
 
     def record_bytes(self, size, *, reason):
         """Record bytes on a closing connection that were not parsed."""
         self.context.log.decision("unserved", outcome=reason, size=size)
-
-    def _request_id(self, request):
-        try:
-            return self.context.dialect.read_request(request.headers).request_id
-        except ValueError:
-            return None  # unreadable headers, which would have got status 400
--- a/wagtailfront/standins/engine.py
+++ b/wagtailfront/standins/engine.py
@@ -19,8 +19,8 @@
     EngineOrder,
 )
 from wagtailfront.identifiers import new_id
+from wagtailfront.serving.http_server import HttpServer
 from wagtailfront.standins.engine_text import answer_length, answer_tokens
-from wagtailfront.transport.http_server import HttpServer
 from wagtailfront.transport.sse import DONE, format_event
 
 __all__ = ["EngineSettings", "StandinEngine"]
--- a/wagtailfront/standins/platform.py
+++ b/wagtailfront/standins/platform.py
@@ -17,6 +17,7 @@
     Rate,
     Seconds,
 )
+from wagtailfront.serving.http_server import HttpServer
 from wagtailfront.standins.fault_plan import FaultPlan, RateLimit, parse_fault
 from wagtailfront.standins.http_message import HttpReply, HttpRequest, json_reply
 from wagtailfront.standins.instance_list import InstanceList
@@ -26,7 +27,6 @@
     error_reply,
     operation_name,
 )
-from wagtailfront.transport.http_server import HttpServer
 
 __all__ = ["StandinPlatform", "platform"]
 
--- a/wagtailfront/standins/service.py
+++ b/wagtailfront/standins/service.py
@@ -6,7 +6,7 @@
 from circuits import BaseComponent, Event, Timer, handler
 from circuits.web.events import response
 
-from wagtailfront.transport.http_server import HttpServer
+from wagtailfront.serving.http_server import HttpServer
 
 __all__ = ["StandinService"]
 
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -114,6 +114,12 @@
         self._poller.discard(sock)
         self._on_accept_done(sock)
 
+    def abort_late_handshakes(self):
+        """Close the connections whose TLS handshake takes too long."""
+        now = time.monotonic()
+        for sock in [each for each, until in self.handshakes.items() if now > until]:
+            self.abort_handshake(sock)
+
     def abort_handshake(self, sock):
         """Close a connection whose TLS handshake failed or timed out."""
         self.handshakes.pop(sock, None)
@@ -168,6 +174,14 @@
         for sock in [*self._clients, *self.handshakes, self._sock]:
             self.pause_reading(sock)
 
+    def stop_listening(self):
+        """Accept no further connections; open ones stay open."""
+        if self._sock is not None:
+            # The poller is unknown until the first event.
+            if self._poller is not None:
+                self._poller.discard(self._sock)
+            self._sock.close()
+
     def is_reset(self, sock):
         """Return whether a connection that sends no more has been reset."""
         try:
@@ -191,8 +205,10 @@
 
     def end_writing(self, sock):
         """Send FIN after what was written; further bytes are still read."""
-        # Queued bytes are followed by FIN when the connection is closed.
-        if sock in self._clients and not self._buffers[sock]:
+        # Queued bytes are followed by FIN when the connection is closed. A
+        # TLS connection can't be read any more once it is shut down.
+        is_plain = not isinstance(sock, ssl.SSLSocket)
+        if is_plain and sock in self._clients and not self._buffers[sock]:
             try:
                 sock.shutdown(socket.SHUT_WR)
             except OSError as error:
--- a/wagtailfront/transport/tests/test_half_closed_peers.py
+++ b/wagtailfront/transport/tests/test_half_closed_peers.py
@@ -7,7 +7,7 @@
 from circuits import BaseComponent, handler
 
 from wagtailfront.callers.tests.builders import running
-from wagtailfront.transport.http_server import HttpServer
+from wagtailfront.serving.http_server import HttpServer
 
 
 class Application(BaseComponent):
--- a/wagtailfront/transport/tests/test_listener_restart.py
+++ b/wagtailfront/transport/tests/test_listener_restart.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from wagtailfront.transport.http_server import HttpServer
+from wagtailfront.serving.http_server import HttpServer
 from wagtailfront.transport.tests.event_loop import EventLoop
 
 IDLE_TICKS = 20
--- a/wagtailfront/transport/tests/test_slow_readers.py
+++ b/wagtailfront/transport/tests/test_slow_readers.py
@@ -6,8 +6,8 @@
 
 from wagtailfront.callers.tests.builders import running
 from wagtailfront.forwarding.tests.socket_instance import wait_for
+from wagtailfront.serving.http_server import HttpServer, ServerLimits
 from wagtailfront.transport import http_listener
-from wagtailfront.transport.http_server import HttpServer, ServerLimits
 
 MIB = 1024 * 1024
 CALLERS = 8
--- a/wagtailfront/transport/tests/test_split_reads.py
+++ b/wagtailfront/transport/tests/test_split_reads.py
@@ -7,9 +7,9 @@
 from circuits import BaseComponent, handler
 from hypothesis import given, strategies as st
 
+from wagtailfront.serving.http_server import HttpServer
 from wagtailfront.transport.http_client import Exchange, WholeResponse
 from wagtailfront.transport.http_responses import MAX_FRAMING
-from wagtailfront.transport.http_server import HttpServer
 from wagtailfront.transport.tests.event_loop import EventLoop
 
 BODY = b"two words"
@@ -120,13 +120,19 @@
     for cut in range(1, len(whole) - 2):
         with socket.create_connection(address) as sock:
             sock.sendall(whole[:cut])
-            root.wait_for(lambda: echo.server.http.incoming)
+            root.wait_for(lambda: has_part(echo.server.server))
             sock.sendall(whole[cut:])
             sock.setblocking(False)
             answer = root.wait_for(lambda sock=sock: try_read(sock))
             assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
             assert answer.endswith(BODY)
-        root.wait_for(lambda: not echo.server.http.incoming)
+        root.wait_for(lambda: not echo.server.server.connections)
+
+
+def has_part(server):
+    """Return whether a server has read a part of a request."""
+    connections = server.connections.values()
+    return any(not each.is_idle or each.reader.bytes_read for each in connections)
 
 
 def try_read(sock):
--- a/wagtailfront/transport/tests/test_tls.py
+++ b/wagtailfront/transport/tests/test_tls.py
@@ -8,8 +8,8 @@
 
 from wagtailfront.callers.tests.builders import running
 from wagtailfront.exception import SettingsError
-from wagtailfront.transport.http_server import HttpServer
-from wagtailfront.transport.tests.test_http_server import Echo, fetch
+from wagtailfront.serving.http_server import HttpServer
+from wagtailfront.serving.tests.test_http_server import Echo, fetch
 from wagtailfront.transport.tls import ServerKeys, client_context
 
 
--- a/wagtailfront/workspaces/tests/builders.py
+++ b/wagtailfront/workspaces/tests/builders.py
@@ -1,8 +1,7 @@
 """Builders and fakes for the tests of keys."""
 
 from wagtailfront.forwarding.forwarder import Forwarder
-from wagtailfront.forwarding.request_reader import RequestReader
-from wagtailfront.forwarding.routes import CallerLimits, RoutingConfig
+from wagtailfront.forwarding.routes import RoutingConfig
 from wagtailfront.forwarding.tests.builders import (
     FakeReply,
     Scene,
@@ -14,6 +13,8 @@
 from wagtailfront.membership.messages import PlacementDigest
 from wagtailfront.platform.tests.restored_store import Follower, publish_config
 from wagtailfront.platform.tests.wire import tenants
+from wagtailfront.serving.caller_limits import CallerLimits
+from wagtailfront.serving.request_reader import RequestReader
 from wagtailfront.workspaces.keys import KeyedWorkspace, key_digest
 
 __all__ = [
