Read connections whose requests are dear to parse in turns

Callers saw: while 1,000 connections send chunks of one byte, three ordinary requests in a row got no answer (60 s each, also at the entry program).

Cause: each readable connection was read 64 KB in every pass of the event loop, whatever those bytes cost. In chunks of one byte they take 3.6 ms, so a pass over 1,000 connections took seconds, and a request takes several passes. One connection was accepted in each pass.

Change: in the listener of both programs a connection whose request has cost more than 256 KiB to read (a part of a body counts as 64 bytes) waits for a turn; one pass of turns costs 1 MiB. All others are read as soon as bytes arrive, so a new request waits for one pass at most. Half of the cost of framing stays with a connection whose request is complete. Reads are of 16 KiB, or 64 KiB where bodies come in large parts. 64 connections are accepted in a pass. A connection that waits for its turn is not overdue. No client is refused by this. reads_waiting counts those that wait.

--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -62,6 +62,12 @@
         "Callers' connections refused or closed as their memory was full.",
         ("outcome",),
     ),
+    (
+        Gauge,
+        "reads_waiting",
+        "Callers' connections that wait for their turn to be read.",
+        (),
+    ),
     (Gauge, "rate_limited_endpoints", "Endpoints that name a rate limit.", ()),
     (Gauge, "leaving_endpoints", "Registered endpoints that said they leave.", ()),
     (Gauge, "paused_endpoints", "Endpoints that asked for a pause.", ()),
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -615,6 +615,8 @@
             age = self.config_age.age()
             self.metrics.set("config_age_seconds", -1 if age == math.inf else age)
         self.metrics.set("intake_bytes", self.intake.total)
+        if self.server is not None:
+            self.metrics.set("reads_waiting", len(self.server.listener.turns.waiting))
         self.metrics.set(
             "rate_limited_endpoints", self.forwarder.context.rate_limits.count_limited()
         )
--- a/wagtailfront/programs/health.py
+++ b/wagtailfront/programs/health.py
@@ -61,6 +61,8 @@
         self.metrics.set("config_version", self.read_config().version)
         self.metrics.set("config_confirmed", int(self.may_dispatch()))
         self.metrics.set("intake_bytes", self.intake.total)
+        turns = self.components["callers"].server.listener.turns
+        self.metrics.set("reads_waiting", len(turns.waiting))
         self._set_component_metrics()
         return 200, "text/plain; version=0.0.4", self.metrics.render()
 
--- a/wagtailfront/serving/connection_server.py
+++ b/wagtailfront/serving/connection_server.py
@@ -113,10 +113,20 @@
             self._drop(connection, data)
             return
         connection.use_limits(limits)
-        connection.add_waiting(connection.receive(data, now=now))
+        connection.add_waiting(self._read_requests(connection, data, now))
         if connection.intake.update():
             self._serve_next(connection)
 
+    def _read_requests(self, connection, data, now):
+        """Return the requests that `data` completes."""
+        turns, reader = self.listener.turns, connection.reader
+        parts = reader.body_parts
+        received = connection.receive(data, now=now)
+        turns.charge(connection.sock, size=len(data), parts=reader.body_parts - parts)
+        if received:
+            turns.settle(connection.sock)
+        return received
+
     @handler("connect")
     def _on_connect(self, sock, *_address):
         # Its bytes, or its end, may have been read already.
@@ -152,7 +162,7 @@
     def _drop(self, connection, data):
         """Record what arrives on a connection that is being closed."""
         self.unanswered.record_bytes(len(data), reason=connection.close_reason)
-        for received in connection.receive(data, now=self.clock()):
+        for received in self._read_requests(connection, data, self.clock()):
             if connection.is_part_refused:
                 connection.is_part_refused = False
                 continue
@@ -315,7 +325,8 @@
         if connection.has_request or connection.is_closing:
             return False
         now = self.clock()
-        if self._is_reading_answer(connection):
+        has_bytes = connection.sock in self.listener.turns.waiting
+        if has_bytes or self._is_reading_answer(connection):
             connection.last_activity = now
             return False
         limits = widest(self.application.limits.at(now), connection.limits)
--- a/wagtailfront/serving/request_reader.py
+++ b/wagtailfront/serving/request_reader.py
@@ -55,6 +55,8 @@
         Whether no request is partly received.
     bytes_read : int
         Bytes received so far.
+    body_parts : int
+        Parts in which bodies arrived, as chunks or reads.
 
     Examples
     --------
@@ -76,7 +78,7 @@
         self.expects_continue = False
         self.is_between_requests = True
         self.partial_head_bytes = 0
-        self.bytes_read = 0
+        self.bytes_read = self.body_parts = 0
         self.announced = None
         # Bytes of chunks' heads and trailers since the last of a body.
         self.framing_bytes = 0
@@ -176,6 +178,7 @@
         self.expects_continue = expected.lower() == b"100-continue"
 
     def on_body(self, data):
+        self.body_parts += 1
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body:
             raise FramingError(413, "request body too large")
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -13,11 +13,14 @@
 from circuits.net.events import disconnect
 from circuits.net.sockets import TCPServer
 
+from wagtailfront.intake.read_turns import ReadTurns
+
 __all__ = ["HttpListener"]
 
 logger = logging.getLogger(__name__)
 
-READ_BYTES = 65536
+# Connections that are accepted before others are read.
+MAX_ACCEPTED = 64
 # Longer writes wait in slices, so that what has been sent is freed.
 WRITE_SLICE = 256 * 1024
 MAX_PENDING_WRITE = 4 * 1024 * 1024  # bytes queued on one connection
@@ -45,6 +48,8 @@
     total_queued : int
     close_reasons : WeakKeyDictionary
         Why a socket was closed.
+    turns : ReadTurns
+        When connections are read whose requests are dear to read.
     on_flushed : callable or None
         Called with a socket once the bytes that waited have been written.
     on_queued : callable or None
@@ -57,7 +62,7 @@
     def __init__(
         self, bind, *, channel, context, limits, keeps_half_closed=lambda sock: False
     ):
-        super().__init__(bind, channel=channel, bufsize=READ_BYTES)
+        super().__init__(bind, channel=channel)
         self.keeps_half_closed = keeps_half_closed
         self.context = context
         self.limits = limits
@@ -66,6 +71,7 @@
         self.total_queued = 0
         self.close_reasons = WeakKeyDictionary()
         self.is_reading = True
+        self.turns = ReadTurns()
         self.on_flushed = self.on_queued = self.buffer_size = None
 
     @property
@@ -73,11 +79,16 @@
         """Open connections, without those in a TLS handshake."""
         return self._clients
 
-    def _accept(self):
-        try:
-            sock, _address = self._sock.accept()
-        except OSError:
-            return
+    def _accept_all(self):
+        """Accept the connections that wait, or so many of them."""
+        for _number in range(MAX_ACCEPTED):
+            try:
+                sock, _address = self._sock.accept()
+            except OSError:
+                return
+            self._accept(sock)
+
+    def _accept(self, sock):
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.buffer_size is not None:
@@ -148,18 +159,31 @@
         if not self.is_reading:
             return
         if sock is self._sock:
-            self._accept()
+            self._accept_all()
         elif sock in self.handshakes:
             self._continue_handshake(sock)
+        elif self.turns.must_wait(sock):
+            self.pause_reading(sock)
+            self.turns.wait(sock)
         else:
             self._read(sock)
 
+    @handler("generate_events")
+    def _on_generate_events(self, event):
+        if not self.turns.waiting:
+            return
+        event.reduce_time_left(0)
+        for sock in self.turns.take_pass():
+            self.resume_reading(sock)
+            self._read(sock)
+
     def read_now(self, sock):
         """Read what has arrived and was not reported by the poller yet."""
         self._read(sock)
 
     def pause_reading(self, sock):
         """Leave further bytes in the socket's buffer; reports no EOF."""
+        self.turns.leave(sock)
         if self._poller.isReading(sock):
             self._poller.removeReader(sock)
 
@@ -217,7 +241,7 @@
     def _read(self, sock):
         while sock in self._clients:
             try:
-                data = sock.recv(READ_BYTES)
+                data = sock.recv(self.turns.read_size(sock))
             except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
                 return
             except OSError:
@@ -283,6 +307,7 @@
             self._sock = None
         else:
             return
+        self.turns.forget(sock)
         self.total_queued -= self.queued.pop(sock, 0)
         self._poller.discard(sock)
         self._buffers.pop(sock, None)
