Let connections that ask for nothing give their places to new ones

Callers saw: while more callers than the places connect and send nothing, or a few bytes of a head, ordinary callers were closed on arrival at both programs, for as long as the crowd stays or comes back.

Cause: places had no order. With max_connections open, each new connection was closed, whatever the others did with theirs. Where the process's own limit of descriptors is lower than the setting, accept() failed and the listener was woken again at once.

Change: when a new connection needs a place, those leave first that never sent a whole head or only stay to read a refusal, oldest first; then stalled bodies; then those that are idle after an answer, if nothing has arrived on them. A request in progress keeps its place. A request of which a part was read gets 503 (it has not run). The choice is intake.places, without sockets. TLS handshakes take half of the places at most. The descriptors of a process follow from RLIMIT_NOFILE, which is raised to the setting where its hard limit permits; 1,200 (entry 2,096) of them stay for engines, peers, the store and operators.

--- a/wagtailfront/intake/connection_intake.py
+++ b/wagtailfront/intake/connection_intake.py
@@ -2,7 +2,13 @@
 
 from wagtailfront.intake.giving_way import SMALL_BYTES
 
-__all__ = ["MAX_PIPELINED", "ConnectionIntake", "IntakeGate"]
+__all__ = [
+    "MAX_PIPELINED",
+    "RETRY_AFTER",
+    "UNAVAILABLE",
+    "ConnectionIntake",
+    "IntakeGate",
+]
 
 MAX_PIPELINED = 8  # requests queued on one connection until it is read on
 CONNECTION_BYTES = 8 * 1024  # of the objects of an idle connection
@@ -119,6 +125,14 @@
         part = self.memory.shares.kernel // (4 * (len(self.memory.holders) + 1))
         return min(MAX_BUFFER, max(MIN_BUFFER, part))
 
+    def record_places(self, *, left, open_connections):
+        """Record that connections were closed as a new one needs a place."""
+        outcome = "made" if left else "none left"
+        self.context.metrics.count("places_total", amount=left or 1, outcome=outcome)
+        self.context.log.decision(
+            "places", outcome=outcome, closed=left, connections=open_connections
+        )
+
     def record(self, intake, outcome):
         """Record that a connection gives way."""
         holder = intake.holder
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -62,6 +62,12 @@
         "Callers' connections refused or closed as their memory was full.",
         ("outcome",),
     ),
+    (
+        Counter,
+        "places_total",
+        "Connections closed as a new one needed a place, and those without one.",
+        ("outcome",),
+    ),
     (
         Gauge,
         "reads_waiting",
--- a/wagtailfront/programs/entry_tree.py
+++ b/wagtailfront/programs/entry_tree.py
@@ -19,6 +19,7 @@
 from wagtailfront.endpoints.engine_port import EnginePort
 from wagtailfront.endpoints.load_reporter import LoadReporter
 from wagtailfront.identifiers import new_id
+from wagtailfront.intake.descriptors import allow_descriptors
 from wagtailfront.intake.intake_memory import IntakeMemory
 from wagtailfront.intake.shares import divide_memory, machine_memory
 from wagtailfront.membership.heartbeats import Heartbeats, member_broadcast
@@ -37,11 +38,15 @@
 from wagtailfront.stores.object_client import ObjectClient
 from wagtailfront.stores.table_client import TableClient
 from wagtailfront.transport.http_client import HttpPool, WholeResponse
+from wagtailfront.transport.server_limits import ServerLimits
 from wagtailfront.transport.supervisor import ChildSpec, Supervisor
 
 __all__ = ["EntrySettings", "EntryTree", "boot_clock"]
 
 INSTANCE_LIST_TIMEOUT = 2.0  # seconds
+MAX_DESCRIPTORS = 4096
+# For operators, engines, endpoints, the platform, peers and files.
+RESERVED_DESCRIPTORS = 2096
 # TCP drops bytes of an order that were not acknowledged within this time, so
 # that none arrives after the first order of the next lease holder.
 ORDER_USER_TIMEOUT_MS = 3000
@@ -299,10 +304,12 @@
         return dispatcher
 
     def _make_callers(self):
+        places = allow_descriptors(MAX_DESCRIPTORS) - RESERVED_DESCRIPTORS
         return CallerServer(
             bind=self.settings.callers,
             dispatcher=self.proxy("dispatcher"),
             context=self.settings.caller_context,
+            limits=ServerLimits(max_connections=max(1, places)),
             pages=self.health.pages(),
             memory=self.intake,
             metrics=self.metrics,
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -44,6 +44,7 @@
 from wagtailfront.freshness.confirmations import Confirmations
 from wagtailfront.freshness.store_clock import StoreClock
 from wagtailfront.identifiers import new_id
+from wagtailfront.intake.descriptors import allow_descriptors
 from wagtailfront.intake.intake_memory import IntakeMemory
 from wagtailfront.intake.shares import divide_memory, machine_memory
 from wagtailfront.membership.peer_bus import PeerBus
@@ -462,12 +463,11 @@
         )
 
     def _make_callers(self):
+        descriptors = allow_descriptors(self.settings.max_descriptors)
         self.server = ConnectionServer(
             bind=self.settings.callers,
             application=self.forwarder,
-            max_connections=max(
-                1, self.settings.max_descriptors - RESERVED_DESCRIPTORS
-            ),
+            max_connections=max(1, descriptors - RESERVED_DESCRIPTORS),
             memory=self.intake,
         )
         return self.server
--- a/wagtailfront/programs/tests/test_callers_turns.py
+++ b/wagtailfront/programs/tests/test_callers_turns.py
@@ -7,6 +7,7 @@
 from wagtailfront.programs.tests.caller_crowd import (
     ChunkFlood,
     answer_late,
+    open_connections,
 )
 from wagtailfront.programs.tests.entry_site import EntrySite
 from wagtailfront.programs.tests.forward_site import (
@@ -18,6 +19,7 @@
 from wagtailfront.programs.tests.process_bounds import (
     MEGABYTE,
     alone,
+    open_descriptors,
     peak_memory,
 )
 
@@ -74,3 +76,22 @@
             assert not flood.has_ended
         assert child.poll() is None
         assert peak_memory(child.pid) < MEMORY
+
+
+@pytest.mark.parametrize("first", [b"", PART_OF_A_HEAD], ids=["idle", "part of a head"])
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_callers_are_answered_beside_more_than_the_places(
+    program, first, process, tmp_path
+):
+    """Guards ordinary callers against connections that keep all places."""
+    options = {"max_descriptors": str(MAX_DESCRIPTORS)}
+    places = {"forward": PLACES, "entry": ENTRY_PLACES}[program]
+    with PROGRAMS[program](process, tmp_path, **options) as (site, child, ask):
+        address = ("127.0.0.1", site.ports["callers"])
+        crowd = open_connections(address, 2 * places, first)
+        assert all(ask() for _request in range(ORDINARY))
+        assert open_descriptors(child.pid) < places + 100
+        assert child.poll() is None
+        assert peak_memory(child.pid) < MEMORY
+        for sock in crowd:
+            sock.close()
--- a/wagtailfront/serving/connection.py
+++ b/wagtailfront/serving/connection.py
@@ -3,6 +3,7 @@
 from collections import deque
 from typing import NamedTuple
 
+from wagtailfront.intake.places import Occupant
 from wagtailfront.serving.caller_limits import widest
 from wagtailfront.serving.request_reader import Request, RequestReader
 
@@ -34,8 +35,12 @@
         Why this instance closes the connection.
     is_part_refused : bool
         Whether a request of which the rest may follow has been refused.
+    opened_at : float
+        Time at which the connection began.
     begun_at : float or None
         Time of the first byte of a request that is not complete.
+    was_served : bool
+        Whether an answer has been complete.
     has_ended_sending : bool
         Whether the caller sends no more, but may read its answers.
     written_at : float
@@ -57,7 +62,8 @@
         self.is_part_refused = False
         self.has_ended_sending = False
         self.begun_at = None
-        self.last_activity = self.written_at = now
+        self.was_served = False
+        self.opened_at = self.last_activity = self.written_at = now
         self.queued, self.queued_at = 0, now
 
     @property
@@ -75,6 +81,20 @@
         """Return whether no request has been read, not even in part."""
         return not self.has_request and self.reader.is_between_requests
 
+    def as_occupant(self, *, is_reading_answer):
+        """Return the connection as one that holds a place."""
+        reader = self.reader
+        has_request = self.has_request and not self.is_closing
+        return Occupant(
+            key=self,
+            opened_at=self.opened_at,
+            active_at=self.last_activity,
+            has_work=has_request or is_reading_answer,
+            was_served=self.was_served,
+            is_refused=self.is_closing,
+            has_part_of_body=reader.in_body and not reader.is_between_requests,
+        )
+
     def receive(self, data, *, now):
         """Return the requests that `data` completes."""
         requests = self.reader.feed(data)
--- a/wagtailfront/serving/connection_server.py
+++ b/wagtailfront/serving/connection_server.py
@@ -6,9 +6,14 @@
 
 from circuits import BaseComponent, Event, handler
 
-from wagtailfront.intake.connection_intake import IntakeGate
+from wagtailfront.intake.connection_intake import (
+    RETRY_AFTER,
+    UNAVAILABLE,
+    IntakeGate,
+)
 from wagtailfront.intake.giving_way import SMALL_BYTES
 from wagtailfront.intake.intake_memory import IntakeMemory
+from wagtailfront.intake.places import choose_to_leave
 from wagtailfront.intake.shares import divide_memory, machine_memory
 from wagtailfront.serving.caller_limits import widest
 from wagtailfront.serving.connection import CallerConnection
@@ -29,6 +34,7 @@
 logger = logging.getLogger(__name__)
 
 SWEEP_INTERVAL = 0.5  # seconds between checks for slow and idle callers
+MAX_PLACES_MADE = 64  # connections that leave when a new one needs a place
 BAD_GATEWAY = 502  # does not say whether the request has run
 REQUEST_TIMEOUT = 408
 # Seconds in which a caller reads the refusal of a request that it still sends.
@@ -39,6 +45,7 @@
 AFTER_ANSWER = "closed after an answer"
 AFTER_REFUSAL = "closed after a refusal"
 IDLE = "closed as idle"
+PLACE_NEEDED = "closed as others need its place"
 
 
 class sweep(Event):
@@ -93,6 +100,8 @@
         )
         self.listener.on_flushed = self._on_flushed
         self.listener.on_queued = self._on_queued
+        self.listener.on_full = self._make_places
+        self.places_made = max(1, min(MAX_PLACES_MADE, max_connections // 32))
         self.intake = IntakeGate(
             memory=memory or IntakeMemory(shares=divide_memory(machine_memory())),
             listener=self.listener,
@@ -200,6 +209,31 @@
         if connection is not None:
             connection.intake.update()
 
+    def _make_places(self):
+        """Close connections that ask for nothing, as a new one needs a place.
+
+        Several leave at once, since to choose them takes a look at all.
+        """
+        occupants = (
+            each.as_occupant(is_reading_answer=self._is_reading_answer(each))
+            for each in self.connections.values()
+            if each.sock in self.listener.clients
+        )
+        leaving = choose_to_leave(occupants, count=self.places_made, now=self.clock())
+        for connection in leaving:
+            # What has arrived since it was last read may be a request.
+            if not connection.was_served or not self._read_more(connection):
+                self._leave_place(connection)
+        self.intake.record_places(
+            left=len(leaving), open_connections=len(self.connections)
+        )
+
+    def _leave_place(self, connection):
+        if not connection.is_closing and not connection.reader.is_between_requests:
+            self._write_refusal(connection, UNAVAILABLE, RETRY_AFTER)
+        self._start_closing(connection, PLACE_NEEDED)
+        self.listener.cut(connection.sock)
+
     def _serve(self, connection, request):
         reply = Reply(server=self, connection=connection, request=request)
         try:
@@ -225,12 +259,16 @@
         connection.reader.give_up(status, "no memory")
         self._record_unanswered(connection)
 
-    def _answer_failure(self, connection, status, retry_after=None):
+    def _write_refusal(self, connection, status, retry_after):
+        """Write an answer of the server itself, the last on a connection."""
         headers, body = self.application.refusal(status, retry_after)
         length = (b"Content-Length", b"%d" % len(body))
         headers = [*headers, length, (b"Connection", b"close")]
         head = encode_head(status_line(status), headers)
         self.listener.write(connection.sock, head + body)
+
+    def _answer_failure(self, connection, status, retry_after=None):
+        self._write_refusal(connection, status, retry_after)
         connection.is_part_refused = not connection.reader.is_between_requests
         self._start_closing(connection, AFTER_REFUSAL)
         # Closing with unread bytes would reset it, answer included.
@@ -242,6 +280,7 @@
     def end_reply(self, connection, keep_alive):
         """Serve the connection's next request, or close the connection."""
         connection.task = None
+        connection.was_served = True
         if connection.sock not in self.listener.clients:
             # Writing the answer has ended the connection.
             self._record_unanswered(connection)
--- a/wagtailfront/serving/http_server.py
+++ b/wagtailfront/serving/http_server.py
@@ -20,7 +20,7 @@
 class NoMetrics:
     """Counts nothing."""
 
-    def count(self, name, **labels):
+    def count(self, name, amount=1, **labels):
         """Take no notice of what happened."""
 
 
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -35,6 +35,36 @@
 CLOSED_HERE = "closed by this instance"
 
 
+class SocketSet:
+    """Sockets in order, with the methods of a list that circuits calls.
+
+    A list takes a look at each of its sockets to find one of them.
+    """
+
+    def __init__(self):
+        self.sockets = {}
+
+    def append(self, sock):
+        """Add a socket."""
+        self.sockets[sock] = None
+
+    def remove(self, sock):
+        """Remove a socket."""
+        del self.sockets[sock]
+
+    def __contains__(self, sock):
+        return sock in self.sockets
+
+    def __iter__(self):
+        return iter(self.sockets)
+
+    def __len__(self):
+        return len(self.sockets)
+
+    def __getitem__(self, index):
+        return list(self.sockets)[index]
+
+
 class HttpListener(TCPServer):
     """TCP server whose TLS handshakes do not block the event loop.
 
@@ -54,6 +84,8 @@
         Called with a socket once the bytes that waited have been written.
     on_queued : callable or None
         Called with a socket when bytes have to wait, or some were written.
+    on_full : callable or None
+        Called to close connections when a new one needs a place.
     buffer_size : callable or None
         Returns the bytes that the kernel may buffer in each direction of a
         new connection; by default the kernel decides.
@@ -63,6 +95,7 @@
         self, bind, *, channel, context, limits, keeps_half_closed=lambda sock: False
     ):
         super().__init__(bind, channel=channel)
+        self._clients = SocketSet()
         self.keeps_half_closed = keeps_half_closed
         self.context = context
         self.limits = limits
@@ -72,7 +105,7 @@
         self.close_reasons = WeakKeyDictionary()
         self.is_reading = True
         self.turns = ReadTurns()
-        self.on_flushed = self.on_queued = self.buffer_size = None
+        self.on_flushed = self.on_queued = self.buffer_size = self.on_full = None
 
     @property
     def clients(self):
@@ -95,7 +128,7 @@
             size = self.buffer_size()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
-        if len(self._clients) + len(self.handshakes) >= self.limits.max_connections:
+        if self.is_full and not self._make_place():
             sock.close()
             return
         if self.context is None:
@@ -107,6 +140,20 @@
         self.handshakes[secure] = time.monotonic() + self.limits.head_timeout
         self._poller.addReader(self, secure)
 
+    @property
+    def is_full(self):
+        """Return whether a new connection needs the place of another one."""
+        count = len(self._clients) + len(self.handshakes)
+        return count >= self.limits.max_connections
+
+    def _make_place(self):
+        """Return whether another connection has left its place."""
+        if len(self.handshakes) > self.limits.max_connections // 2:
+            self.abort_handshake(next(iter(self.handshakes)))  # the oldest
+        elif self.on_full is not None:
+            self.on_full()
+        return not self.is_full
+
     def _continue_handshake(self, sock):
         try:
             sock.do_handshake()
