Bound what the kernel buffers of connections that are not accepted yet

Callers saw nothing of it; the machine did: a process that is stopped or slow while 400 callers connect and send had 51.2 MB in receive buffers, 128 KB a connection, beside its own memory (limit of the test 80 MB together; with 1,500 callers 193 MB beside a limit of 160).

Cause: the buffers were set when a connection is accepted. Connections in the listener's queue, of which circuits asks for 5,000, had the system's.

Change: the buffer is set on the listening socket, which connections take over (8 KiB, of which the kernel takes twice as much), and the length of the queue follows from the kernel's share of memory: 1,025 with 160 MB. A caller beyond it tries again, as with every full queue.

The crowd connects without waiting, since some of it stays outside of the queue of a stopped process.

--- a/wagtailfront/intake/connection_intake.py
+++ b/wagtailfront/intake/connection_intake.py
@@ -1,23 +1,59 @@
 """Memory that one caller's connection holds, and when it is read on."""
 
+from typing import NamedTuple
+
 from wagtailfront.intake.giving_way import SMALL_BYTES
 
 __all__ = [
     "MAX_PIPELINED",
     "RETRY_AFTER",
     "UNAVAILABLE",
+    "AcceptQueue",
     "ConnectionIntake",
     "IntakeGate",
+    "accept_queue",
 ]
 
 MAX_PIPELINED = 8  # requests queued on one connection until it is read on
 CONNECTION_BYTES = 8 * 1024  # of the objects of an idle connection
 RETRY_AFTER = 1.0  # seconds; other large requests have ended by then
 MAX_BUFFER, MIN_BUFFER = 64 * 1024, 8 * 1024  # of a socket, in bytes
+MIN_QUEUE, MAX_QUEUE = 64, 4096  # connections
 UNAVAILABLE = 503
 REFUSED, CLOSED = "refused", "closed"
 
 
+class AcceptQueue(NamedTuple):
+    """Connections that the kernel has accepted and the listener has not.
+
+    Attributes
+    ----------
+    length : int
+        Most of them; further callers have to try again.
+    buffer_size : int
+        Bytes that the kernel may buffer of each.
+    """
+
+    length: int
+    buffer_size: int
+
+
+def accept_queue(shares):
+    """Return the AcceptQueue that keeps to the kernel's share of memory.
+
+    What callers send while the process is slow or stopped waits in buffers
+    that the connections take over from the listening socket.
+
+    Examples
+    --------
+    >>> from wagtailfront.intake.shares import divide_memory
+    >>> accept_queue(divide_memory(160_000_000)).length
+    1025
+    """
+    length = shares.kernel // (2 * MIN_BUFFER)  # the kernel takes twice as much
+    return AcceptQueue(max(MIN_QUEUE, min(MAX_QUEUE, length)), MIN_BUFFER)
+
+
 class ConnectionIntake:
     """Reports what a connection holds; an IntakeOwner.
 
--- a/wagtailfront/programs/tests/caller_crowd.py
+++ b/wagtailfront/programs/tests/caller_crowd.py
@@ -218,8 +218,10 @@
         sock = socket.socket()
         # Answers that are not read must not vanish in a large buffer here.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            sock.connect(address)
         sock.settimeout(SEND_TIMEOUT)
-        sock.connect(address)
         return sock
 
     def _send(self, number, sock):
--- a/wagtailfront/programs/tests/test_callers_memory.py
+++ b/wagtailfront/programs/tests/test_callers_memory.py
@@ -11,7 +11,9 @@
 
 from wagtailfront.programs.tests.caller_crowd import (
     CROWDS,
+    Crowd,
     CrowdRun,
+    body_in_pieces,
 )
 from wagtailfront.programs.tests.forward_site import (
     REQUEST,
@@ -24,6 +26,7 @@
     alone,
     open_descriptors,
     peak_memory,
+    unread_bytes,
 )
 
 MAX_DESCRIPTORS = 250  # open; the crowd, as many to endpoints, and its own
@@ -88,6 +91,22 @@
     run.close()
 
 
+def test_a_frozen_instance_keeps_the_bound_in_the_kernel(start):
+    """Guards the machine against what waits unread in sockets' buffers."""
+    crowd = Crowd(body_in_pieces, callers=400, memory_mb=80)
+    site, child = start(crowd)
+    child.send_signal(signal.SIGSTOP)
+    with CrowdRun(crowd, ("127.0.0.1", site.ports["callers"])) as run:
+        run.begin()
+        time.sleep(FROZEN_SECONDS)
+        unread = unread_bytes(site.ports["callers"])
+        print(f"kernel: {unread / MEGABYTE:.1f} MB unread")
+        assert unread + peak_memory(child.pid) < crowd.memory_mb * MEGABYTE
+        child.send_signal(signal.SIGCONT)
+        run.wait()
+        check_ordinary_request(site, child)
+
+
 def check_ordinary_request(site, child):
     """Check that an instance lives and serves another caller."""
     with site.connect() as connection:
--- a/wagtailfront/serving/connection_server.py
+++ b/wagtailfront/serving/connection_server.py
@@ -10,6 +10,7 @@
     RETRY_AFTER,
     UNAVAILABLE,
     IntakeGate,
+    accept_queue,
 )
 from wagtailfront.intake.giving_way import SMALL_BYTES
 from wagtailfront.intake.intake_memory import IntakeMemory
@@ -87,12 +88,14 @@
         self.unanswered = UnansweredLog(application=application, clock=clock)
         self.is_draining = False
         self.http = self  # HttpListener passes received bytes to `parent.http`
+        memory = memory or IntakeMemory(shares=divide_memory(machine_memory()))
         limits = ServerLimits(max_connections=max_connections)
         self.listener = HttpListener(
             bind,
             channel=channel,
             context=context,
             limits=limits,
+            queue=accept_queue(memory.shares),
             keeps_half_closed=self._keeps_half_closed,
         ).register(self)
         self.half_closed = HalfClosedCallers(
@@ -103,7 +106,7 @@
         self.listener.on_full = self._make_places
         self.places_made = max(1, min(MAX_PLACES_MADE, max_connections // 32))
         self.intake = IntakeGate(
-            memory=memory or IntakeMemory(shares=divide_memory(machine_memory())),
+            memory=memory,
             listener=self.listener,
             refuse=self._refuse,
             close_slow=lambda each: self.listener.reset(each.sock, SLOW_PEER),
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -68,6 +68,15 @@
 class HttpListener(TCPServer):
     """TCP server whose TLS handshakes do not block the event loop.
 
+    Parameters
+    ----------
+    bind : (str, int)
+    channel : str
+    context : ssl.SSLContext or None
+    limits : ServerLimits
+    queue : AcceptQueue
+    keeps_half_closed : callable, optional
+
     Received bytes are passed to `parent.http.receive`. At their end the
     connection is closed unless `keeps_half_closed` says otherwise.
 
@@ -92,9 +101,21 @@
     """
 
     def __init__(
-        self, bind, *, channel, context, limits, keeps_half_closed=lambda sock: False
+        self,
+        bind,
+        *,
+        channel,
+        context,
+        limits,
+        queue,
+        keeps_half_closed=lambda sock: False,
     ):
-        super().__init__(bind, channel=channel)
+        super().__init__(
+            bind,
+            channel=channel,
+            backlog=queue.length,
+            socket_options=[(socket.SOL_SOCKET, socket.SO_RCVBUF, queue.buffer_size)],
+        )
         self._clients = SocketSet()
         self.keeps_half_closed = keeps_half_closed
         self.context = context
