Take the limits of the process for its memory where they are lower

Callers saw: requests that failed, as allocations did, in a process whose RLIMIT_DATA leaves 100 MB; under a control group's limit the process ends.

Change: usable_memory() is the smallest of the machine's memory, memory.max (or memory.limit_in_bytes) of the process's control groups and of their parents, and what RLIMIT_DATA and RLIMIT_AS leave beside what is in use.

--- a/wagtailfront/intake/shares.py
+++ b/wagtailfront/intake/shares.py
@@ -1,15 +1,10 @@
 """How the memory of a process is divided."""
 
-import logging
-import pathlib
 from typing import NamedTuple
 
-__all__ = ["MemoryShares", "divide_memory", "machine_memory"]
-
-logger = logging.getLogger(__name__)
+__all__ = ["MemoryShares", "divide_memory"]
 
 MEGABYTE = 1_000_000
-KIB = 1024
 PROCESS_BYTES = 48 * MEGABYTE  # an idle process takes 39 MB, one in use some more
 # Of what a process has beside that. The rest is for copies that live shortly,
 # for what the allocator can't reuse, and for endpoints' sockets.
@@ -20,8 +15,6 @@
 # Larger machines run more than this process.
 MAX_MEMORY = 1024 * MEGABYTE
 MAX_RESPONSES = 48 * 1024 * 1024
-DEFAULT_MEMORY = 256 * MEGABYTE  # where the machine does not say
-MEMINFO = pathlib.Path("/proc/meminfo")
 
 
 class MemoryShares(NamedTuple):
@@ -62,23 +55,3 @@
         responses=min(round(free * RESPONSES_SHARE), MAX_RESPONSES),
         kernel=round(free * KERNEL_SHARE),
     )
-
-
-def machine_memory(path=MEMINFO):
-    """Return the memory of this machine in bytes.
-
-    Parameters
-    ----------
-    path : Path, optional
-        A file of the form of /proc/meminfo.
-    """
-    try:
-        (line,) = (
-            line
-            for line in path.read_text().splitlines()
-            if line.startswith("MemTotal:")
-        )
-        return int(line.split()[1]) * KIB
-    except (OSError, ValueError, IndexError) as error:
-        logger.warning("[intake] %s does not say the memory: %r", path, error)
-        return DEFAULT_MEMORY
--- a/wagtailfront/intake/tests/test_intake_memory.py
+++ b/wagtailfront/intake/tests/test_intake_memory.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wagtailfront.intake.intake_memory import PROGRESS_BYTES
-from wagtailfront.intake.shares import DEFAULT_MEMORY, divide_memory, machine_memory
+from wagtailfront.intake.shares import divide_memory
 from wagtailfront.intake.tests.builders import FakeOwner, make_memory
 
 MEGABYTE = 1_000_000
@@ -117,13 +117,3 @@
     memory = make_memory(callers=shares.callers, bulk=shares.bulk)
     size = 4 * 1024 * 1024 * 9 // 8  # of a body that arrives
     assert [hold(memory, size) for _caller in range(54)]
-
-
-def test_a_machine_that_does_not_say_its_memory(tmp_path):
-    """Guards a start where /proc/meminfo is missing or of another form."""
-    path = tmp_path / "meminfo"
-    assert machine_memory(path) == DEFAULT_MEMORY
-    path.write_text("MemTotal: much\n")
-    assert machine_memory(path) == DEFAULT_MEMORY
-    path.write_text("MemFree: 1 kB\nMemTotal:  2000 kB\n")
-    assert machine_memory(path) == 2000 * 1024
--- a/wagtailfront/programs/entry_tree.py
+++ b/wagtailfront/programs/entry_tree.py
@@ -21,7 +21,8 @@
 from wagtailfront.identifiers import new_id
 from wagtailfront.intake.descriptors import allow_descriptors
 from wagtailfront.intake.intake_memory import IntakeMemory
-from wagtailfront.intake.shares import divide_memory, machine_memory
+from wagtailfront.intake.shares import divide_memory
+from wagtailfront.intake.usable_memory import usable_memory
 from wagtailfront.membership.heartbeats import Heartbeats, member_broadcast
 from wagtailfront.membership.member_list_poller import MemberListPoller
 from wagtailfront.membership.peer_bus import PeerBus
@@ -123,7 +124,7 @@
             freshness=freshness,
         )
         self.metrics = Metrics()
-        memory = settings.memory or machine_memory()
+        memory = settings.memory or usable_memory()
         self.intake = IntakeMemory(shares=divide_memory(memory))
         self.scheduler = PolicyScheduler(
             instance=settings.instance, data_centre=settings.data_centre
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -46,7 +46,8 @@
 from wagtailfront.identifiers import new_id
 from wagtailfront.intake.descriptors import allow_descriptors
 from wagtailfront.intake.intake_memory import IntakeMemory
-from wagtailfront.intake.shares import divide_memory, machine_memory
+from wagtailfront.intake.shares import divide_memory
+from wagtailfront.intake.usable_memory import usable_memory
 from wagtailfront.membership.peer_bus import PeerBus
 from wagtailfront.observe.metrics import Metrics
 from wagtailfront.platform.engine_client import EngineClient
@@ -164,7 +165,7 @@
             on_silence=self._on_store_silence,
         )
         self.contact = StoreContact()
-        memory = settings.platform.memory_bytes or machine_memory()
+        memory = settings.platform.memory_bytes or usable_memory()
         self.intake = IntakeMemory(shares=divide_memory(memory))
         self.watchers = {}
         self.digest_parts = []
--- a/wagtailfront/programs/tests/test_callers_memory.py
+++ b/wagtailfront/programs/tests/test_callers_memory.py
@@ -24,6 +24,7 @@
 from wagtailfront.programs.tests.process_bounds import (
     MEGABYTE,
     alone,
+    data_size,
     open_descriptors,
     peak_memory,
     unread_bytes,
@@ -107,6 +108,22 @@
         check_ordinary_request(site, child)
 
 
+def test_the_limit_of_the_process_counts_as_its_memory(start):
+    """Guards a process whose limit is smaller than its machine."""
+    crowd = Crowd(body_in_pieces, callers=120, memory_mb=None)
+    site, child = start(crowd)
+    idle, limit = peak_memory(child.pid), data_size(child.pid) + DATA_HEADROOM
+    child.kill()
+    child.wait()
+    site, child = start(crowd, data_limit=limit)
+    with CrowdRun(crowd, ("127.0.0.1", site.ports["callers"])) as run:
+        run.send()
+        check_ordinary_request(site, child)
+    used = peak_memory(child.pid) - idle
+    print(f"beyond an idle process: {used / MEGABYTE:.1f} MB")
+    assert used < DATA_HEADROOM * USABLE_SHARE
+
+
 def check_ordinary_request(site, child):
     """Check that an instance lives and serves another caller."""
     with site.connect() as connection:
--- a/wagtailfront/serving/connection_server.py
+++ b/wagtailfront/serving/connection_server.py
@@ -15,7 +15,8 @@
 from wagtailfront.intake.giving_way import SMALL_BYTES
 from wagtailfront.intake.intake_memory import IntakeMemory
 from wagtailfront.intake.places import choose_to_leave
-from wagtailfront.intake.shares import divide_memory, machine_memory
+from wagtailfront.intake.shares import divide_memory
+from wagtailfront.intake.usable_memory import usable_memory
 from wagtailfront.serving.caller_limits import widest
 from wagtailfront.serving.connection import CallerConnection
 from wagtailfront.serving.half_closed_callers import HalfClosedCallers
@@ -88,7 +89,7 @@
         self.unanswered = UnansweredLog(application=application, clock=clock)
         self.is_draining = False
         self.http = self  # HttpListener passes received bytes to `parent.http`
-        memory = memory or IntakeMemory(shares=divide_memory(machine_memory()))
+        memory = memory or IntakeMemory(shares=divide_memory(usable_memory()))
         limits = ServerLimits(max_connections=max_connections)
         self.listener = HttpListener(
             bind,
