Keep one copy of a large body, and refuse at its head what can never fit

Callers saw: with max-body-bytes of 64 MiB one body, alone, took 238.7 MB of memory where 160 were allowed. With 400 MiB the process took what came.

Cause: a complete body was copied from the buffer into which it was read, and two more times to compute its fingerprint. Nothing compared the configuration's limit with the memory. A large body beyond the callers' share also had to give way to any small request beside it.

Change: a body over 64 KiB stays in its buffer, and the fingerprint is computed in parts. The entry program frees the buffer once circuits.web has its copy, and sends long bodies without copying the rest at each write. One request may take 68% of what the process has (MemoryShares.largest), as responses lend it what they do not use; small requests have a reserve, so they do not end it. A limit of the configuration beyond that is lowered: 413, at the head if the length is announced, and a line "limits" in the log when the configuration arrives. At 160 MB that is 67.7 MB, and the default limit of 4 MiB fits everywhere.

The endpoint of the tests reads a body in linear time, and ends where its connection does.

--- a/wagtailfront/decisions/crash_evidence.py
+++ b/wagtailfront/decisions/crash_evidence.py
@@ -300,13 +300,14 @@
         self.suspicions = {key: crashes for key, crashes in current.items() if crashes}
 
 
-def request_fingerprint(model, body, *, caller=""):
-    """Return the fingerprint of a request with `body` bytes to `model`.
+def request_fingerprint(model, *body, caller=""):
+    """Return the fingerprint of a request with a body to `model`.
 
     Parameters
     ----------
     model : str
-    body : bytes
+    *body : bytes-like
+        Parts of the body, which may be too large for a copy.
     caller : str, optional
         Names the caller; without it, equal requests of all callers have one
         fingerprint. Neither this nor `model` contains NUL.
@@ -317,4 +318,7 @@
     False
     """
     name = f"\0{caller}\0{model}" if caller else model
-    return xxhash.xxh3_128_hexdigest(name.encode() + b"\0" + body)
+    digest = xxhash.xxh3_128(name.encode() + b"\0")
+    for part in body:
+        digest.update(part)
+    return digest.hexdigest()
--- a/wagtailfront/forwarding/body_memory.py
+++ b/wagtailfront/forwarding/body_memory.py
@@ -48,6 +48,9 @@
     ----------
     max_body, max_total : int, optional
         Bytes.
+    borrowed : callable, optional
+        Returns the bytes of the total that are in use for other purposes; a
+        quarter of it is never lent.
 
     Attributes
     ----------
@@ -67,9 +70,10 @@
     3
     """
 
-    def __init__(self, *, max_body=MAX_BODY, max_total=MAX_TOTAL):
+    def __init__(self, *, max_body=MAX_BODY, max_total=MAX_TOTAL, borrowed=lambda: 0):
         self.max_body = max_body
         self.max_total = max_total
+        self.borrowed = borrowed
         self.total = 0
         self.holders = set()
 
@@ -79,7 +83,8 @@
 
     def make_room(self, holder, size):
         """Return whether a holder can have `size` bytes within the total."""
-        while self.total - holder.size + size > self.max_total:
+        limit = max(self.max_total - self.borrowed(), self.max_total // 4)
+        while self.total - holder.size + size > limit:
             largest = max(self.holders, key=lambda each: each.size, default=holder)
             if largest is holder or largest.size <= size:
                 return False
--- a/wagtailfront/forwarding/forward_task.py
+++ b/wagtailfront/forwarding/forward_task.py
@@ -118,7 +118,8 @@
         self.stream = StreamRelay(task=self)
         self.fingerprint = request_fingerprint(
             request.target.decode("latin-1"),
-            repr(fields.parts).encode() + request.body,
+            repr(fields.parts).encode(),
+            request.body,
             caller=fields.caller,
         )
 
--- a/wagtailfront/forwarding/forwarder.py
+++ b/wagtailfront/forwarding/forwarder.py
@@ -24,7 +24,7 @@
     refusal,
 )
 from wagtailfront.forwarding.routes import RouteTable, choose_service
-from wagtailfront.serving.caller_limits import LimitsInForce
+from wagtailfront.serving.caller_limits import LimitsInForce, fit_body
 from wagtailfront.workspaces.key_check import KeyCheck, KeyedRequest, KeyRefusal
 
 __all__ = ["Forwarder", "AttemptBudgets", "PrefixCachesByService"]
@@ -74,6 +74,8 @@
     context : ForwardContext
     key_check : KeyCheck, optional
         By default one without a bound on the configuration's age.
+    shares : MemoryShares, optional
+        Bounds the largest body; by default only the configuration does.
 
     Attributes
     ----------
@@ -86,8 +88,9 @@
         Time from which requests are refused that may take longer.
     """
 
-    def __init__(self, *, context, key_check=None):
+    def __init__(self, *, context, key_check=None, shares=None):
         self.context = context
+        self.shares = shares
         self.key_check = key_check or KeyCheck(
             dialect=context.dialect, log=context.log, metrics=context.metrics
         )
@@ -125,7 +128,10 @@
         self.key_check.record_config(before and before.workspaces, config.workspaces)
         self.table = RouteTable(config.routes)
         self.config_applied_at = self.context.clock()
-        self.limits.replace(config.limits, now=self.config_applied_at)
+        limits = config.limits
+        if self.shares is not None:
+            limits = fit_body(limits, shares=self.shares, log=self.context.log)
+        self.limits.replace(limits, now=self.config_applied_at)
         self.context.prefix_caches.add_services(config.services)
         self.context.admission.set_routes(config.routes, config.workspaces)
         return True
--- a/wagtailfront/forwarding/tests/scripted_endpoint.py
+++ b/wagtailfront/forwarding/tests/scripted_endpoint.py
@@ -82,9 +82,16 @@
         data += part
     head, _, body = data.partition(b"\r\n\r\n")
     length = LENGTH.search(head)
-    while length and len(body) < int(length[1]):
-        body += connection.recv(65536)
-    return head + b"\r\n\r\n" + body
+    return head + b"\r\n\r\n" + _read_body(connection, body, length)
+
+
+def _read_body(connection, start, length):
+    """Return a body, or what came of it before its connection ended."""
+    parts, missing = [start], int(length[1]) - len(start) if length else 0
+    while missing > 0 and (part := connection.recv(65536)):
+        parts.append(part)
+        missing -= len(part)
+    return b"".join(parts)
 
 
 class NoticeScript:
--- a/wagtailfront/forwarding/tests/test_caller_limits.py
+++ b/wagtailfront/forwarding/tests/test_caller_limits.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from wagtailfront.forwarding.tests.builders import make_route
+from wagtailfront.forwarding.forwarder import Forwarder
+from wagtailfront.forwarding.routes import RoutingConfig
+from wagtailfront.forwarding.tests.builders import Scene, make_route
 from wagtailfront.forwarding.tests.socket_instance import (
     GET,
     echo,
@@ -13,6 +15,7 @@
     start_instances,
     wait_for,
 )
+from wagtailfront.intake.shares import divide_memory
 from wagtailfront.serving.caller_limits import CallerLimits
 
 WIDE = CallerLimits(max_body=1000, max_head=2000, head_timeout=5.0, idle_timeout=5.0)
@@ -76,3 +79,15 @@
     with instance.connect() as caller:
         caller.sendall(HEAD % 100 + b"x" * 100)
         assert b"r1/" + b"x" * 100 in read_until(caller, [b"x" * 100])
+
+
+def test_a_body_limit_beyond_the_memory_is_lowered_and_logged():
+    """Guards against a configuration that permits more than fits."""
+    scene = Scene([])
+    forwarder = Forwarder(context=scene.context, shares=divide_memory(160_000_000))
+    config = RoutingConfig(1, (), {}, CallerLimits(max_body=400_000_000))
+    assert forwarder.apply_config(config)
+    largest = forwarder.limits.at(0.0).max_body
+    assert 64 * 1024 * 1024 <= largest < 112_000_000
+    (line,) = (line for line in scene.context.log if line[0] == "limits")
+    assert line[2] == {"max_body": 400_000_000, "used": largest}
--- a/wagtailfront/intake/intake_memory.py
+++ b/wagtailfront/intake/intake_memory.py
@@ -42,6 +42,11 @@
         self.size = self.marked_size = 0
         self.progress_at = now
 
+    @property
+    def small_size(self):
+        """Return its bytes if they are few, else 0."""
+        return self.size if self.size <= SMALL_BYTES else 0
+
     @property
     def may_give_way(self):
         """Return whether its bytes may be given up."""
@@ -70,14 +75,20 @@
     Notes
     -----
     A holder that is not small may exceed the bound while others hold only
-    small things, so that each request within the limits can be served.
+    small things, so that each request within the limits can be served. Small
+    ones have a reserve, so that they need not take its place.
     """
 
     def __init__(self, *, shares):
         self.shares = shares
-        self.total = 0
+        self.total = self.small_total = 0
         self.holders = set()
 
+    @property
+    def excess(self):
+        """Return by how many bytes one large request exceeds the share."""
+        return max(0, self.total - self.shares.callers)
+
     def hold(self, owner, *, now):
         """Return an IntakeHolder for one more connection."""
         holder = IntakeHolder(owner=owner, now=now)
@@ -100,7 +111,9 @@
             return True  # it has given way already
         more = size - holder.size
         self.total += more
+        self.small_total -= holder.small_size
         holder.change(size, now=now)
+        self.small_total += holder.small_size
         if more <= 0 and not announced:
             return True
         return self._make_room(holder, announced, now)
@@ -110,6 +123,7 @@
         if holder in self.holders:
             self.holders.discard(holder)
             self.total -= holder.size
+            self.small_total -= holder.small_size
             holder.size = 0
 
     def _make_room(self, holder, announced, now):
@@ -125,7 +139,8 @@
 
     def _fits(self, holder, needed):
         others = self.total - holder.size
-        if needed <= SMALL_BYTES:
-            return others + needed <= self.shares.callers
         reserve = self.shares.callers - self.shares.bulk
+        if needed <= SMALL_BYTES:
+            small = self.small_total - holder.small_size + needed
+            return others + needed <= self.shares.callers or small <= reserve
         return others + needed <= self.shares.bulk or others <= reserve
--- a/wagtailfront/intake/shares.py
+++ b/wagtailfront/intake/shares.py
@@ -12,6 +12,9 @@
 RESPONSES_SHARE = 0.25
 KERNEL_SHARE = 0.15
 BULK_SHARE = 0.75  # of the callers' share, for requests that are not small
+# For one request, while others hold only small ones. With their reserve, the
+# kernel's share and a quarter of the responses' it is less than the whole.
+LARGEST_SHARE = 0.68
 # Larger machines run more than this process.
 MAX_MEMORY = 1024 * MEGABYTE
 MAX_RESPONSES = 48 * 1024 * 1024
@@ -31,12 +34,15 @@
         Responses of endpoints that are buffered until they are complete.
     kernel : int
         Buffers of callers' sockets.
+    largest : int
+        What one request may take that is served alone.
     """
 
     callers: int
     bulk: int
     responses: int
     kernel: int
+    largest: int
 
 
 def divide_memory(memory):
@@ -54,4 +60,5 @@
         bulk=round(callers * BULK_SHARE),
         responses=min(round(free * RESPONSES_SHARE), MAX_RESPONSES),
         kernel=round(free * KERNEL_SHARE),
+        largest=round(free * LARGEST_SHARE),
     )
--- a/wagtailfront/intake/tests/builders.py
+++ b/wagtailfront/intake/tests/builders.py
@@ -19,5 +19,7 @@
 
 def make_memory(*, callers=4_000_000, bulk=3_000_000):
     """Return a memory with the given shares."""
-    shares = MemoryShares(callers=callers, bulk=bulk, responses=0, kernel=0)
+    shares = MemoryShares(
+        callers=callers, bulk=bulk, responses=0, kernel=0, largest=2 * callers
+    )
     return IntakeMemory(shares=shares)
--- a/wagtailfront/intake/tests/test_intake_memory.py
+++ b/wagtailfront/intake/tests/test_intake_memory.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from wagtailfront.intake.intake_memory import PROGRESS_BYTES
+from wagtailfront.forwarding.body_memory import BodyMemory
+from wagtailfront.intake.intake_memory import PROGRESS_BYTES, IntakeMemory
 from wagtailfront.intake.shares import divide_memory
 from wagtailfront.intake.tests.builders import FakeOwner, make_memory
 
@@ -91,6 +92,27 @@
     assert not memory.resize(newcomer, 1000, now=0.0, announced=1_200_000)
 
 
+def test_small_requests_leave_a_large_one_its_place():
+    """Guards a body beyond the share against ordinary callers beside it."""
+    memory = make_memory()
+    large, holder = hold(memory, 6_000_000)
+    callers = [hold(memory, 100_000, at=2.0)[1] for _caller in range(10)]
+    assert memory.resize(holder, 7_000_000, now=2.0)
+    assert not large.gave_way
+    for each in callers:
+        memory.release(each)
+    assert memory.small_total == 0
+
+
+def test_many_small_requests_take_the_place_of_a_large_one():
+    """Guards ordinary callers against a body beyond the share."""
+    memory = make_memory()
+    large, _holder = hold(memory, 6_000_000)
+    for _caller in range(11):
+        hold(memory, 100_000, at=0.5)
+    assert large.gave_way
+
+
 def test_one_that_gave_way_is_counted_no_more():
     """Guards the total against bytes that are counted after their end."""
     memory = make_memory()
@@ -111,6 +133,19 @@
     assert shares.bulk > 4 * MEGABYTE
 
 
+@pytest.mark.parametrize("memory", [160, 552, 32_000])
+def test_one_largest_request_leaves_room_for_the_process(memory):
+    """Guards a machine's limit while one request exceeds the share."""
+    shares = divide_memory(memory * MEGABYTE)
+    intake = IntakeMemory(shares=shares)
+    hold(intake, shares.largest)
+    small = shares.callers - shares.bulk
+    responses = BodyMemory(max_total=shares.responses, borrowed=lambda: intake.excess)
+    assert not responses.hold(on_evicted=None).resize(shares.responses)
+    used = shares.largest + small + shares.kernel + shares.responses // 4
+    assert 48 * MEGABYTE + used < memory * MEGABYTE
+
+
 def test_without_a_limit_many_of_the_largest_bodies_are_held():
     """Guards deployments whose settings have no limit of memory."""
     shares = divide_memory(32_000 * MEGABYTE)
--- a/wagtailfront/programs/forward_tree.py
+++ b/wagtailfront/programs/forward_tree.py
@@ -238,7 +238,9 @@
             age=self.config_age,
             may_lack_keys=self._may_lack_keys,
         )
-        return Forwarder(context=context, key_check=key_check)
+        return Forwarder(
+            context=context, key_check=key_check, shares=self.intake.shares
+        )
 
     def _may_lack_keys(self):
         """Return whether the configuration may be older than is allowed."""
@@ -272,7 +274,10 @@
                 log=self.log, rng=rng, on_leaving=self.pool.drop_idle
             ),
             pool=self.pool,
-            body_memory=BodyMemory(max_total=self.intake.shares.responses),
+            body_memory=BodyMemory(
+                max_total=self.intake.shares.responses,
+                borrowed=lambda: self.intake.excess,
+            ),
             timers=self.timers,
             budgets=AttemptBudgets(
                 share=settings.repeat_share,
--- a/wagtailfront/programs/tests/test_callers_memory.py
+++ b/wagtailfront/programs/tests/test_callers_memory.py
@@ -14,6 +14,9 @@
     Crowd,
     CrowdRun,
     body_in_pieces,
+    large_chunks,
+    length_head,
+    whole_body,
 )
 from wagtailfront.programs.tests.forward_site import (
     REQUEST,
@@ -108,6 +111,36 @@
         check_ordinary_request(site, child)
 
 
+def test_the_largest_legal_body_fits_in_calm(start):
+    """Guards one body of the limit, alone, against a copy of it."""
+    size = 64 * 1024 * 1024
+    crowd = Crowd(whole_body, limits={"max-body-bytes": size}, memory_mb=160)
+    site, child = start(crowd)
+    with site.connect() as connection:
+        connection.sendall(length_head(size))
+        connection.sendall(b"x" * size)
+        status, _body = read_answer(connection)
+    print(f"one body: peak {peak_memory(child.pid) / MEGABYTE:.1f} MB")
+    assert status == b"HTTP/1.1 200 OK"
+    assert peak_memory(child.pid) < crowd.memory_mb * MEGABYTE
+    check_ordinary_request(site, child)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_a_body_that_can_never_fit_is_refused(framing, start):
+    """Guards memory if the configuration permits more than fits."""
+    size = 400 * 1024 * 1024
+    kind = {"length": whole_body, "chunks": large_chunks}[framing]
+    crowd = Crowd(kind, size, 1, limits={"max-body-bytes": size}, memory_mb=160)
+    site, child = start(crowd)
+    with CrowdRun(crowd, ("127.0.0.1", site.ports["callers"])) as run:
+        run.send()
+        (sock,) = run.sockets
+        assert sock.recv(12) == b"HTTP/1.1 413"
+        assert peak_memory(child.pid) < crowd.memory_mb * MEGABYTE
+        check_ordinary_request(site, child)
+
+
 def test_the_limit_of_the_process_counts_as_its_memory(start):
     """Guards a process whose limit is smaller than its machine."""
     crowd = Crowd(body_in_pieces, callers=120, memory_mb=None)
--- a/wagtailfront/serving/caller_limits.py
+++ b/wagtailfront/serving/caller_limits.py
@@ -3,8 +3,10 @@
 import math
 from typing import NamedTuple
 
-__all__ = ["CallerLimits", "LimitsInForce", "widest"]
+__all__ = ["CallerLimits", "LimitsInForce", "fit_body", "widest"]
 
+# A buffer that grows takes an eighth more than it contains.
+GROWTH_COST = 9 / 8
 # Seconds after a change until all callers keep to the new limits.
 CHANGE_SECONDS = 10.0
 
@@ -40,6 +42,28 @@
     return CallerLimits(*map(max, first, second))
 
 
+def fit_body(limits, *, shares, log):
+    """Return limits whose largest body fits into the memory.
+
+    Parameters
+    ----------
+    limits : CallerLimits
+    shares : MemoryShares
+    log : DecisionLog
+        Gets a line if the limit has to be lower.
+    """
+    largest = int(shares.largest / GROWTH_COST)
+    if limits.max_body <= largest:
+        return limits
+    log.decision(
+        "limits",
+        outcome="the largest body does not fit into the memory",
+        max_body=limits.max_body,
+        used=largest,
+    )
+    return limits._replace(max_body=largest)
+
+
 class LimitsInForce:
     """Limits of the latest configurations that callers may know.
 
--- a/wagtailfront/serving/http_server.py
+++ b/wagtailfront/serving/http_server.py
@@ -5,8 +5,11 @@
 
 from circuits.core import BaseComponent
 
+from wagtailfront.intake.intake_memory import IntakeMemory
+from wagtailfront.intake.shares import divide_memory
+from wagtailfront.intake.usable_memory import usable_memory
 from wagtailfront.observe.decision_log import DecisionLog
-from wagtailfront.serving.caller_limits import CallerLimits
+from wagtailfront.serving.caller_limits import CallerLimits, fit_body
 from wagtailfront.serving.connection_server import ConnectionServer
 from wagtailfront.serving.web_application import WebApplication
 from wagtailfront.transport.server_limits import ServerLimits
@@ -57,6 +60,7 @@
         super().__init__(channel=channel)
         self.limits = limits or ServerLimits()
         self.context = context
+        memory = memory or IntakeMemory(shares=divide_memory(usable_memory()))
         web_context = WebContext(
             timers=Timers().register(self),
             log=DecisionLog(instance=channel, write=write_line),
@@ -66,12 +70,16 @@
             self,
             channel=channel,
             context=web_context,
-            limits=CallerLimits(
-                max_head=self.limits.max_head,
-                max_body=self.limits.max_body,
-                head_timeout=self.limits.head_timeout,
-                idle_timeout=self.limits.idle_timeout,
-                request_timeout=self.limits.head_timeout,
+            limits=fit_body(
+                CallerLimits(
+                    max_head=self.limits.max_head,
+                    max_body=self.limits.max_body,
+                    head_timeout=self.limits.head_timeout,
+                    idle_timeout=self.limits.idle_timeout,
+                    request_timeout=self.limits.head_timeout,
+                ),
+                shares=memory.shares,
+                log=web_context.log,
             ),
         ).register(self)
         self.server = ConnectionServer(
--- a/wagtailfront/serving/reply.py
+++ b/wagtailfront/serving/reply.py
@@ -80,6 +80,12 @@
             self.is_ended = True
             self.server.reset(self.connection, is_framed=self.is_chunked)
 
+    def release_body(self):
+        """Free the request's body, of which the application has a copy."""
+        received = self.connection.current
+        request = received.request._replace(body=b"")
+        self.connection.current = received._replace(request=request)
+
     def _fail(self, what):
         """Reset an open response, as `what` does not fit what was sent."""
         logger.error("[callers] A response got %s out of turn.", what)
--- a/wagtailfront/serving/request_reader.py
+++ b/wagtailfront/serving/request_reader.py
@@ -4,7 +4,9 @@
 
 import httptools
 
+from wagtailfront.serving.caller_limits import GROWTH_COST
 from wagtailfront.transport.framing import (
+    MAX_JOINED,
     FramingError,
     MessageHead,
     encode_head,
@@ -16,17 +18,21 @@
 CONNECT = b"CONNECT"
 UPGRADE = b"upgrade"
 HEADER_COST = 200  # bytes of memory for a header beside those of its text
-# A bytearray that grows takes an eighth more than it contains.
-GROWTH_COST = 9 / 8
 
 
 class Request(NamedTuple):
-    """A complete request; header names keep the case received."""
+    """A complete request; header names keep the case received.
+
+    Attributes
+    ----------
+    body : bytes or bytearray
+        A large one stays in the buffer into which it was read.
+    """
 
     method: bytes
     target: bytes
     headers: list
-    body: bytes
+    body: bytes | bytearray
     keep_alive: bool
     http_version: str
 
@@ -190,7 +196,9 @@
             return  # the head is parsed again without its offer
         self.is_between_requests = True
         self.expects_continue = False
-        body, self.body = bytes(self.body), bytearray()
+        body, self.body = self.body, bytearray()
+        if len(body) <= MAX_JOINED:
+            body = bytes(body)
         self.requests.append(
             Request(
                 method=self.parser.get_method(),
--- a/wagtailfront/serving/web_application.py
+++ b/wagtailfront/serving/web_application.py
@@ -84,7 +84,9 @@
             headers=make_headers(request.headers),
             server=self._server,
         )
-        web_request.body = BytesIO(request.body)
+        # BytesIO shares bytes, and only copies what may be changed.
+        web_request.body = BytesIO(bytes(request.body))
+        reply.release_body()
         response = wrappers.Response(web_request, encoding=self._encoding)
         self.exchanges[sock] = WebExchange(response, reply)
         self.fire(request_event(web_request, response))
--- a/wagtailfront/transport/framing.py
+++ b/wagtailfront/transport/framing.py
@@ -20,6 +20,7 @@
     "FramingError",
     "MessageHead",
     "HOP_BY_HOP",
+    "MAX_JOINED",
     "find_header",
     "encode_head",
     "join_small",
--- a/wagtailfront/transport/http_client.py
+++ b/wagtailfront/transport/http_client.py
@@ -135,11 +135,13 @@
         Exchange
         """
         deadline = None if timeout is None else time.monotonic() + timeout
+        payload, rest = encode_request(host, port, method, path, headers, body)
         exchange = Exchange(
             pool=self,
             address=(host, port),
             secure=secure,
-            payload=encode_request(host, port, method, path, headers, body),
+            payload=payload,
+            body=rest,
             sink=sink,
             deadline=deadline,
             stall_timeout=stall_timeout,
--- a/wagtailfront/transport/http_exchange.py
+++ b/wagtailfront/transport/http_exchange.py
@@ -4,6 +4,7 @@
 from collections import deque
 from typing import Protocol
 
+from wagtailfront.transport.framing import join_small
 from wagtailfront.transport.http_responses import (
     ResponseData,
     ResponseEnd,
@@ -113,6 +114,7 @@
         address,
         secure,
         payload,
+        body=b"",
         sink,
         deadline,
         stall_timeout=None,
@@ -126,7 +128,8 @@
         self.stall_timeout = stall_timeout
         self.may_send = may_send
         self.connect_deadline = None
-        self.outgoing = deque([payload])
+        # Views, so that the rest of a long part is sent without a copy.
+        self.outgoing = deque(memoryview(part) for part in (payload, body) if part)
         self.sent = False
         self.done = False
         self.reused = False
@@ -217,7 +220,10 @@
 
 
 def encode_request(host, port, method, path, headers, body):
-    """Return a request as bytes; Content-Length is added."""
+    """Return the head of a request, with its length, and its body.
+
+    A small body is part of the first of the two.
+    """
     lines = [
         f"{method} {path} HTTP/1.1",
         f"Host: {host}:{port}",
@@ -225,4 +231,4 @@
         *(f"{name}: {value}" for name, value in headers),
         "\r\n",
     ]
-    return "\r\n".join(lines).encode("latin-1") + body
+    return join_small("\r\n".join(lines).encode("latin-1"), body)
