Log invalid messages of peers once in a second

Operators saw: callers who send HTTP bodies to the peers' port, of either program, made the process write a line for each of the messages that ZeroMQ finds in those bytes: 1 GB of log in ten minutes of such crowds, 400 MB for 200 MB of small messages, and a process busy with them.

Cause: a line for each message that can't be decoded, without a limit.

Change: at most one line a second, with the number of those dropped so far and the reason of the last.

--- a/wagtailfront/membership/peer_bus.py
+++ b/wagtailfront/membership/peer_bus.py
@@ -37,6 +37,7 @@
 DRAIN_MESSAGES = 100
 # Seconds between reads of all sockets, in case a readiness signal was missed.
 FALLBACK_INTERVAL = 0.25
+LOG_INTERVAL = 1.0  # seconds between log lines on invalid messages
 MS_PER_SECOND = 1000
 # Seconds between heartbeats; a silent connection is closed and reopened.
 HEARTBEAT_INTERVAL = 1.0
@@ -166,6 +167,7 @@
         self.by_descriptor = {}
         self.dropped = 0
         self.rejected = 0
+        self.log_due = clock()
         self.sent = Traffic()
         self.received = Traffic()
         self.zap = self._bind_zap() if keys else None
@@ -335,11 +337,24 @@
             self.received.add(len(payload[0]))
             message = decode_message(payload[0])
         except ProtocolError as error:
-            self.rejected += 1
-            logger.warning("[bus] message from %s dropped: %s", source, error)
+            self._record_rejected(source, error)
             return
         self.fire(peer_message(message, source))
 
+    def _record_rejected(self, source, error):
+        """Count an invalid message, and log one of those of an interval."""
+        self.rejected += 1
+        now = self.clock()
+        if now < self.log_due:
+            return
+        self.log_due = now + LOG_INTERVAL
+        logger.warning(
+            "[bus] %d messages dropped so far, the last one from %.200s: %s",
+            self.rejected,
+            source,
+            error,
+        )
+
     def _drain_zap(self):
         for _ in range(DRAIN_MESSAGES):
             try:
--- a/wagtailfront/membership/tests/test_peer_bus.py
+++ b/wagtailfront/membership/tests/test_peer_bus.py
@@ -8,6 +8,7 @@
 
 from wagtailfront.membership import bus_keys, messages
 from wagtailfront.membership.peer_bus import (
+    LOG_INTERVAL,
     PeerBus,
     Source,
     peer_broadcast,
@@ -108,6 +109,26 @@
     close(instances)
 
 
+def test_invalid_messages_fill_no_log(caplog):
+    """Guards the log against a peer that sends nothing but invalid bytes."""
+    instances = first, second = Instance(), Instance()
+    connect(first, second, instances)
+    context = zmq.Context()
+    raw = context.socket(zmq.DEALER)
+    raw.linger = 0
+    raw.connect(f"tcp://{second.bus.address}")
+    started = time.monotonic()
+    for number in range(1, 31):
+        for _message in range(BURST):
+            raw.send(b"\x81" * 1000)
+        run(instances, lambda count=number * BURST: second.bus.rejected == count)
+    lines = [record for record in caplog.records if "dropped" in record.message]
+    assert 1 <= len(lines) <= 1 + (time.monotonic() - started) / LOG_INTERVAL
+    raw.close()
+    context.term()
+    close(instances)
+
+
 def test_hostile_bytes_are_rejected_and_others_served():
     """Guards against a peer that stops the bus with invalid messages."""
     instances = first, second = Instance(), Instance()
