Begin the stop of the test once requests have been answered

The signal is now sent once more than 50 are answered. What it guards is unchanged: nothing that an endpoint began is lost, cut late or refused as not run.

--- a/wagtailfront/programs/tests/test_planned_stop.py
+++ b/wagtailfront/programs/tests/test_planned_stop.py
@@ -7,11 +7,12 @@
 
 import pytest
 
+from wagtailfront.forwarding.tests.socket_instance import wait_for
 from wagtailfront.platform.tests.wire import signed_response
 from wagtailfront.programs.tests.forward_site import ForwardSite, read_answer
 
 CALLERS = 24
-BEFORE = 0.5  # seconds of service before SIGTERM
+ANSWERED = 50  # requests, before SIGTERM
 GRACE = 8.0  # seconds, as by default
 # Requests sent later than this after SIGTERM must not be cut.
 EXCUSED_SECONDS = 3.0
@@ -77,7 +78,7 @@
     callers = [Caller(site, b"c%d" % n, rng.random()) for n in range(CALLERS)]
     for caller in callers:
         caller.start()
-    time.sleep(BEFORE)
+    wait_for(lambda: count_served(callers) > ANSWERED)
     stopped = time.monotonic()
     child.send_signal(signal.SIGTERM)
     assert child.wait(GRACE) == 0
@@ -101,5 +102,14 @@
         if status.startswith(b"HTTP/1.1 503") and request_id in began
     ]
     assert (lost, cut_late, untrue) == ([], [], [])
-    assert sum(status.startswith(b"HTTP/1.1 200") for _, _, status in answers) > 50
+    assert count_served(callers) > ANSWERED
     site.close()
+
+
+def count_served(callers):
+    """Return how many requests of the callers were answered with 200."""
+    return sum(
+        status.startswith(b"HTTP/1.1 200")
+        for caller in callers
+        for _sent, _id, status in list(caller.answers)
+    )
