Test both programs before a crowd that comes back at once

60 callers of five kinds (whole and unfinished bodies, large and tiny chunks, without end) return as soon as they are refused, while an ordinary caller asks until as many have come back.

--- a/wagtailfront/programs/tests/caller_crowd.py
+++ b/wagtailfront/programs/tests/caller_crowd.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "LONG_ANSWER",
+    "ReturningCrowd",
     "CROWDS",
     "ChunkFlood",
     "Crowd",
@@ -262,6 +263,48 @@
     return connections
 
 
+class ReturningCrowd:
+    """Callers of all kinds that come back at once when they are refused.
+
+    Parameters
+    ----------
+    address : (str, int)
+    callers : int
+    size : int
+        Bytes of a legal body.
+    """
+
+    KINDS = (whole_body, body_in_pieces, large_chunks, tiny_chunks, endless_chunks)
+
+    def __init__(self, *, address, callers, size):
+        self.address, self.size = address, size
+        self.returned = 0
+        self.is_closing = False
+        self.threads = [
+            threading.Thread(target=self._return, args=caller, daemon=True)
+            for caller in zip(range(callers), itertools.cycle(self.KINDS), strict=False)
+        ]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_error):
+        self.is_closing = True
+        for thread in self.threads:
+            thread.join(JOIN_TIMEOUT)
+
+    def _return(self, number, kind):
+        while not self.is_closing:
+            with contextlib.suppress(OSError):
+                with socket.create_connection(self.address, SEND_TIMEOUT) as sock:
+                    for part in kind(number, self.size):
+                        sock.sendall(part)
+                    sock.recv(1)  # until it is refused or given up
+            self.returned += 1
+
+
 class ChunkFlood:
     """Connections that send chunks of one byte for as long as they are read.
 
--- a/wagtailfront/programs/tests/test_callers_turns.py
+++ b/wagtailfront/programs/tests/test_callers_turns.py
@@ -1,11 +1,13 @@
 """Test of callers beside a crowd that occupies connections or time."""
 
 import contextlib
+import itertools
 
 import pytest
 
 from wagtailfront.programs.tests.caller_crowd import (
     ChunkFlood,
+    ReturningCrowd,
     answer_late,
     open_connections,
 )
@@ -26,6 +28,9 @@
 MEMORY = 160 * MEGABYTE
 ORDINARY = 3  # requests in a row
 FLOOD_CALLERS = 1000
+RETURNING = 60  # callers that come back
+MANY = 10_000  # ordinary requests, until so many have come back
+LEGAL = 4 * 1024 * 1024  # bytes of a body
 # Of a forwarding instance; 1,200 of them are not for callers.
 PLACES = 300
 MAX_DESCRIPTORS = 1200 + PLACES
@@ -78,6 +83,23 @@
         assert peak_memory(child.pid) < MEMORY
 
 
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_callers_are_answered_beside_a_crowd_that_returns(program, process, tmp_path):
+    """Guards memory and callers against refused ones that come back."""
+    with PROGRAMS[program](process, tmp_path) as (site, child, ask):
+        address = ("127.0.0.1", site.ports["callers"])
+        with ReturningCrowd(address=address, callers=RETURNING, size=LEGAL) as crowd:
+            answers = (ask() for _request in range(MANY))
+            assert all(
+                itertools.takewhile(lambda _: crowd.returned < RETURNING, answers)
+            )
+            assert crowd.returned >= RETURNING
+            assert open_descriptors(child.pid) < 2 * RETURNING + 100
+        assert ask()
+        assert child.poll() is None
+        assert peak_memory(child.pid) < MEMORY
+
+
 @pytest.mark.parametrize("first", [b"", PART_OF_A_HEAD], ids=["idle", "part of a head"])
 @pytest.mark.parametrize("program", PROGRAMS)
 def test_callers_are_answered_beside_more_than_the_places(
