Leave an answer whole while the next request is not read on

Found in review of the shared server, before any landing: a caller of HttpServer that sends a part of a second request got 408 in place of, or in the middle of, the answer to its first one, once the part was older than a request may take to arrive. The part is not read on while the first request is in progress, so its time now begins with the end of that answer.

Connections that would leave their place are all read first, not only those that were served, and stay if a request has arrived.

Measured: the new test got 408 first, failed before; 200, then 408.

--- a/wagtailfront/serving/connection_server.py
+++ b/wagtailfront/serving/connection_server.py
@@ -14,7 +14,7 @@
 )
 from wagtailfront.intake.giving_way import SMALL_BYTES
 from wagtailfront.intake.intake_memory import IntakeMemory
-from wagtailfront.intake.places import choose_to_leave
+from wagtailfront.intake.places import choose_to_leave, rank_occupant
 from wagtailfront.intake.shares import divide_memory
 from wagtailfront.intake.usable_memory import usable_memory
 from wagtailfront.serving.caller_limits import widest
@@ -218,18 +218,25 @@
 
         Several leave at once, since to choose them takes a look at all.
         """
+        now, before = self.clock(), len(self.listener.clients)
         occupants = (
-            each.as_occupant(is_reading_answer=self._is_reading_answer(each))
+            self._as_occupant(each)
             for each in self.connections.values()
             if each.sock in self.listener.clients
         )
-        leaving = choose_to_leave(occupants, count=self.places_made, now=self.clock())
-        for connection in leaving:
+        for connection in choose_to_leave(occupants, count=self.places_made, now=now):
             # What has arrived since it was last read may be a request.
-            if not connection.was_served or not self._read_more(connection):
+            if not connection.is_closing:
+                self._read_more(connection)
+            if rank_occupant(self._as_occupant(connection), now=now) is not None:
                 self._leave_place(connection)
         self.intake.record_places(
-            left=len(leaving), open_connections=len(self.connections)
+            left=before - len(self.listener.clients), open_connections=before
+        )
+
+    def _as_occupant(self, connection):
+        return connection.as_occupant(
+            is_reading_answer=self._is_reading_answer(connection)
         )
 
     def _leave_place(self, connection):
@@ -291,6 +298,8 @@
         connection.current = None
         connection.intake.update()
         connection.last_activity = self.clock()
+        if connection.begun_at is not None:  # the next one was not read on
+            connection.begun_at = connection.last_activity
         if keep_alive:
             # Deferred: the task that has just answered is still ending.
             self.application.context.timers.after(
@@ -381,6 +390,8 @@
         """Return whether a caller has sent at one request for too long."""
         if connection.begun_at is None or connection.is_closing:
             return False
+        if connection.has_request or self._is_reading_answer(connection):
+            return False
         limits = widest(self.application.limits.at(self.clock()), connection.limits)
         return self.clock() - connection.begun_at > limits.request_timeout
 
--- a/wagtailfront/serving/tests/test_http_server.py
+++ b/wagtailfront/serving/tests/test_http_server.py
@@ -9,6 +9,7 @@
 
 import pytest
 from circuits import BaseComponent, handler
+from circuits.web.events import response
 from hypothesis import given, settings, strategies as st
 
 from wagtailfront.callers.tests.builders import running
@@ -308,3 +309,34 @@
                 time.sleep(2 * LIMITS.idle_timeout)
                 waiting.sendall(VALID_REQUEST)
                 assert waiting.recv(100).startswith(b"HTTP/1.1 200 ")
+
+
+class Slow(BaseComponent):
+    """Answers each request later than a request may take to arrive."""
+
+    channel = "slow"
+
+    def __init__(self):
+        super().__init__()
+        self.server = HttpServer(
+            bind=("127.0.0.1", 0), channel=self.channel, limits=LIMITS
+        ).register(self)
+
+    @handler("request")
+    def _on_request(self, req, res):
+        res.body = b"late"
+        self.server.application.context.timers.after(
+            10 * LIMITS.head_timeout, lambda: self.fire(response(res), self.channel)
+        )
+        return True
+
+
+def test_a_part_of_the_next_request_leaves_an_answer_whole():
+    """Guards an answer against the refusal of what follows its request."""
+    component = Slow()
+    with running(component):
+        answers = send_and_read(component, VALID_REQUEST + VALID_REQUEST[:20])
+    first, _, rest = answers.partition(b"late")
+    assert first.startswith(b"HTTP/1.1 200 ")
+    assert b"408" not in first
+    assert rest.startswith(b"HTTP/1.1 408 ")
