Split the shared server: time limits and places in modules of their own

Time limits of callers, the making of places and the set of sockets move to modules of their own; the tests of HttpServer share one component for delayed answers, those of the peers' bus one raw socket.

--- a/wagtailfront/forwarding/tests/test_connection_end.py
+++ b/wagtailfront/forwarding/tests/test_connection_end.py
@@ -18,7 +18,7 @@
     wait_for,
 )
 from wagtailfront.platform.tests.wire import signed_response
-from wagtailfront.serving import connection_server
+from wagtailfront.serving import caller_timeouts
 from wagtailfront.serving.connection_server import SWEEP_INTERVAL
 from wagtailfront.transport.framing import LAST_CHUNK
 
@@ -136,7 +136,7 @@
 @pytest.mark.parametrize("close", [b"", b"Connection: close\r\n"])
 def test_a_caller_that_reads_nothing_of_its_answer_is_reset(monkeypatch, close):
     """Guards descriptors and memory against callers that stand still."""
-    monkeypatch.setattr(connection_server, "MAX_UNREAD_SECONDS", SWEEP_INTERVAL)
+    monkeypatch.setattr(caller_timeouts, "MAX_UNREAD_SECONDS", SWEEP_INTERVAL)
 
     def answer_at_length(connection, request_id, request):
         connection.sendall(signed_response(request_id, b"x" * 3_000_000))
--- a/wagtailfront/membership/tests/test_peer_bus.py
+++ b/wagtailfront/membership/tests/test_peer_bus.py
@@ -1,5 +1,6 @@
 """Tests of the peer bus over real sockets on the loopback interface."""
 
+import contextlib
 import time
 
 import zmq
@@ -92,6 +93,15 @@
         instance.bus.close()
 
 
+@contextlib.contextmanager
+def raw_peer(instance):
+    """Yield a ZeroMQ socket that is connected to an instance's bus."""
+    with zmq.Context() as context, context.socket(zmq.DEALER) as raw:
+        raw.linger = 0
+        raw.connect(f"tcp://{instance.bus.address}")
+        yield raw
+
+
 def test_bursts_and_answers_arrive_in_order():
     """Guards against messages left unread after a send.
 
@@ -113,19 +123,14 @@
     """Guards the log against a peer that sends nothing but invalid bytes."""
     instances = first, second = Instance(), Instance()
     connect(first, second, instances)
-    context = zmq.Context()
-    raw = context.socket(zmq.DEALER)
-    raw.linger = 0
-    raw.connect(f"tcp://{second.bus.address}")
     started = time.monotonic()
-    for number in range(1, 31):
-        for _message in range(BURST):
-            raw.send(b"\x81" * 1000)
-        run(instances, lambda count=number * BURST: second.bus.rejected == count)
+    with raw_peer(second) as raw:
+        for number in range(1, 31):
+            for _message in range(BURST):
+                raw.send(b"\x81" * 1000)
+            run(instances, lambda count=number * BURST: second.bus.rejected == count)
     lines = [record for record in caplog.records if "dropped" in record.message]
     assert 1 <= len(lines) <= 1 + (time.monotonic() - started) / LOG_INTERVAL
-    raw.close()
-    context.term()
     close(instances)
 
 
@@ -133,19 +138,14 @@
     """Guards against a peer that stops the bus with invalid messages."""
     instances = first, second = Instance(), Instance()
     connect(first, second, instances)
-    context = zmq.Context()
-    raw = context.socket(zmq.DEALER)
-    raw.linger = 0
-    raw.connect(f"tcp://{second.bus.address}")
-    for parts in ([b""], [b"\x81"], [b"a", b"b"], [b"\xc1" * 1000]):
-        raw.send_multipart(parts)
-    run(instances, lambda: second.bus.rejected == 4)
-    raw.send(bytes(messages.MAX_MESSAGE_BYTES + 1))
-    first.send(second, messages.ConfigFetch(after=7))
-    run(instances, lambda: first.received)
-    assert second.bus.rejected == 4  # the socket drops a larger message unread
-    raw.close()
-    context.term()
+    with raw_peer(second) as raw:
+        for parts in ([b""], [b"\x81"], [b"a", b"b"], [b"\xc1" * 1000]):
+            raw.send_multipart(parts)
+        run(instances, lambda: second.bus.rejected == 4)
+        raw.send(bytes(messages.MAX_MESSAGE_BYTES + 1))
+        first.send(second, messages.ConfigFetch(after=7))
+        run(instances, lambda: first.received)
+        assert second.bus.rejected == 4  # the socket drops a larger message unread
     close(instances)
 
 
--- a/wagtailfront/serving/connection_server.py
+++ b/wagtailfront/serving/connection_server.py
@@ -6,20 +6,15 @@
 
 from circuits import BaseComponent, Event, handler
 
-from wagtailfront.intake.connection_intake import (
-    RETRY_AFTER,
-    UNAVAILABLE,
-    IntakeGate,
-    accept_queue,
-)
+from wagtailfront.intake.connection_intake import IntakeGate, accept_queue
 from wagtailfront.intake.giving_way import SMALL_BYTES
 from wagtailfront.intake.intake_memory import IntakeMemory
-from wagtailfront.intake.places import choose_to_leave, rank_occupant
 from wagtailfront.intake.shares import divide_memory
 from wagtailfront.intake.usable_memory import usable_memory
-from wagtailfront.serving.caller_limits import widest
+from wagtailfront.serving.caller_timeouts import CallerTimeouts
 from wagtailfront.serving.connection import CallerConnection
 from wagtailfront.serving.half_closed_callers import HalfClosedCallers
+from wagtailfront.serving.place_maker import PlaceMaker
 from wagtailfront.serving.reply import Reply
 from wagtailfront.serving.unanswered_log import UnansweredLog
 from wagtailfront.transport.framing import (
@@ -36,18 +31,15 @@
 logger = logging.getLogger(__name__)
 
 SWEEP_INTERVAL = 0.5  # seconds between checks for slow and idle callers
-MAX_PLACES_MADE = 64  # connections that leave when a new one needs a place
 BAD_GATEWAY = 502  # does not say whether the request has run
 REQUEST_TIMEOUT = 408
 # Seconds in which a caller reads the refusal of a request that it still sends.
 LINGER_SECONDS = 1.0
-MAX_UNREAD_SECONDS = 30.0  # for which a caller may read nothing of an answer
 # Why this instance closes a connection.
 BROKEN_ANSWER = "its answer was broken off"
 AFTER_ANSWER = "closed after an answer"
 AFTER_REFUSAL = "closed after a refusal"
 IDLE = "closed as idle"
-PLACE_NEEDED = "closed as others need its place"
 
 
 class sweep(Event):
@@ -102,10 +94,12 @@
         self.half_closed = HalfClosedCallers(
             listener=self.listener, timers=application.context.timers, clock=clock
         )
+        self.timeouts = CallerTimeouts(
+            listener=self.listener, limits=application.limits, clock=clock
+        )
         self.listener.on_flushed = self._on_flushed
         self.listener.on_queued = self._on_queued
-        self.listener.on_full = self._make_places
-        self.places_made = max(1, min(MAX_PLACES_MADE, max_connections // 32))
+        self.listener.on_full = PlaceMaker(server=self, places=max_connections).make
         self.intake = IntakeGate(
             memory=memory,
             listener=self.listener,
@@ -165,7 +159,7 @@
 
     def _owes_answer(self, connection):
         """Return whether a caller that sends no more may await an answer."""
-        if self._is_reading_answer(connection):
+        if self.timeouts.is_reading_answer(connection):
             return True
         if connection.is_closing or not connection.has_request:
             return False
@@ -188,7 +182,7 @@
     def _serve_next(self, connection):
         while not connection.is_busy and not connection.is_closing:
             if connection.waiting:
-                if self._is_reading_answer(connection):
+                if self.timeouts.is_reading_answer(connection):
                     return  # _on_flushed goes on
                 connection.take_next()
                 connection.intake.pace()
@@ -213,38 +207,6 @@
         if connection is not None:
             connection.intake.update()
 
-    def _make_places(self):
-        """Close connections that ask for nothing, as a new one needs a place.
-
-        Several leave at once, since to choose them takes a look at all.
-        """
-        now, before = self.clock(), len(self.listener.clients)
-        occupants = (
-            self._as_occupant(each)
-            for each in self.connections.values()
-            if each.sock in self.listener.clients
-        )
-        for connection in choose_to_leave(occupants, count=self.places_made, now=now):
-            # What has arrived since it was last read may be a request.
-            if not connection.is_closing:
-                self._read_more(connection)
-            if rank_occupant(self._as_occupant(connection), now=now) is not None:
-                self._leave_place(connection)
-        self.intake.record_places(
-            left=before - len(self.listener.clients), open_connections=before
-        )
-
-    def _as_occupant(self, connection):
-        return connection.as_occupant(
-            is_reading_answer=self._is_reading_answer(connection)
-        )
-
-    def _leave_place(self, connection):
-        if not connection.is_closing and not connection.reader.is_between_requests:
-            self._write_refusal(connection, UNAVAILABLE, RETRY_AFTER)
-        self._start_closing(connection, PLACE_NEEDED)
-        self.listener.cut(connection.sock)
-
     def _serve(self, connection, request):
         reply = Reply(server=self, connection=connection, request=request)
         try:
@@ -270,7 +232,7 @@
         connection.reader.give_up(status, "no memory")
         self._record_unanswered(connection)
 
-    def _write_refusal(self, connection, status, retry_after):
+    def write_refusal(self, connection, status, retry_after):
         """Write an answer of the server itself, the last on a connection."""
         headers, body = self.application.refusal(status, retry_after)
         length = (b"Content-Length", b"%d" % len(body))
@@ -279,9 +241,9 @@
         self.listener.write(connection.sock, head + body)
 
     def _answer_failure(self, connection, status, retry_after=None):
-        self._write_refusal(connection, status, retry_after)
+        self.write_refusal(connection, status, retry_after)
         connection.is_part_refused = not connection.reader.is_between_requests
-        self._start_closing(connection, AFTER_REFUSAL)
+        self.start_closing(connection, AFTER_REFUSAL)
         # Closing with unread bytes would reset it, answer included.
         self.listener.end_writing(connection.sock)
         self.application.context.timers.after(
@@ -308,13 +270,14 @@
         else:
             self._close(connection, AFTER_ANSWER)
 
-    def _start_closing(self, connection, reason):
+    def start_closing(self, connection, reason):
+        """Serve no further request of a connection."""
         if not connection.is_closing:
             connection.is_closing = True
             connection.close_reason = reason
 
     def _close(self, connection, reason):
-        self._start_closing(connection, reason)
+        self.start_closing(connection, reason)
         if connection.sock in self.listener.clients:
             self.listener.close(connection.sock)
 
@@ -328,7 +291,7 @@
             Whether the answer has an end of its own. Without one, only RST
             tells its caller that more was to follow.
         """
-        self._start_closing(connection, BROKEN_ANSWER)
+        self.start_closing(connection, BROKEN_ANSWER)
         if is_framed:
             self.listener.cut(connection.sock)
         else:
@@ -361,52 +324,20 @@
     @handler("sweep")
     def _on_sweep(self):
         for connection in list(self.connections.values()):
-            if self._is_stalled(connection):
+            if self.timeouts.is_stalled(connection):
                 self.listener.reset(connection.sock, SLOW_PEER)
-            elif self._is_overdue(connection) and not self._read_more(connection):
+            elif self.timeouts.is_overdue(connection) and not self.read_more(
+                connection
+            ):
                 if connection.reader.is_between_requests:
                     self._close(connection, IDLE)
                 else:
                     self._answer_failure(connection, REQUEST_TIMEOUT)
-            elif self._is_too_long(connection):
+            elif self.timeouts.is_too_long(connection):
                 self._answer_failure(connection, REQUEST_TIMEOUT)
         self.listener.abort_late_handshakes()
 
-    def _is_overdue(self, connection):
-        """Return whether a connection has been without bytes for too long."""
-        if connection.has_request or connection.is_closing:
-            return False
-        now = self.clock()
-        has_bytes = connection.sock in self.listener.turns.waiting
-        if has_bytes or self._is_reading_answer(connection):
-            connection.last_activity = now
-            return False
-        limits = widest(self.application.limits.at(now), connection.limits)
-        is_idle = connection.reader.is_between_requests
-        limit = limits.idle_timeout if is_idle else limits.head_timeout
-        return now - connection.last_activity > limit
-
-    def _is_too_long(self, connection):
-        """Return whether a caller has sent at one request for too long."""
-        if connection.begun_at is None or connection.is_closing:
-            return False
-        if connection.has_request or self._is_reading_answer(connection):
-            return False
-        limits = widest(self.application.limits.at(self.clock()), connection.limits)
-        return self.clock() - connection.begun_at > limits.request_timeout
-
-    def _is_stalled(self, connection):
-        """Return whether a caller has read nothing of its answer for long."""
-        now, queued = self.clock(), self.listener.queued.get(connection.sock, 0)
-        if queued != connection.queued:
-            connection.queued, connection.queued_at = queued, now
-        return queued > 0 and now - connection.queued_at > MAX_UNREAD_SECONDS
-
-    def _is_reading_answer(self, connection):
-        """Return whether a part of an answer waits until the caller reads."""
-        return self.listener.queued.get(connection.sock, 0) > 0
-
-    def _read_more(self, connection):
+    def read_more(self, connection):
         """Read what has arrived; return whether there was anything."""
         before = connection.reader.bytes_read
         self.listener.read_now(connection.sock)
@@ -419,7 +350,7 @@
         return (
             bool(connection.waiting)
             or not connection.reader.is_between_requests
-            or self._read_more(connection)
+            or self.read_more(connection)
         )
 
     def start_draining(self):
@@ -435,7 +366,7 @@
         for connection in list(self.connections.values()):
             if (
                 connection.is_idle
-                and not self._is_reading_answer(connection)
-                and not self._read_more(connection)
+                and not self.timeouts.is_reading_answer(connection)
+                and not self.read_more(connection)
             ):
                 self._close(connection, IDLE)
--- a/wagtailfront/serving/tests/test_http_server.py
+++ b/wagtailfront/serving/tests/test_http_server.py
@@ -19,6 +19,7 @@
 
 LIMITS = ServerLimits(max_head=2000, max_body=4000, head_timeout=0.1, idle_timeout=0.1)
 DIALOGUE_TIMEOUT = 10.0  # seconds
+DELAY = 1.0  # seconds, longer than all limits
 
 
 class Echo(BaseComponent):
@@ -278,10 +279,10 @@
     assert (status, reason.split(" with")[0]) == (None, "timed out")
 
 
-class Stalling(BaseComponent):
-    """Answers each request, and blocks its event loop for /stall."""
+class Delayed(BaseComponent):
+    """Answers later; blocks its event loop meanwhile for /stall."""
 
-    channel = "stalling"
+    channel = "delayed"
 
     def __init__(self):
         super().__init__()
@@ -291,15 +292,19 @@
 
     @handler("request")
     def _on_request(self, req, res):
+        res.body = b"late"
         if req.path == "/stall":
-            time.sleep(10 * LIMITS.idle_timeout)
-        res.body = b"ok"
-        return res
+            time.sleep(DELAY)
+            return res
+        self.server.application.context.timers.after(
+            DELAY, lambda: self.fire(response(res), self.channel)
+        )
+        return True
 
 
 def test_what_arrives_during_a_stall_is_answered():
     """Guards a request against a close as idle before it is read."""
-    component = Stalling()
+    component = Delayed()
     with running(component):
         address = ("127.0.0.1", component.server.port)
         with socket.create_connection(address, timeout=DIALOGUE_TIMEOUT) as waiting:
@@ -311,29 +316,9 @@
                 assert waiting.recv(100).startswith(b"HTTP/1.1 200 ")
 
 
-class Slow(BaseComponent):
-    """Answers each request later than a request may take to arrive."""
-
-    channel = "slow"
-
-    def __init__(self):
-        super().__init__()
-        self.server = HttpServer(
-            bind=("127.0.0.1", 0), channel=self.channel, limits=LIMITS
-        ).register(self)
-
-    @handler("request")
-    def _on_request(self, req, res):
-        res.body = b"late"
-        self.server.application.context.timers.after(
-            10 * LIMITS.head_timeout, lambda: self.fire(response(res), self.channel)
-        )
-        return True
-
-
 def test_a_part_of_the_next_request_leaves_an_answer_whole():
     """Guards an answer against the refusal of what follows its request."""
-    component = Slow()
+    component = Delayed()
     with running(component):
         answers = send_and_read(component, VALID_REQUEST + VALID_REQUEST[:20])
     first, _, rest = answers.partition(b"late")
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -14,6 +14,7 @@
 from circuits.net.sockets import TCPServer
 
 from wagtailfront.intake.read_turns import ReadTurns
+from wagtailfront.transport.socket_set import SocketSet
 
 __all__ = ["HttpListener"]
 
@@ -35,36 +36,6 @@
 CLOSED_HERE = "closed by this instance"
 
 
-class SocketSet:
-    """Sockets in order, with the methods of a list that circuits calls.
-
-    A list takes a look at each of its sockets to find one of them.
-    """
-
-    def __init__(self):
-        self.sockets = {}
-
-    def append(self, sock):
-        """Add a socket."""
-        self.sockets[sock] = None
-
-    def remove(self, sock):
-        """Remove a socket."""
-        del self.sockets[sock]
-
-    def __contains__(self, sock):
-        return sock in self.sockets
-
-    def __iter__(self):
-        return iter(self.sockets)
-
-    def __len__(self):
-        return len(self.sockets)
-
-    def __getitem__(self, index):
-        return list(self.sockets)[index]
-
-
 class HttpListener(TCPServer):
     """TCP server whose TLS handshakes do not block the event loop.
 
