Name what happens at the connection limit by the terms of the field

Read as a newcomer: "places" that connections "leave" are the connection limit and evictions; bytes that are "dear to read" are expensive to parse. No behaviour changes.

--- a/wagtailfront/intake/connection_intake.py
+++ b/wagtailfront/intake/connection_intake.py
@@ -164,12 +164,17 @@
         part = self.memory.shares.kernel // (4 * (len(self.memory.holders) + 1))
         return min(MAX_BUFFER, max(MIN_BUFFER, part))
 
-    def record_places(self, *, left, open_connections):
-        """Record that connections were closed as a new one needs a place."""
-        outcome = "made" if left else "none left"
-        self.context.metrics.count("places_total", amount=left or 1, outcome=outcome)
+    def record_eviction(self, *, evicted, open_connections):
+        """Record that connections, or a new one, were closed at the limit."""
+        outcome = "evicted" if evicted else "rejected"
+        self.context.metrics.count(
+            "connections_over_limit_total", amount=evicted or 1, outcome=outcome
+        )
         self.context.log.decision(
-            "places", outcome=outcome, closed=left, connections=open_connections
+            "connection_limit",
+            outcome=outcome,
+            closed=evicted,
+            connections=open_connections,
         )
 
     def record(self, intake, outcome):
--- a/wagtailfront/intake/places.py
+++ b/wagtailfront/intake/eviction.py
@@ -1,24 +1,24 @@
-"""Which connections give their places to new ones."""
+"""Which connections are closed for new ones at the connection limit."""
 
 import enum
 import heapq
 from typing import Any, NamedTuple
 
-__all__ = ["Occupant", "Rank", "choose_to_leave", "rank_occupant"]
+__all__ = ["OpenConnection", "Rank", "choose_evicted", "eviction_rank"]
 
 STALL_SECONDS = 1.0  # without a byte until a request counts as stalled
 
 
 class Rank(enum.IntEnum):
-    """Order in which connections leave."""
+    """Order in which connections are closed."""
 
     WITHOUT_REQUEST = 0  # never sent a whole head, or were refused
     STALLED = 1  # sent no byte of a body for some time
     SERVED = 2  # are idle after an answer
 
 
-class Occupant(NamedTuple):
-    """A connection that holds a place.
+class OpenConnection(NamedTuple):
+    """What decides whether a connection may be closed for a new one.
 
     Attributes
     ----------
@@ -43,44 +43,44 @@
     has_part_of_body: bool = False
 
 
-def rank_occupant(occupant, *, now):
-    """Return the Rank of an Occupant, or None if it stays.
+def eviction_rank(connection, *, now):
+    """Return the Rank of an OpenConnection, or None if it stays open.
 
     Examples
     --------
-    >>> rank_occupant(Occupant("a", opened_at=0.0, active_at=0.0), now=0.1)
+    >>> eviction_rank(OpenConnection("a", 0.0, 0.0), now=0.1)
     <Rank.WITHOUT_REQUEST: 0>
-    >>> rank_occupant(Occupant("a", 0.0, 0.0, has_work=True), now=9.0)
+    >>> eviction_rank(OpenConnection("a", 0.0, 0.0, has_work=True), now=9.0)
     """
-    if occupant.has_work:
+    if connection.has_work:
         return None
-    if occupant.is_refused:
+    if connection.is_refused:
         return Rank.WITHOUT_REQUEST
-    if occupant.has_part_of_body:
-        is_stalled = now - occupant.active_at > STALL_SECONDS
+    if connection.has_part_of_body:
+        is_stalled = now - connection.active_at > STALL_SECONDS
         return Rank.STALLED if is_stalled else None
-    return Rank.SERVED if occupant.was_served else Rank.WITHOUT_REQUEST
+    return Rank.SERVED if connection.was_served else Rank.WITHOUT_REQUEST
 
 
-def choose_to_leave(occupants, *, count, now):
-    """Return the keys of up to `count` connections that leave, in order.
+def choose_evicted(connections, *, count, now):
+    """Return the keys of up to `count` connections to close, in order.
 
     Parameters
     ----------
-    occupants : iterable of Occupant
+    connections : iterable of OpenConnection
     count : int
     now : float
 
     Notes
     -----
     A connection costs its caller nothing, so connections that ask for
-    nothing must not keep others out. Of one rank the oldest leaves first: a
+    nothing must not keep others out. Of one rank the oldest is first: a
     caller that sends single bytes does not become younger by them.
     """
-    ranked = ((rank_occupant(each, now=now), each) for each in occupants)
-    leaving = heapq.nsmallest(
+    ranked = ((eviction_rank(each, now=now), each) for each in connections)
+    evicted = heapq.nsmallest(
         count,
         ((rank, each) for rank, each in ranked if rank is not None),
         key=lambda entry: (entry[0], entry[1].opened_at),
     )
-    return [each.key for _rank, each in leaving]
+    return [each.key for _rank, each in evicted]
--- a/wagtailfront/intake/read_turns.py
+++ b/wagtailfront/intake/read_turns.py
@@ -1,4 +1,4 @@
-"""Order in which connections are read while their bytes are dear to read."""
+"""Order in which connections are read whose bytes are expensive to parse."""
 
 from typing import NamedTuple
 
@@ -32,7 +32,7 @@
 
 
 class ReadTurns:
-    """Lets connections whose requests are dear to read wait for a turn.
+    """Lets connections whose requests are expensive to parse wait for a turn.
 
     Others are read as soon as bytes arrive. So a crowd that sends without
     end, in whatever parts, delays a new request by one pass at most.
@@ -47,7 +47,7 @@
     Turns go round, as in deficit round robin (Shreedhar and Varghese, 1995),
     and cost decides how many of them one pass has. Connections that were
     served keep half of the cost of their framing, so that a request in parts
-    of single bytes does not become cheap by its end.
+    of single bytes does not become cheap when it ends.
 
     Examples
     --------
--- a/wagtailfront/observe/metrics.py
+++ b/wagtailfront/observe/metrics.py
@@ -64,8 +64,8 @@
     ),
     (
         Counter,
-        "places_total",
-        "Connections closed as a new one needed a place, and those without one.",
+        "connections_over_limit_total",
+        "Connections closed for new ones at the limit, and new ones rejected.",
         ("outcome",),
     ),
     (
--- a/wagtailfront/programs/entry_tree.py
+++ b/wagtailfront/programs/entry_tree.py
@@ -311,12 +311,12 @@
         return dispatcher
 
     def _make_callers(self):
-        places = allow_descriptors(MAX_DESCRIPTORS) - RESERVED_DESCRIPTORS
+        connections = allow_descriptors(MAX_DESCRIPTORS) - RESERVED_DESCRIPTORS
         return CallerServer(
             bind=self.settings.callers,
             dispatcher=self.proxy("dispatcher"),
             context=self.settings.caller_context,
-            limits=ServerLimits(max_connections=max(1, places)),
+            limits=ServerLimits(max_connections=max(1, connections)),
             pages=self.health.pages(),
             memory=self.intake,
             metrics=self.metrics,
--- a/wagtailfront/programs/tests/test_callers_turns.py
+++ b/wagtailfront/programs/tests/test_callers_turns.py
@@ -32,9 +32,9 @@
 MANY = 10_000  # ordinary requests, until so many have come back
 LEGAL = 4 * 1024 * 1024  # bytes of a body
 # Of a forwarding instance; 1,200 of them are not for callers.
-PLACES = 300
-MAX_DESCRIPTORS = 1200 + PLACES
-ENTRY_PLACES = 2000
+CONNECTIONS = 300
+MAX_DESCRIPTORS = 1200 + CONNECTIONS
+ENTRY_CONNECTIONS = 2000
 PART_OF_A_HEAD = b"POST /services/orders/a HTTP/1.1\r\nHos"
 
 
@@ -102,17 +102,17 @@
 
 @pytest.mark.parametrize("first", [b"", PART_OF_A_HEAD], ids=["idle", "part of a head"])
 @pytest.mark.parametrize("program", PROGRAMS)
-def test_callers_are_answered_beside_more_than_the_places(
+def test_callers_are_answered_beyond_the_connection_limit(
     program, first, process, tmp_path
 ):
-    """Guards ordinary callers against connections that keep all places."""
+    """Guards ordinary callers against connections that ask for nothing."""
     options = {"max_descriptors": str(MAX_DESCRIPTORS)}
-    places = {"forward": PLACES, "entry": ENTRY_PLACES}[program]
+    limit = {"forward": CONNECTIONS, "entry": ENTRY_CONNECTIONS}[program]
     with PROGRAMS[program](process, tmp_path, **options) as (site, child, ask):
         address = ("127.0.0.1", site.ports["callers"])
-        crowd = open_connections(address, 2 * places, first)
+        crowd = open_connections(address, 2 * limit, first)
         assert all(ask() for _request in range(ORDINARY))
-        assert open_descriptors(child.pid) < places + 100
+        assert open_descriptors(child.pid) < limit + 100
         assert child.poll() is None
         assert peak_memory(child.pid) < MEMORY
         for sock in crowd:
--- a/wagtailfront/serving/connection.py
+++ b/wagtailfront/serving/connection.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from wagtailfront.intake.places import Occupant
+from wagtailfront.intake.eviction import OpenConnection
 from wagtailfront.serving.caller_limits import widest
 from wagtailfront.serving.request_reader import Request, RequestReader
 
@@ -81,11 +81,11 @@
         """Return whether no request has been read, not even in part."""
         return not self.has_request and self.reader.is_between_requests
 
-    def as_occupant(self, *, is_reading_answer):
-        """Return the connection as one that holds a place."""
+    def as_open_connection(self, *, is_reading_answer):
+        """Return what decides whether the connection may be closed."""
         reader = self.reader
         has_request = self.has_request and not self.is_closing
-        return Occupant(
+        return OpenConnection(
             key=self,
             opened_at=self.opened_at,
             active_at=self.last_activity,
--- a/wagtailfront/serving/connection_server.py
+++ b/wagtailfront/serving/connection_server.py
@@ -13,8 +13,8 @@
 from wagtailfront.intake.usable_memory import usable_memory
 from wagtailfront.serving.caller_timeouts import CallerTimeouts
 from wagtailfront.serving.connection import CallerConnection
+from wagtailfront.serving.connection_evictor import ConnectionEvictor
 from wagtailfront.serving.half_closed_callers import HalfClosedCallers
-from wagtailfront.serving.place_maker import PlaceMaker
 from wagtailfront.serving.reply import Reply
 from wagtailfront.serving.unanswered_log import UnansweredLog
 from wagtailfront.transport.framing import (
@@ -99,7 +99,9 @@
         )
         self.listener.on_flushed = self._on_flushed
         self.listener.on_queued = self._on_queued
-        self.listener.on_full = PlaceMaker(server=self, places=max_connections).make
+        self.listener.on_full = ConnectionEvictor(
+            server=self, max_connections=max_connections
+        ).evict
         self.intake = IntakeGate(
             memory=memory,
             listener=self.listener,
--- a/wagtailfront/transport/http_listener.py
+++ b/wagtailfront/transport/http_listener.py
@@ -59,13 +59,13 @@
     close_reasons : WeakKeyDictionary
         Why a socket was closed.
     turns : ReadTurns
-        When connections are read whose requests are dear to read.
+        When connections are read whose requests are expensive to parse.
     on_flushed : callable or None
         Called with a socket once the bytes that waited have been written.
     on_queued : callable or None
         Called with a socket when bytes have to wait, or some were written.
     on_full : callable or None
-        Called to close connections when a new one needs a place.
+        Called to close connections when a new one exceeds the limit.
     buffer_size : callable or None
         Returns the bytes that the kernel may buffer in each direction of a
         new connection; by default the kernel decides.
@@ -120,7 +120,7 @@
             size = self.buffer_size()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
-        if self.is_full and not self._make_place():
+        if self.is_full and not self._make_room():
             sock.close()
             return
         if self.context is None:
@@ -134,12 +134,12 @@
 
     @property
     def is_full(self):
-        """Return whether a new connection needs the place of another one."""
+        """Return whether as many connections are open as are permitted."""
         count = len(self._clients) + len(self.handshakes)
         return count >= self.limits.max_connections
 
-    def _make_place(self):
-        """Return whether another connection has left its place."""
+    def _make_room(self):
+        """Return whether another connection has been closed for a new one."""
         if len(self.handshakes) > self.limits.max_connections // 2:
             self.abort_handshake(next(iter(self.handshakes)))  # the oldest
         elif self.on_full is not None:
