--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """Streams while engines are upgraded in place and the store is away."""
 
 import asyncio
+import os
 import pathlib
 import re
 import sys
@@ -14,6 +15,10 @@
 
 STREAMS = 12
 TOLERATED = 2
+# "1": the store is away. "0": it is not, and an engine registers at its start.
+# "heartbeat": it is not, and an engine registers with its first heartbeat.
+MODE = os.environ.get("TROUBLE", "1")
+FIRST_HEARTBEAT = 1.0  # seconds after the start; `heartbeat-ms` is 1,200
 
 
 async def stream(record, port, name):
@@ -67,7 +72,7 @@
     if first != {"1.0"}:
         raise harness.CannotRun(f"the first stream was {first}")
 
-    if harness.TROUBLE:
+    if MODE == "1":
         record("the store is busy for 4.5 s")
         store.outage = "busy"
     began = time.monotonic()
@@ -100,9 +105,18 @@
     await after.start(before.port)
     engines[name] = after
     record(f"engine {name}, version {after.version}, started; born {after.born}")
-    if store.outage is None:
-        store.write([("servers", name, after.entry())])
-        record(f"engine {name} is registered")
+    if MODE == "heartbeat":
+        asyncio.get_running_loop().call_later(
+            FIRST_HEARTBEAT, register, record, store, after
+        )
+    elif store.outage is None:
+        register(record, store, after)
+
+
+def register(record, store, engine):
+    """Write the entry of an engine."""
+    store.write([("servers", engine.name, engine.entry())])
+    record(f"engine {engine.name} is registered")
 
 
 if __name__ == "__main__":
