--- a/review/shared-2/harness.py
+++ b/review/shared-2/harness.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -13,6 +14,8 @@
 from standins import CRLF, Store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+BLOCK = 20  # ports of one instance
+taken_blocks = set()
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -20,10 +23,26 @@
     """The case could not be set up."""
 
 
-def free_port():
+def free_block():
+    """Return the first of BLOCK ports that are free.
+
+    An instance also takes the first free one after that of its peers.
+    """
+    for _ in range(200):
+        first = random.randrange(20_000, 30_000, BLOCK)
+        if first not in taken_blocks and all(map(is_free, range(first, first + BLOCK))):
+            taken_blocks.add(first)
+            return first
+    raise CannotRun("no ports are free")
+
+
+def is_free(port):
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 class Record:
@@ -43,7 +62,9 @@
 
     def __init__(self, name, store, folder, *, settings=""):
         self.name, self.folder = name, folder
-        self.callers, self.status = free_port(), free_port()
+        first = free_block()
+        self.callers, self.status, self.metrics = first, first + 1, first + 2
+        self.peers = first + 3
         self.store, self.settings = store, settings
         self.process = None
 
@@ -63,8 +84,8 @@
             "WAGTAILFRONT_CALLERS": f"127.0.0.1:{self.callers}",
             "WAGTAILFRONT_STATUS": f"127.0.0.1:{self.status}",
             "WAGTAILFRONT_STORE": f"127.0.0.1:{self.store.port}",
-            "WAGTAILFRONT_PEERS": f"127.0.0.1:{free_port()}",
-            "WAGTAILFRONT_METRICS": f"127.0.0.1:{free_port()}",
+            "WAGTAILFRONT_PEERS": f"127.0.0.1:{self.peers}",
+            "WAGTAILFRONT_METRICS": f"127.0.0.1:{self.metrics}",
             "WAGTAILFRONT_DRAIN_TIMEOUT": "8",
             "WAGTAILFRONT_PREFILL_SHARE": "0.5",
             "WAGTAILFRONT_REPEAT_SHARE": "0.2",
@@ -187,7 +208,6 @@
     "Record",
     "Store",
     "configuration",
-    "free_port",
     "main",
     "request",
     "route",
