--- a/review/6/case.py
+++ b/review/6/case.py
@@ -93,7 +93,7 @@
             await asyncio.sleep(BETWEEN - FROZEN)
 
     def count(self, *paths):
-        """Return the numbers of counted requests that were served, and of all."""
+        """Return how many counted requests were served, and how many came."""
         chosen = [
             status
             for path in paths
