--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,10 @@
-"""Streams while engines are upgraded in place and the store is away."""
+"""Equal lookups after servers have dropped idle connections without notice."""
 
 import asyncio
-import os
+import json
 import pathlib
-import re
+import socket
+import struct
 import sys
 import time
 
@@ -11,112 +12,133 @@
 sys.path.insert(0, str(FOLDER.parent / "shared-2"))
 
 import harness  # noqa: E402
-from standins import Store, StreamEngine  # noqa: E402
-
-STREAMS = 12
-TOLERATED = 2
-# "1": the store is away. "0": it is not, and an engine registers at its start.
-# "heartbeat": it is not, and an engine registers with its first heartbeat.
-MODE = os.environ.get("TROUBLE", "1")
-FIRST_HEARTBEAT = 1.0  # seconds after the start; `heartbeat-ms` is 1,200
-
-
-async def stream(record, port, name):
-    """Return the software versions whose events one stream holds."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    headers = {
-        "X-Model": "m",
-        "X-Token-Count": "100,40",
-        "X-Prompt-Prefix": f"a1:60,{name}:40",
-        "X-Deadline-Ms": "8000",
-    }
-    record(f"sent {name}")
-    writer.write(harness.request("/talk/1", name, headers))
-    data = b""
-    until = time.monotonic() + 9
+from standins import Engine, Store, encode, read_message  # noqa: E402
+
+SERVERS, INSTANCES = 4, 3
+WORK = 0.0225  # seconds
+RATE = {"/page/": 6.0, "/look/": 4.0}  # of all instances
+DEADLINE = 1159  # ms
+ADDED, BEGIN, END = 3.0, 6.0, 46.0  # seconds; requests of the added route
+FORGET_FROM, FORGET_UNTIL, RESTED = 12.0, 17.0, 0.3
+COUNTED = FORGET_UNTIL + 4.0
+LEAST = 20
+
+
+class Server(Engine):
+    """A plain service that may forget connections which rested for a while."""
+
+    forgets = lambda self: False  # noqa: E731
+    resets = 0
+
+    async def run(self, writer, line, headers, body):
+        name = headers["x-request-id"]
+        self.ran.append((time.monotonic(), name))
+        await asyncio.sleep(WORK)
+        answer = {
+            "X-Request-Id": name,
+            "X-Response-Stamp": f"stamp.{name}",
+            "Keep-Alive": "timeout=10",
+        }
+        writer.write(encode(200, answer, json.dumps({"done": name}).encode()))
+
+    async def _serve(self, reader, writer):
+        rested_since = None
+        while (message := await read_message(reader)) is not None:
+            now = time.monotonic()
+            rested = 0.0 if rested_since is None else now - rested_since
+            if rested > RESTED and self.forgets():
+                # Nothing of what was sent is run.
+                self.resets += 1
+                sock = writer.get_extra_info("socket")
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                return
+            await self._answer(writer, *message)
+            await writer.drain()
+            rested_since = time.monotonic()
+        writer.close()
+
+
+async def ask(record, port, path, name, results):
+    data, sent = b"", time.monotonic()
     try:
-        while b"\r\n0\r\n\r\n" not in data:
-            part = await asyncio.wait_for(reader.read(65536), until - time.monotonic())
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        headers = {"X-Deadline-Ms": DEADLINE}
+        writer.write(harness.request(f"{path}1", name, headers, "GET", b""))
+        while b"\r\n\r\n" not in data:
+            left = sent + DEADLINE / 1000 - time.monotonic()
+            part = await asyncio.wait_for(reader.read(65536), max(0.0, left))
             if not part:
                 break
             data += part
-    except (TimeoutError, ConnectionError):
+        writer.close()
+    except (OSError, TimeoutError):
         pass
-    writer.close()
-    found = re.findall(rb"id: (\d+)\ndata: version (\S+) of (\S+)", data)
-    by_version = {}
-    for number, version, engine in found:
-        key = f"{version.decode()} at {engine.decode()}"
-        by_version.setdefault(key, []).append(int(number))
-    spans = {key: f"events {min(n)}-{max(n)}" for key, n in by_version.items()}
-    record(f"answered {name}: {data[9:12].decode()} {spans}")
-    return {key.split(" ")[0] for key in by_version}
+    status = data[9:12].decode() or "none"
+    results.append((sent, status))
+    record(f"answered {name} by {port}: {status} after {time.monotonic() - sent:.3f} s")
 
 
 async def case(record, scratch, instances):
     store = Store()
     await store.start()
-    engines = {}
-    for name in ("e1", "e2"):
-        engines[name] = StreamEngine(name=name, service="llm", stage="decode")
-        await engines[name].start()
-        store.write([("servers", name, engines[name].entry())])
-    routes = [harness.route("talk", "streaming", "llm", resumable=True)]
-    services = [{"name": "llm", "max-connections": 600, "engine": harness.MODEL}]
+    servers = {"pages": [], "ledger": []}
+    for service, members in servers.items():
+        for number in range(SERVERS):
+            server = Server(name=f"{service}-{number}", service=service, slots=6)
+            await server.start()
+            store.write([("servers", server.name, server.entry())])
+            members.append(server)
+    times = {"timeout-ms": 2000}
+    routes = [harness.route("page", "safe", "pages", **times)]
+    services = [{"name": name, "max-connections": 560} for name in servers]
     store.write([("op", "config", harness.configuration(3, routes, services))])
-    instance = harness.Instance("front-1", store, scratch)
-    instances.append(instance)
-    instance.start()
-    await instance.wait_ready()
-    first = await stream(record, instance.callers, "warm")
-    if first != {"1.0"}:
-        raise harness.CannotRun(f"the first stream was {first}")
-
-    if MODE == "1":
-        record("the store is busy for 4.5 s")
-        store.outage = "busy"
-    began = time.monotonic()
-    await upgrade(record, store, engines, "e2")
-    tasks = []
-    for number in range(STREAMS):
-        name = f"s{number}"
-        tasks.append(asyncio.create_task(stream(record, instance.callers, name)))
-        await asyncio.sleep(0.02)
-    await asyncio.sleep(0.8)
-    await upgrade(record, store, engines, "e1")
-    await asyncio.sleep(max(0, began + 4.5 - time.monotonic()))
-    store.outage = None
-    for each in engines.values():
-        store.write([("servers", each.name, each.entry())])
-    record("the store is back")
-    found = await asyncio.gather(*tasks)
-    mixed = [f"s{n}" for n, versions in enumerate(found) if len(versions) > 1]
-    record(f"streams with events of two versions: {mixed}")
-    return len(mixed) > TOLERATED
-
-
-async def upgrade(record, store, engines, name):
-    """Start an engine again under its id, with the next software version."""
-    before = engines[name]
-    before.crash()
-    record(f"engine {name}, version {before.version}, ended")
-    await asyncio.sleep(0.7)
-    after = StreamEngine(name=name, service="llm", version="1.1", stage="decode")
-    await after.start(before.port)
-    engines[name] = after
-    record(f"engine {name}, version {after.version}, started; born {after.born}")
-    if MODE == "heartbeat":
-        asyncio.get_running_loop().call_later(
-            FIRST_HEARTBEAT, register, record, store, after
-        )
-    elif store.outage is None:
-        register(record, store, after)
-
-
-def register(record, store, engine):
-    """Write the entry of an engine."""
-    store.write([("servers", engine.name, engine.entry())])
-    record(f"engine {engine.name} is registered")
+    for number in range(INSTANCES):
+        instances.append(harness.Instance(f"front-{number}", store, scratch))
+        instances[-1].start()
+    for each in instances:
+        await each.wait_ready()
+    await asyncio.sleep(1.5)
+    results = {path: [] for path in RATE}
+    tasks, begun = [], time.monotonic()
+
+    def forgets():
+        passed = time.monotonic() - begun
+        return harness.TROUBLE and FORGET_FROM <= passed < FORGET_UNTIL
+
+    for server in servers["ledger"][: SERVERS // 2]:
+        server.forgets = forgets
+
+    async def send(path, first):
+        for number in range(int((END - first) * RATE[path])):
+            at = begun + first + number / RATE[path]
+            await asyncio.sleep(max(0, at - time.monotonic()))
+            port = instances[number % INSTANCES].callers
+            name = f"{path.strip('/')}{number}"
+            step = ask(record, port, path, name, results[path])
+            tasks.append(asyncio.create_task(step))
+
+    async def add_route():
+        await asyncio.sleep(ADDED)
+        more = [*routes, harness.route("look", "safe", "ledger", **times)]
+        store.write([("op", "config", harness.configuration(5, more, services))])
+        record("the route /look/ is added")
+
+    await asyncio.gather(add_route(), send("/page/", 0.0), send("/look/", BEGIN))
+    await asyncio.gather(*tasks)
+
+    def count(path, first, last):
+        chosen = [s for at, s in results[path] if first <= at - begun < last]
+        return sum(status == "200" for status in chosen), len(chosen)
+
+    resets = [server.resets for server in servers["ledger"]]
+    record(f"requests that were reset on connections that had rested: {resets}")
+    record(f"added route before: {count('/look/', BEGIN, FORGET_FROM)}")
+    old_served, old = count("/page/", COUNTED, END)
+    new_served, new = count("/look/", COUNTED, END)
+    record(f"first route: {old_served} of {old}; added route: {new_served} of {new}")
+    return new >= LEAST and new_served / new < 0.25 * old_served / old
 
 
 if __name__ == "__main__":
