--- a/review/shared-2/harness.py
+++ b/review/shared-2/harness.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -179,11 +180,12 @@
     """Run `case(record, folder, instances)`; exit with 0, 1 or 2."""
     record = Record(folder)
     instances = []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # after its time limit
     with tempfile.TemporaryDirectory() as scratch:
         try:
             is_broken = asyncio.run(case(record, scratch, instances))
-        except CannotRun as error:
-            record(f"could not run: {error}")
+        except (Exception, SystemExit) as error:
+            record(f"could not run: {error!r}")
             for path in pathlib.Path(scratch).glob("*.log"):
                 record(path.read_text()[-2000:])
             sys.exit(2)
