--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,10 +13,10 @@
 import harness  # noqa: E402
 from standins import Engine, Store, encode  # noqa: E402
 
-SERVERS, INSTANCES = 2, 6
-WORK = {"/page/": 0.005, "/book/": 0.045, "/look/": 0.045}  # seconds
-RATE = {"/page/": 20.0, "/book/": 20.0, "/look/": 12.0}  # of all instances
-DEADLINE = {"/page/": 1115, "/book/": 1318, "/look/": 1115}  # ms
+SERVERS, INSTANCES = 4, 6
+WORK = {"/page/": 0.005, "/book/": 0.0225, "/look/": 0.0225}  # seconds
+RATE = {"/page/": 12.0, "/book/": 12.6, "/look/": 5.0}  # of all instances
+DEADLINE = {"/page/": 1000, "/book/": 1000, "/look/": 1000}  # ms
 FIRST_FREEZE, BETWEEN, FROZEN = 6.0, 4.5, 3.5  # seconds
 ADDED, COUNTED, END = 37.0, 40.0, 62.0
 LEAST = 20
